--- /dev/null
+++ b/demo/told.ts
@@ -0,0 +1,16 @@
+/** What a caller was told of one request. */
+
+/** `cut`: the connection broke with the answer begun or the request sent; `refused`: no daemon took it. */
+type Word = "answered" | "not-run" | "unknown" | "cut" | "refused";
+
+/** Times in milliseconds from when the request was meant to be sent. */
+export type Told = {
+    readonly id: string;
+    readonly kind: string;
+    readonly once: boolean;
+    readonly word: Word;
+    readonly status: number;
+    readonly wrong: boolean;
+    readonly ms: number;
+    readonly at: number;
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,41 @@
+// Lint rules: the TypeScript team's guidelines, and the house rules that a tool can check.
+import tseslint from "typescript-eslint";
+
+const pureCore = {
+    files: ["src/policy/**/*.ts", "src/ledger/**/*.ts"],
+    ignores: ["**/*.test.ts"],
+    rules: {
+        "no-restricted-imports": ["error", {
+            patterns: [{ regex: "^(node:|undici|debug|zod)", message: "The decisions do no I/O." }],
+        }],
+        "no-restricted-globals": ["error", "setTimeout", "setInterval", "performance", "process", "fetch"],
+        "no-restricted-properties": [
+            "error",
+            { object: "Date", property: "now", message: "The present time is an argument." },
+            { object: "Math", property: "random", message: "Randomness is an argument." },
+        ],
+    },
+};
+
+export default tseslint.config(
+    { ignores: ["dist", "node_modules", "src/gen"] },
+    ...tseslint.configs.recommended,
+    {
+        files: ["**/*.ts"],
+        languageOptions: { parserOptions: { projectService: true } },
+        rules: {
+            "@typescript-eslint/no-floating-promises": ["error", {
+                allowForKnownSafeCalls: [{ from: "package", name: ["test"], package: "node:test" }],
+            }],
+            "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", caughtErrors: "none" }],
+            "@typescript-eslint/no-redeclare": "off",
+            "eqeqeq": "error",
+            "prefer-const": "error",
+            "func-style": ["error", "declaration", { allowArrowFunctions: true }],
+            "max-lines": ["error", { max: 250 }],
+        },
+    },
+    pureCore,
+);
--- /dev/null
+++ b/src/cli/commonargs.ts
@@ -0,0 +1,19 @@
+/** Flags that every subcommand has. */
+import { array, flag, multioption, string } from "cmd-ts";
+
+const DEFAULT_DAEMON = "127.0.0.1:7090";
+
+const fromEnvironment = (): string[] =>
+    (process.env["WINGLOCK_DAEMONS"] ?? DEFAULT_DAEMON).split(",").map(daemon => daemon.trim());
+
+/** `--daemon` may stand several times, and the first daemon that answers is used. */
+export const commonArgs = {
+    daemons: multioption({
+        type: array(string),
+        long: "daemon",
+        short: "d",
+        description: "A daemon's operator address, IP:PORT; may be repeated [env: WINGLOCK_DAEMONS]",
+        defaultValue: fromEnvironment,
+    }),
+    json: flag({ long: "json", description: "Print one line of JSON." }),
+};
--- /dev/null
+++ b/src/cli/exitcode.ts
@@ -0,0 +1,11 @@
+/** What the command's exit tells a script. */
+
+/** Also in `winglock --help` and docs/OPERATIONS.md. */
+export const exitCode = {
+    done: 0,
+    failed: 1,
+    invalid: 2,
+    conflict: 3,
+    unknown: 4,
+    notFound: 5,
+} as const;
--- /dev/null
+++ b/src/cli/explaincommand.ts
@@ -0,0 +1,48 @@
+/** `winglock explain`. */
+import { command, positional, string } from "cmd-ts";
+import type { ExplainRequestResponse } from "../gen/winglock/operator/v1/operator_pb.js";
+import { nameOf } from "../operator/nameof.js";
+import { protoKind } from "../operator/protokind.js";
+import { protoPriority } from "../operator/protopriority.js";
+import { CliError } from "./clierror.js";
+import { commonArgs } from "./commonargs.js";
+import { exitCode } from "./exitcode.js";
+import { OperatorClient } from "./operatorclient.js";
+import { output } from "./output.js";
+import { table } from "./table.js";
+
+const toText = (res: ExplainRequestResponse): string => {
+    const rows = res.candidates.map(candidate => [
+        candidate.upstream,
+        candidate.eligible ? "yes" : `no: ${candidate.reason}`,
+        candidate.expectedMs.toFixed(1),
+    ]);
+    return [
+        `rule      ${res.rule}`,
+        `service   ${res.service}`,
+        `class     ${nameOf(protoPriority, res.priority)}`,
+        `kind      ${nameOf(protoKind, res.kind)} (${res.kindReason})`,
+        `tenant    ${res.tenant}`,
+        `limit     ${res.timeLimitMs} ms`,
+        table(["upstream", "eligible", "expected ms"], rows),
+    ].join("\n");
+};
+
+/** Tells what the daemon would do with a request. */
+export const explainCommand = command({
+    name: "explain",
+    description:
+        "Tells rule, class, kind and upstreams of a request. Example: winglock explain POST http://behoun/fees",
+    args: {
+        method: positional({ type: string, displayName: "method" }),
+        url: positional({ type: string, displayName: "url" }),
+        ...commonArgs,
+    },
+    handler: async ({ method, url, daemons, json }) => {
+        const res = await new OperatorClient(daemons).call(operator => operator.explainRequest({ method, url }));
+        if (res.rule === "") {
+            throw new CliError(exitCode.notFound, `no rule matches ${method} ${url}; it would be refused with 404`);
+        }
+        output(json, res, toText(res));
+    },
+});
--- /dev/null
+++ b/src/cli/makechange.ts
@@ -0,0 +1,69 @@
+/** Makes a change and tells what became of it. */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { randomUUID } from "node:crypto";
+import {
+    ApplyChangesRequestSchema,
+    type ApplyChangesResponse,
+    ChangeOutcome,
+    type ChangeSchema,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+import { CliError } from "./clierror.js";
+import { exitCode } from "./exitcode.js";
+import type { OperatorClient } from "./operatorclient.js";
+import { output } from "./output.js";
+
+/** What the flags say of the change. */
+type ChangeFlags = {
+    readonly json: boolean;
+    readonly dryRun: boolean;
+    readonly changeId: string | undefined;
+    readonly base: number | undefined;
+};
+
+type Ending = { readonly text: string; readonly code: number; };
+
+const issueLines = (res: ApplyChangesResponse): string =>
+    res.issues.map(issue => `${issue.path || "(top)"}: ${issue.message}`).join("\n");
+
+const ending = (res: ApplyChangesResponse, id: string): Ending => {
+    switch (res.outcome) {
+        case ChangeOutcome.ACCEPTED:
+            return {
+                text: [`accepted as revision ${res.revision}`, ...res.difference].join("\n"),
+                code: exitCode.done,
+            };
+        case ChangeOutcome.DRY_RUN:
+            return { text: [`dry run on revision ${res.revision}`, ...res.difference].join("\n"), code: exitCode.done };
+        case ChangeOutcome.CONFLICT: {
+            const other = `${res.conflictingChangeId || "(none)"} made revision ${res.conflictingRevision}`;
+            return {
+                text: `conflict: the newest revision is ${res.revision}; change ${other}`,
+                code: exitCode.conflict,
+            };
+        }
+        case ChangeOutcome.INVALID:
+            return { text: `invalid:\n${issueLines(res)}`, code: exitCode.invalid };
+        case ChangeOutcome.NOT_APPLIED:
+            return { text: `not applied:\n${issueLines(res)}`, code: exitCode.failed };
+        default:
+            return { text: `unknown: ask again with --change-id ${id}\n${issueLines(res)}`, code: exitCode.unknown };
+    }
+};
+
+/** Prints the outcome; throws a CliError when the change was not accepted. */
+export async function makeChange(
+    client: OperatorClient,
+    changes: MessageInitShape<typeof ChangeSchema>[],
+    flags: ChangeFlags,
+): Promise<void> {
+    const changeId = flags.changeId ?? randomUUID();
+    const { dryRun } = flags;
+    const baseRevision = BigInt(flags.base ?? 0);
+    const req = create(ApplyChangesRequestSchema, { baseRevision, changeId, changes, dryRun });
+    const res = await client.call(operator => operator.applyChanges(req));
+    const { text, code } = ending(res, changeId);
+    if (code !== exitCode.done) {
+        throw new CliError(code, text);
+    }
+    output(flags.json, { changeId, revision: res.revision, difference: res.difference, dryRun }, text);
+}
--- /dev/null
+++ b/src/cli/readfilechange.ts
@@ -0,0 +1,45 @@
+/** Reads a whole configuration from a file. */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { ConfigError } from "../config/configerror.js";
+import { parse } from "../config/parse.js";
+import { Rule } from "../config/rule.js";
+import { Service } from "../config/service.js";
+import { Upstream } from "../config/upstream.js";
+import { type ChangeSchema, ConfigurationSchema } from "../gen/winglock/operator/v1/operator_pb.js";
+import { CliError } from "./clierror.js";
+import { exitCode } from "./exitcode.js";
+import { RuleNoun } from "./rulenoun.js";
+
+/** The file's form: what `winglock export` prints; `revision` is the one that it was based on. */
+const ConfigurationFile = z.strictObject({
+    revision: z.int().min(0).optional(),
+    services: z.array(Service),
+    upstreams: z.array(Upstream),
+    rules: z.array(Rule),
+});
+
+type FileChange = {
+    readonly revision: number | undefined;
+    readonly change: MessageInitShape<typeof ChangeSchema>;
+};
+
+const read = (file: string): z.infer<typeof ConfigurationFile> => {
+    try {
+        return parse(ConfigurationFile, JSON.parse(readFileSync(file, "utf8")));
+    }
+    catch (err) {
+        const what = err instanceof ConfigError ? `\n${err.message}` : ` ${(err as Error).message}`;
+        throw new CliError(exitCode.invalid, `${file} can't be used:${what}`);
+    }
+};
+
+/** The change that replaces everything by the file's content; throws a CliError that names the field. */
+export function readFileChange(file: string): FileChange {
+    const { revision, services, upstreams, rules } = read(file);
+    const noun = new RuleNoun();
+    const ruleMessages = rules.map(rule => (noun.put(rule).change as { value: object; }).value);
+    const value = create(ConfigurationSchema, { services, upstreams, rules: ruleMessages });
+    return { revision, change: { change: { case: "replace", value } } };
+}
--- /dev/null
+++ b/src/cli/rulenoun.ts
@@ -0,0 +1,71 @@
+/** `winglock rule`. */
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { array, multioption, number, oneOf, option, optional, string } from "cmd-ts";
+import { AnswerMode } from "../config/answermode.js";
+import { Kind } from "../config/kind.js";
+import { Priority } from "../config/priority.js";
+import type { ChangeSchema, Configuration } from "../gen/winglock/operator/v1/operator_pb.js";
+import { nameOf } from "../operator/nameof.js";
+import { protoAnswerMode } from "../operator/protoanswermode.js";
+import { protoKind } from "../operator/protokind.js";
+import { protoPriority } from "../operator/protopriority.js";
+import { Noun } from "./noun.js";
+import { toPlainItem } from "./toplainitem.js";
+
+type RuleItem = { name: string; kind?: Kind; priority?: Priority; answer?: AnswerMode; };
+
+/** How the requests that it matches are handled. */
+export class RuleNoun extends Noun {
+    readonly name = "rule";
+    readonly columns = [
+        "name",
+        "host",
+        "pathPrefix",
+        "methods",
+        "service",
+        "priority",
+        "tenant",
+        "kind",
+        "timeLimitMs",
+    ];
+    readonly example = "winglock rule create pay-fee --path-prefix /fees --methods POST --service entries --kind once";
+    readonly flags = {
+        host: option({ type: optional(string), long: "host", description: "The host name; empty matches all." }),
+        pathPrefix: option({ type: optional(string), long: "path-prefix", description: "The start of the path." }),
+        methods: multioption({ type: array(string), long: "methods", description: "A method; may be repeated." }),
+        service: option({ type: optional(string), long: "service", description: "The service that serves it." }),
+        priority: option({ type: optional(oneOf(Priority.options)), long: "priority", description: "The class." }),
+        tenant: option({ type: optional(string), long: "tenant", description: "On whose account." }),
+        kind: option({ type: optional(oneOf(Kind.options)), long: "kind", description: "May it run again?" }),
+        timeLimitMs: option({ type: optional(number), long: "time-limit-ms", description: "Time for the whole." }),
+        answer: option({
+            type: optional(oneOf(AnswerMode.options)),
+            long: "answer",
+            description: "Whole or streamed.",
+        }),
+    };
+
+    list(configuration: Configuration): ReturnType<Noun["list"]> {
+        return configuration.rules.map(rule => ({
+            ...toPlainItem(rule),
+            kind: nameOf(protoKind, rule.kind),
+            priority: nameOf(protoPriority, rule.priority),
+            answer: nameOf(protoAnswerMode, rule.answer),
+        }));
+    }
+
+    put(item: { name: string; }): MessageInitShape<typeof ChangeSchema> {
+        const { kind, priority, answer, ...fields } = item as RuleItem;
+        const value = {
+            ...fields,
+            kind: kind && protoKind[kind],
+            priority: priority && protoPriority[priority],
+            answer: answer && protoAnswerMode[answer],
+        };
+        return { change: { case: "putRule", value } };
+    }
+
+    remove(name: string): MessageInitShape<typeof ChangeSchema> {
+        return { change: { case: "deleteRule", value: name } };
+    }
+}
--- /dev/null
+++ b/src/cli/servicenoun.ts
@@ -0,0 +1,30 @@
+/** `winglock service`. */
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { number, option, optional } from "cmd-ts";
+import type { ChangeSchema, Configuration } from "../gen/winglock/operator/v1/operator_pb.js";
+import { Noun } from "./noun.js";
+import { toPlainItem } from "./toplainitem.js";
+
+/** A named group of upstreams. */
+export class ServiceNoun extends Noun {
+    readonly name = "service";
+    readonly columns = ["name", "bufferBytes", "maxWaitMs", "retryRatio"];
+    readonly example = "winglock service create splits --max-wait-ms 500";
+    readonly flags = {
+        bufferBytes: option({ type: optional(number), long: "buffer-bytes", description: "Largest whole answer." }),
+        maxWaitMs: option({ type: optional(number), long: "max-wait-ms", description: "Longest wait in a queue." }),
+        retryRatio: option({ type: optional(number), long: "retry-ratio", description: "Share of retries, 0 to 1." }),
+    };
+
+    list(configuration: Configuration): ReturnType<Noun["list"]> {
+        return configuration.services.map(toPlainItem);
+    }
+
+    put(item: { name: string; }): MessageInitShape<typeof ChangeSchema> {
+        return { change: { case: "putService", value: item } };
+    }
+
+    remove(name: string): MessageInitShape<typeof ChangeSchema> {
+        return { change: { case: "deleteService", value: name } };
+    }
+}
--- /dev/null
+++ b/src/cli/winglock.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/** The operators' binary. */
+import { run, subcommands } from "cmd-ts";
+import { applyCommand } from "./applycommand.js";
+import { CliError } from "./clierror.js";
+import { diffCommand } from "./diffcommand.js";
+import { drainCommand } from "./draincommand.js";
+import { exitCode } from "./exitcode.js";
+import { explainCommand } from "./explaincommand.js";
+import { exportCommand } from "./exportcommand.js";
+import { nounCommands } from "./nouncommands.js";
+import { resolveCommand } from "./resolvecommand.js";
+import { RuleNoun } from "./rulenoun.js";
+import { ServiceNoun } from "./servicenoun.js";
+import { statusCommand } from "./statuscommand.js";
+import { UpstreamNoun } from "./upstreamnoun.js";
+import { watchCommand } from "./watchcommand.js";
+
+const app = subcommands({
+    name: "winglock",
+    description: "Runs winglock's daemons. Exit codes: 0 done, 1 failed or no daemon answers, 2 invalid input,"
+        + " 3 conflict, 4 outcome unknown (ask again with the change id), 5 not found.",
+    cmds: {
+        service: nounCommands(new ServiceNoun()),
+        upstream: nounCommands(new UpstreamNoun()),
+        rule: nounCommands(new RuleNoun()),
+        apply: applyCommand,
+        diff: diffCommand,
+        export: exportCommand,
+        status: statusCommand,
+        drain: drainCommand(true),
+        undrain: drainCommand(false),
+        watch: watchCommand,
+        explain: explainCommand,
+        resolve: resolveCommand,
+    },
+});
+
+try {
+    await run(app, process.argv.slice(2));
+}
+catch (err) {
+    console.error((err as Error).message);
+    process.exitCode = err instanceof CliError ? err.code : exitCode.failed;
+}
--- /dev/null
+++ b/src/config/applychanges.ts
@@ -0,0 +1,67 @@
+/** Makes the next document from the last one. */
+import type { ChangeId } from "../ids/changeid.js";
+import type { Change } from "./change.js";
+import { checkDocument } from "./checkdocument.js";
+import { ConfigError } from "./configerror.js";
+import type { Document } from "./document.js";
+import { keptChanges } from "./keptchanges.js";
+
+type Named = { readonly name: string; };
+
+const put = <Item extends Named>(list: Item[], item: Item): Item[] => {
+    const at = list.findIndex(other => other.name === item.name);
+    return at < 0 ? [...list, item] : list.with(at, item);
+};
+
+const remove = <Item extends Named>(list: Item[], name: string, path: string): Item[] => {
+    const kept = list.filter(item => item.name !== name);
+    if (kept.length === list.length) {
+        throw new ConfigError([{ code: "not-found", path, message: `nothing is named ${name}` }]);
+    }
+    return kept;
+};
+
+const setDraining = (document: Document, name: string, draining: boolean): Document => {
+    const upstream = document.upstreams.find(item => item.name === name);
+    if (upstream === undefined) {
+        throw new ConfigError([{ code: "not-found", path: "upstreams", message: `nothing is named ${name}` }]);
+    }
+    return { ...document, upstreams: put(document.upstreams, { ...upstream, draining }) };
+};
+
+const applyChange = (document: Document, change: Change): Document => {
+    switch (change.type) {
+        case "putService":
+            return { ...document, services: put(document.services, change.service) };
+        case "putUpstream":
+            return { ...document, upstreams: put(document.upstreams, change.upstream) };
+        case "putRule":
+            return { ...document, rules: put(document.rules, change.rule) };
+        case "deleteService":
+            return { ...document, services: remove(document.services, change.name, "services") };
+        case "deleteUpstream":
+            return { ...document, upstreams: remove(document.upstreams, change.name, "upstreams") };
+        case "deleteRule":
+            return { ...document, rules: remove(document.rules, change.name, "rules") };
+        case "setDraining":
+            return setDraining(document, change.name, change.draining);
+        case "replace":
+            return {
+                ...document,
+                services: [...change.content.services],
+                upstreams: [...change.content.upstreams],
+                rules: [...change.content.rules],
+            };
+    }
+};
+
+/** Returns the document with all changes made and its revision one higher; throws a ConfigError and makes none. */
+export function applyChanges(document: Document, id: ChangeId, changes: readonly Change[]): Document {
+    const changed = changes.reduce(applyChange, document);
+    const issues = checkDocument(changed);
+    if (issues.length > 0) {
+        throw new ConfigError(issues);
+    }
+    const revision = document.revision + 1;
+    return { ...changed, revision, changes: [...document.changes, { id, revision }].slice(-keptChanges) };
+}
--- /dev/null
+++ b/src/config/document.ts
@@ -0,0 +1,18 @@
+/** The whole configuration, one value in the platform's store. */
+import { z } from "zod";
+import { ChangeRecord } from "./changerecord.js";
+import { Rule } from "./rule.js";
+import { Service } from "./service.js";
+import { Upstream } from "./upstream.js";
+
+const Document = z.strictObject({
+    revision: z.int().min(0),
+    changes: z.array(ChangeRecord),
+    services: z.array(Service),
+    upstreams: z.array(Upstream),
+    rules: z.array(Rule),
+});
+type Document = z.infer<typeof Document>;
+
+/** Services, upstreams and rules, with the revision and the ids of the last changes. */
+export { Document };
--- /dev/null
+++ b/src/config/patch.ts
@@ -0,0 +1,22 @@
+/** The difference of two documents, as daemons send it. */
+import { z } from "zod";
+import { ChangeRecord } from "./changerecord.js";
+import { Rule } from "./rule.js";
+import { Service } from "./service.js";
+import { Upstream } from "./upstream.js";
+
+const Patch = z.strictObject({
+    from: z.int().min(0),
+    to: z.int().min(1),
+    changes: z.array(ChangeRecord),
+    services: z.array(Service),
+    upstreams: z.array(Upstream),
+    rules: z.array(Rule),
+    deletedServices: z.array(z.string()),
+    deletedUpstreams: z.array(z.string()),
+    deletedRules: z.array(z.string()),
+});
+type Patch = z.infer<typeof Patch>;
+
+/** Takes revision `from` to revision `to`: what to put and what to delete. */
+export { Patch };
--- /dev/null
+++ b/src/config/rule.ts
@@ -0,0 +1,32 @@
+/** What an operator sets for the requests that a rule matches. */
+import { z } from "zod";
+import { RuleName } from "../ids/rulename.js";
+import { ServiceName } from "../ids/servicename.js";
+import { TenantName } from "../ids/tenantname.js";
+import { AnswerMode } from "./answermode.js";
+import { Kind } from "./kind.js";
+import { Priority } from "./priority.js";
+
+const DEFAULT_TIME_LIMIT_MS = 10_000;
+const MAX_TIME_LIMIT_MS = 600_000;
+const MAX_PATH = 1024;
+const MAX_METHODS = 16;
+
+const Method = z.string().regex(/^[A-Z][A-Z-]{0,31}$/, "must be an HTTP method in capitals");
+
+const Rule = z.strictObject({
+    name: RuleName,
+    host: z.string().max(MAX_PATH).default(""),
+    pathPrefix: z.string().max(MAX_PATH).startsWith("/"),
+    methods: z.array(Method).max(MAX_METHODS).default([]),
+    service: ServiceName,
+    priority: Priority.default("normal"),
+    tenant: TenantName.default("none" as TenantName),
+    kind: Kind.optional(),
+    timeLimitMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).default(DEFAULT_TIME_LIMIT_MS),
+    answer: AnswerMode.default("whole"),
+});
+type Rule = z.infer<typeof Rule>;
+
+/** Which requests it matches and how they are handled; no `kind` means the method's own. */
+export { Rule };
--- /dev/null
+++ b/src/control/beater.ts
@@ -0,0 +1,39 @@
+/** Tells the hall of the revision: a round of small datagrams, spread over its time so that no second is loaded. */
+import type { Address } from "../ids/address.js";
+
+const ROUND_MS = 2000;
+
+/** Sends one beat; false when the budget is spent. */
+type SendBeat = (to: Address) => boolean;
+
+/** Holds who is still to be told in this round. */
+export class Beater {
+    #pending: Address[] = [];
+    #roundAt = -Infinity;
+    #urgent = false;
+
+    constructor(private readonly members: () => Address[], private readonly send: SendBeat) {}
+
+    /** Starts a new round that goes as fast as the budget allows. */
+    hurry(): void {
+        this.#pending = this.members();
+        this.#urgent = true;
+    }
+
+    /** Sends what is due; call it several times a round. */
+    tick(now: number): void {
+        if (now - this.#roundAt >= ROUND_MS) {
+            this.#roundAt = now;
+            this.#pending = this.members();
+        }
+        const left = Math.max(1, this.#roundAt + ROUND_MS / 2 - now);
+        let due = this.#urgent ? this.#pending.length : Math.ceil(this.#pending.length * TICK_MS / left);
+        while (due > 0 && this.#pending.length > 0 && this.send(this.#pending[0]!)) {
+            this.#pending.shift();
+            due -= 1;
+        }
+        this.#urgent = this.#urgent && this.#pending.length > 0;
+    }
+}
+
+const TICK_MS = 50;
--- /dev/null
+++ b/src/control/changeresult.ts
@@ -0,0 +1,12 @@
+/** What became of a change. */
+import type { ChangeRecord } from "../config/changerecord.js";
+import type { Issue } from "../config/issue.js";
+
+/** `unknown` means: ask again with the same change id; it can't take effect twice. */
+export type ChangeResult =
+    | { readonly type: "accepted"; readonly revision: number; readonly difference: readonly string[]; }
+    | { readonly type: "dry-run"; readonly revision: number; readonly difference: readonly string[]; }
+    | { readonly type: "conflict"; readonly revision: number; readonly other: ChangeRecord | undefined; }
+    | { readonly type: "invalid"; readonly issues: readonly Issue[]; }
+    | { readonly type: "not-applied"; readonly issues: readonly Issue[]; }
+    | { readonly type: "unknown"; readonly issues: readonly Issue[]; };
--- /dev/null
+++ b/src/control/membership.ts
@@ -0,0 +1,120 @@
+/** Configuration and membership: who watches the store, who is told, and how fresh this daemon's document is. */
+import type { Document } from "../config/document.js";
+import type { Address } from "../ids/address.js";
+import type { HallName } from "../ids/hallname.js";
+import type { HostName } from "../ids/hostname.js";
+import type { RandomSource } from "../policy/randomsource.js";
+import type { Clock } from "../time/clock.js";
+import { Beater } from "./beater.js";
+import type { Election } from "./election.js";
+import { hallMembers } from "./hallmembers.js";
+import type { HostWatcher } from "./hostwatcher.js";
+import type { Keeper } from "./keeper.js";
+import type { Message } from "./message.js";
+import { otherHalls } from "./otherhalls.js";
+import type { Puller } from "./puller.js";
+import { rank } from "./rank.js";
+import type { StoreWatcher } from "./storewatcher.js";
+
+const TICK_MS = 50;
+const HOSTS_EVERY_MS = 1000;
+/** An age is sent as a number, and this stands for never. */
+const NEVER_MS = 1e9;
+
+/** The tasks that membership is made of. */
+type MembershipParts = {
+    readonly self: Address;
+    readonly hall: HallName;
+    readonly host: HostName;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly keeper: Keeper;
+    readonly puller: Puller;
+    readonly election: Election;
+    readonly storeWatcher: StoreWatcher;
+    readonly hostWatcher: HostWatcher;
+    readonly send: (to: Address, message: Message) => boolean;
+    /** Hears whether this daemon's own host is on the platform's list of those that leave. */
+    readonly onHostLeaving: (leaving: boolean) => void;
+};
+
+/** Owns the timers of control. */
+export class Membership {
+    readonly #beater: Beater;
+    #timers: NodeJS.Timeout[] = [];
+
+    constructor(private readonly parts: MembershipParts) {
+        this.#beater = new Beater(() => this.#audience(), to => parts.send(to, this.#beat()));
+        parts.keeper.onChange(document => this.#follow(document));
+    }
+
+    start(): void {
+        this.#timers = [
+            setInterval(() => this.#tick(), TICK_MS),
+            setInterval(() => void this.#askHosts(), HOSTS_EVERY_MS),
+        ];
+    }
+
+    stop(): void {
+        this.#timers.forEach(timer => clearInterval(timer));
+        this.parts.storeWatcher.set(false);
+    }
+
+    /** Takes in a beat. */
+    hear(beat: Extract<Message, { type: "beat"; }>): void {
+        const { clock, keeper, election, puller, host } = this.parts;
+        const now = clock();
+        election.beat(beat.from, beat.watching, now);
+        keeper.confirm(beat.revision, now - beat.ageMs);
+        void puller.pull(beat.revision, beat.from).then(() => keeper.confirm(beat.revision, now - beat.ageMs));
+        if (beat.watching && !this.parts.storeWatcher.watching) {
+            this.parts.onHostLeaving(beat.leaving.includes(host));
+        }
+    }
+
+    #tick(): void {
+        const { clock, election, storeWatcher } = this.parts;
+        const now = clock();
+        storeWatcher.set(election.shouldWatch(now));
+        if (storeWatcher.watching) {
+            this.#beater.tick(now);
+        }
+    }
+
+    async #askHosts(): Promise<void> {
+        const { storeWatcher, hostWatcher, host, onHostLeaving } = this.parts;
+        if (!storeWatcher.watching) {
+            return;
+        }
+        const before = hostWatcher.leaving.join();
+        await hostWatcher.ask();
+        onHostLeaving(hostWatcher.leaving.includes(host));
+        if (hostWatcher.leaving.join() !== before) {
+            this.#beater.hurry();
+        }
+    }
+
+    #follow(document: Document): void {
+        const { election, hall } = this.parts;
+        election.members(rank(hallMembers(document, hall), hall));
+        this.#beater.hurry();
+    }
+
+    #audience(): Address[] {
+        const { keeper, hall, random, self } = this.parts;
+        const gates = [...hallMembers(keeper.document, hall), ...otherHalls(keeper.document, hall, random)];
+        return gates.filter(gate => gate !== self);
+    }
+
+    #beat(): Message {
+        const { self, keeper, clock, storeWatcher, hostWatcher } = this.parts;
+        return {
+            type: "beat",
+            from: self,
+            revision: keeper.revision,
+            ageMs: Math.min(NEVER_MS, Math.max(0, Math.round(keeper.ageMs(clock())))),
+            watching: storeWatcher.watching,
+            leaving: hostWatcher.leaving.slice(0, 64),
+        };
+    }
+}
--- /dev/null
+++ b/src/control/message.ts
@@ -0,0 +1,65 @@
+/** Small datagrams between daemons. */
+import { z } from "zod";
+import { Address } from "../ids/address.js";
+import { HostName } from "../ids/hostname.js";
+import { Incarnation } from "../ids/incarnation.js";
+import { ServiceName } from "../ids/servicename.js";
+import { UpstreamName } from "../ids/upstreamname.js";
+
+const MAX_ITEMS = 64;
+
+const LoadReport = z.object({
+    running: z.number(),
+    waiting: z.number(),
+    limit: z.number(),
+    serviceMs: z.number(),
+    baseMs: z.number(),
+});
+const UpstreamLoad = z.object({ upstream: UpstreamName, report: LoadReport });
+const from = Address;
+
+const Message = z.discriminatedUnion("type", [
+    /** From a daemon that watches the store: its revision, how long ago it was confirmed, hosts that leave. */
+    z.object({
+        type: z.literal("beat"),
+        from,
+        revision: z.int().min(0),
+        ageMs: z.number().min(0),
+        watching: z.boolean(),
+        leaving: z.array(HostName).max(MAX_ITEMS),
+    }),
+    z.object({ type: z.literal("ping"), from, sentAt: z.number() }),
+    /** The answer to a ping. */
+    z.object({
+        type: z.literal("pong"),
+        from,
+        sentAt: z.number(),
+        incarnation: Incarnation,
+        gateTime: z.number(),
+        revision: z.int().min(0),
+        loads: z.array(UpstreamLoad).max(MAX_ITEMS),
+    }),
+    /** A gate's load, unasked, when it has changed much. */
+    z.object({ type: z.literal("load"), from, loads: z.array(UpstreamLoad).max(MAX_ITEMS) }),
+    z.object({ type: z.literal("leave"), from, upstreams: z.array(UpstreamName).max(MAX_ITEMS) }),
+    /** Requests wait at an upstream; siblings may offer slots. */
+    z.object({
+        type: z.literal("need"),
+        from,
+        service: ServiceName,
+        upstream: UpstreamName,
+        count: z.int().min(1).max(MAX_ITEMS),
+    }),
+    /** Slots that are kept free for a few milliseconds. */
+    z.object({
+        type: z.literal("offer"),
+        from,
+        upstream: UpstreamName,
+        goTo: UpstreamName,
+        offers: z.array(z.string().max(64)).max(MAX_ITEMS),
+    }),
+]);
+type Message = z.infer<typeof Message>;
+
+/** By type; times in milliseconds. */
+export { Message };
--- /dev/null
+++ b/src/control/puller.ts
@@ -0,0 +1,43 @@
+/** Gets what is newer from a peer. */
+import { parse } from "../config/parse.js";
+import { Update } from "../config/update.js";
+import type { Address } from "../ids/address.js";
+import type { Metrics } from "../metrics/metrics.js";
+import type { PeerClient } from "../peer/peerclient.js";
+import { log } from "../time/log.js";
+import type { Keeper } from "./keeper.js";
+
+const debug = log("config");
+
+/** One pull at a time; what is asked for meanwhile shares it. */
+export class Puller {
+    #pulling: Promise<void> | undefined;
+
+    constructor(
+        private readonly keeper: Keeper,
+        private readonly peer: PeerClient,
+        private readonly metrics: Metrics,
+    ) {}
+
+    /** Resolves when the peer was asked, whatever came of it; does nothing when `revision` is not newer. */
+    async pull(revision: number, from: Address): Promise<void> {
+        if (revision <= this.keeper.revision) {
+            return;
+        }
+        this.#pulling ??= this.#ask(from).finally(() => this.#pulling = undefined);
+        await this.#pulling;
+    }
+
+    async #ask(from: Address): Promise<void> {
+        try {
+            const update = await this.peer.update(from, this.keeper.revision);
+            if (update !== undefined) {
+                this.metrics.spent("pull", JSON.stringify(update).length);
+                this.keeper.take(parse(Update, update));
+            }
+        }
+        catch (err) {
+            debug("%s gave no newer revision: %s.", from, err);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/relief.ts
@@ -0,0 +1,107 @@
+/**
+ * Moves what waits at a slow gate to a sibling with free slots.
+ *
+ * What waits has not run, so its gate may still move it. While requests wait long, the gate asks a few siblings; one
+ * with free slots keeps some for a few milliseconds and offers them; the gate hands back that many requests.
+ */
+import { randomUUID } from "node:crypto";
+import type { Document } from "../config/document.js";
+import type { Gate } from "../gate/gate.js";
+import type { Address } from "../ids/address.js";
+import type { UpstreamName } from "../ids/upstreamname.js";
+import type { RandomSource } from "../policy/randomsource.js";
+import { sample } from "../policy/sample.js";
+import type { Clock } from "../time/clock.js";
+import type { Message } from "./message.js";
+
+const TICK_MS = 4;
+const ASK_EVERY_MS = 8;
+const MAX_ASKED = 3;
+const MAX_COUNT = 16;
+/** Long enough for the way there and back between halls, short enough not to waste a slot. */
+const HOLD_MS = 15;
+/** Moving a request costs about two hops, so a shorter wait is waited out. */
+const WORTH_MS = 6;
+
+/** What relief needs of its daemon. */
+type ReliefParts = {
+    readonly self: Address;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly document: () => Document;
+    readonly gates: () => Iterable<Gate>;
+    readonly gate: (name: UpstreamName) => Gate | undefined;
+    readonly send: (to: Address, message: Message) => boolean;
+};
+
+/** Asks for, makes and uses offers. */
+export class Relief {
+    readonly #askedAt = new Map<Gate, number>();
+    #timer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly parts: ReliefParts) {}
+
+    start(): void {
+        this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    }
+
+    stop(): void {
+        clearInterval(this.#timer);
+    }
+
+    /** Makes offers to a gate in need. */
+    hearNeed(need: Extract<Message, { type: "need"; }>): void {
+        for (const gate of this.parts.gates()) {
+            if (gate.upstream.service === need.service && gate.upstream.name !== need.upstream) {
+                this.#offer(gate, need);
+            }
+        }
+    }
+
+    /** Uses offers for what still waits. */
+    hearOffer(offer: Extract<Message, { type: "offer"; }>): void {
+        this.parts.gate(offer.upstream)?.handBack(offer.goTo, offer.offers);
+    }
+
+    #offer(gate: Gate, need: Extract<Message, { type: "need"; }>): void {
+        const offers: string[] = [];
+        while (offers.length < need.count) {
+            const id = randomUUID();
+            if (!gate.offer(id)) {
+                break;
+            }
+            offers.push(id);
+        }
+        if (offers.length === 0) {
+            return;
+        }
+        const goTo = gate.upstream.name;
+        this.parts.send(need.from, { type: "offer", from: this.parts.self, upstream: need.upstream, goTo, offers });
+        setTimeout(() => offers.forEach(id => gate.withdraw(id)), HOLD_MS);
+    }
+
+    #tick(): void {
+        const now = this.parts.clock();
+        for (const gate of this.parts.gates()) {
+            if (gate.waiting > 0 && now - (this.#askedAt.get(gate) ?? -Infinity) >= ASK_EVERY_MS) {
+                this.#ask(gate, now);
+            }
+        }
+    }
+
+    #ask(gate: Gate, now: number): void {
+        const { waiting, limit, serviceMs } = gate.report();
+        if (waiting * serviceMs / limit < WORTH_MS) {
+            return;
+        }
+        this.#askedAt.set(gate, now);
+        const { service, name: upstream } = gate.upstream;
+        const siblings = this.parts.document().upstreams.filter(other =>
+            other.service === service && other.name !== upstream && other.gate !== this.parts.self && !other.draining
+        );
+        const count = Math.min(MAX_COUNT, waiting);
+        for (const sibling of sample(siblings, MAX_ASKED, this.parts.random)) {
+            this.parts.send(sibling.gate, { type: "need", from: this.parts.self, service, upstream, count });
+        }
+    }
+}
--- /dev/null
+++ b/src/control/reporter.ts
@@ -0,0 +1,75 @@
+/** Tells recent senders when an upstream's speed has changed much, since reports else ride on answers only. */
+import type { Gate } from "../gate/gate.js";
+import type { Address } from "../ids/address.js";
+import type { LoadReport } from "../policy/loadreport.js";
+import type { Clock } from "../time/clock.js";
+import type { Message } from "./message.js";
+
+const TICK_MS = 10;
+const RECENT_MS = 1000;
+const MAX_SENDERS = 32;
+const CHANGE = 2;
+
+/** What the reporter needs of its daemon. */
+type ReporterParts = {
+    readonly self: Address;
+    readonly clock: Clock;
+    readonly gates: () => Iterable<Gate>;
+    readonly send: (to: Address, message: Message) => boolean;
+};
+
+/** Holds who sent work lately, a bounded number, and what they were told. */
+export class Reporter {
+    readonly #senders = new Map<Address, number>();
+    readonly #told = new Map<Gate, LoadReport>();
+    #timer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly parts: ReporterParts) {}
+
+    start(): void {
+        this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    }
+
+    stop(): void {
+        clearInterval(this.#timer);
+    }
+
+    /** Takes in that a peer sends work here. */
+    heardFrom(sender: Address): void {
+        this.#senders.delete(sender);
+        this.#senders.set(sender, this.parts.clock());
+        if (this.#senders.size > MAX_SENDERS) {
+            this.#senders.delete(this.#senders.keys().next().value!);
+        }
+    }
+
+    /** Those that sent work within the last second. */
+    recent(): Address[] {
+        const now = this.parts.clock();
+        return [...this.#senders].filter(([, at]) => now - at < RECENT_MS).map(([sender]) => sender);
+    }
+
+    #tick(): void {
+        for (const gate of this.parts.gates()) {
+            const report = gate.report();
+            const told = this.#told.get(gate) ?? report;
+            this.#told.set(gate, told);
+            if (this.#differs(report, told)) {
+                this.#told.set(gate, report);
+                this.#tell(gate, report);
+            }
+        }
+    }
+
+    #differs(report: LoadReport, told: LoadReport): boolean {
+        const ratio = report.serviceMs / Math.max(told.serviceMs, 0.1);
+        return ratio > CHANGE || ratio < 1 / CHANGE;
+    }
+
+    #tell(gate: Gate, report: LoadReport): void {
+        const loads = [{ upstream: gate.upstream.name, report }];
+        for (const sender of this.recent()) {
+            this.parts.send(sender, { type: "load", from: this.parts.self, loads });
+        }
+    }
+}
--- /dev/null
+++ b/src/control/storewatcher.ts
@@ -0,0 +1,66 @@
+/** Watches the store while it is this daemon's turn. */
+import type { Store } from "../store/store.js";
+import type { Clock } from "../time/clock.js";
+import { log } from "../time/log.js";
+import { sleep } from "../time/sleep.js";
+import { decodeDocument } from "./decodedocument.js";
+import type { Keeper } from "./keeper.js";
+
+const debug = log("config");
+
+const FIRST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 4000;
+
+/** A loop of waiting watches; each answer confirms the revision. */
+export class StoreWatcher {
+    #stop: AbortController | undefined;
+    #version = 0;
+
+    constructor(private readonly store: Store, private readonly keeper: Keeper, private readonly clock: Clock) {}
+
+    get watching(): boolean {
+        return this.#stop !== undefined;
+    }
+
+    /** Starts or ends the loop. */
+    set(watch: boolean): void {
+        if (watch && this.#stop === undefined) {
+            this.#stop = new AbortController();
+            void this.#run(this.#stop.signal);
+        }
+        if (!watch && this.#stop !== undefined) {
+            this.#stop.abort();
+            this.#stop = undefined;
+        }
+    }
+
+    async #run(signal: AbortSignal): Promise<void> {
+        debug("This daemon watches the store.");
+        let pauseMs = FIRST_PAUSE_MS;
+        while (!signal.aborted) {
+            try {
+                await this.#watchOnce(signal);
+                pauseMs = FIRST_PAUSE_MS;
+            }
+            catch (err) {
+                if (!signal.aborted) {
+                    debug("The watch failed: %s.", err);
+                    await sleep(pauseMs, signal);
+                    pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+                }
+            }
+        }
+    }
+
+    /** The time before the call is what is confirmed: the answer may have been on its way for long. */
+    async #watchOnce(signal: AbortSignal): Promise<void> {
+        const askedAt = this.clock();
+        const stored = await this.store.watch(this.#version, signal);
+        if (stored !== undefined) {
+            const document = decodeDocument(stored.value);
+            this.#version = stored.version;
+            this.keeper.adopt(document);
+        }
+        this.keeper.confirm(this.keeper.revision, askedAt);
+    }
+}
--- /dev/null
+++ b/src/daemon/bootstrap.ts
@@ -0,0 +1,34 @@
+/** Gets a configuration at start: the highest of what the store and the seeds give. */
+import { decodeDocument } from "../control/decodedocument.js";
+import type { Keeper } from "../control/keeper.js";
+import type { Puller } from "../control/puller.js";
+import type { Address } from "../ids/address.js";
+import type { Store } from "../store/store.js";
+import type { Clock } from "../time/clock.js";
+import { log } from "../time/log.js";
+
+const debug = log("config");
+
+const readStore = async (store: Store, keeper: Keeper, clock: Clock): Promise<void> => {
+    const askedAt = clock();
+    try {
+        const { value } = await store.read();
+        keeper.adopt(decodeDocument(value));
+        keeper.confirm(keeper.revision, askedAt);
+    }
+    catch (err) {
+        debug("The store gave no configuration: %s.", err);
+    }
+};
+
+/** Resolves when all have answered or failed; the store may be down, and then the seeds suffice. */
+export async function bootstrap(
+    store: Store,
+    seeds: readonly Address[],
+    keeper: Keeper,
+    puller: Puller,
+    clock: Clock,
+): Promise<void> {
+    const asked = seeds.map(async seed => await puller.pull(Infinity, seed));
+    await Promise.all([readStore(store, keeper, clock), ...asked]);
+}
--- /dev/null
+++ b/src/daemon/gateset.ts
@@ -0,0 +1,80 @@
+/** The gates of one daemon, made and closed as the configuration says. */
+import type { Document } from "../config/document.js";
+import type { Upstream } from "../config/upstream.js";
+import type { Gate } from "../gate/gate.js";
+import type { Address } from "../ids/address.js";
+import type { UpstreamName } from "../ids/upstreamname.js";
+
+const DRAINING = "draining";
+const REMOVED = "removed";
+
+const samePlace = (a: Upstream, b: Upstream): boolean =>
+    a.address === b.address && a.slots === b.slots && a.connections === b.connections && a.service === b.service;
+
+/** Holds one gate for each upstream whose `gate` is this daemon's address. */
+export class GateSet {
+    readonly #gates = new Map<UpstreamName, Gate>();
+    readonly #reasons = new Set<string>();
+
+    constructor(private readonly self: Address, private readonly makeGate: (upstream: Upstream) => Gate) {}
+
+    get all(): Iterable<Gate> {
+        return this.#gates.values();
+    }
+
+    find(name: UpstreamName): Gate | undefined {
+        return this.#gates.get(name);
+    }
+
+    /** Follows a newer document; a gate that is no longer in it finishes what it has. */
+    apply(document: Document): void {
+        const mine = document.upstreams.filter(upstream => upstream.gate === this.self);
+        const named = new Map(mine.map(upstream => [upstream.name, upstream]));
+        for (const gate of [...this.#gates.values()]) {
+            const settings = named.get(gate.upstream.name);
+            if (settings === undefined || !samePlace(settings, gate.upstream)) {
+                this.#gates.delete(gate.upstream.name);
+                gate.leave(REMOVED);
+                void gate.close();
+            }
+        }
+        for (const upstream of mine) {
+            const gate = this.#gates.get(upstream.name) ?? this.#open(upstream);
+            this.#mark(gate, DRAINING, upstream.draining);
+        }
+    }
+
+    /** Closes all gates to new work for a reason, those still to come too, or takes the reason back. */
+    setLeaving(reason: string, leaving: boolean): void {
+        if (leaving) {
+            this.#reasons.add(reason);
+        }
+        else {
+            this.#reasons.delete(reason);
+        }
+        for (const gate of this.#gates.values()) {
+            this.#mark(gate, reason, leaving);
+        }
+    }
+
+    /** Requests that run or wait at all gates. */
+    busy(): number {
+        return [...this.#gates.values()].reduce((sum, gate) => sum + gate.busy, 0);
+    }
+
+    #open(upstream: Upstream): Gate {
+        const gate = this.makeGate(upstream);
+        this.#gates.set(upstream.name, gate);
+        this.#reasons.forEach(reason => gate.leave(reason));
+        return gate;
+    }
+
+    #mark(gate: Gate, reason: string, leaving: boolean): void {
+        if (leaving) {
+            gate.leave(reason);
+        }
+        else {
+            gate.reopen(reason);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/gatestatus.ts
@@ -0,0 +1,20 @@
+/** The state of a gate, as operators see it. */
+import type { Keeper } from "../control/keeper.js";
+import type { Gate } from "../gate/gate.js";
+import type { GateStatus } from "../peer/gatestatus.js";
+
+/** One line of `winglock status`. */
+export function gateStatus(gate: Gate, keeper: Keeper, now: number): GateStatus {
+    const { running, waiting, limit } = gate.report();
+    return {
+        upstream: gate.upstream.name,
+        state: gate.leaving === undefined ? "up" : "leaving",
+        revision: keeper.revision,
+        fresh: keeper.fresh(now),
+        running,
+        waiting,
+        limit,
+        finished: gate.finished,
+        refused: gate.refused,
+    };
+}
--- /dev/null
+++ b/src/daemon/makeplacement.ts
@@ -0,0 +1,24 @@
+/** From the settings to a policy. */
+import { ExpectedTime } from "../policy/expectedtime.js";
+import { LeastOutstanding } from "../policy/leastoutstanding.js";
+import type { Placement } from "../policy/placement.js";
+import { RandomPlacement } from "../policy/randomplacement.js";
+import { RoundRobin } from "../policy/roundrobin.js";
+import { TwoChoices } from "../policy/twochoices.js";
+import type { Settings } from "./settings.js";
+
+/** Makes the placement that the settings name. */
+export function makePlacement(name: Settings["policy"]["placement"]): Placement {
+    switch (name) {
+        case "expected-time":
+            return new ExpectedTime();
+        case "round-robin":
+            return new RoundRobin();
+        case "random":
+            return new RandomPlacement();
+        case "least-outstanding":
+            return new LeastOutstanding();
+        case "two-choices":
+            return new TwoChoices();
+    }
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,63 @@
+/** The settings of a daemon, a JSON file; docs/SETTINGS.md describes each. */
+import { z } from "zod";
+import { Address } from "../ids/address.js";
+import { HallName } from "../ids/hallname.js";
+import { HostName } from "../ids/hostname.js";
+import { RegionName } from "../ids/regionname.js";
+
+const KIB = 1024;
+const MIB = 1024 * KIB;
+const MIN_KEY = 16;
+
+const Ms = z.int().min(1).max(3_600_000);
+
+const Limits = z.strictObject({
+    headerBytes: z.int().min(KIB).max(MIB).default(16 * KIB),
+    keepBytes: z.int().min(0).max(16 * MIB).default(256 * KIB),
+    bodyBytes: z.int().min(0).max(1024 * MIB).default(64 * MIB),
+    headersTimeoutMs: Ms.default(10_000),
+    requestTimeoutMs: Ms.default(60_000),
+    keepAliveMs: Ms.default(15_000),
+    ledgerEntries: z.int().min(1).max(1_000_000).default(50_000),
+});
+
+const Control = z.strictObject({
+    bytesPerSecond: z.int().min(1000).max(10 * MIB).default(13_000),
+    healthPath: z.string().startsWith("/").default("/health"),
+    healthPerSecond: z.number().min(0).max(10).default(1),
+});
+
+const Policy = z.strictObject({
+    profile: z.enum(["frugal", "responsive"]).default("responsive"),
+    placement: z.enum(["expected-time", "round-robin", "random", "least-outstanding", "two-choices"])
+        .default("expected-time"),
+    limit: z.enum(["adaptive", "fixed"]).default("adaptive"),
+    relief: z.boolean().default(true),
+});
+
+const Stop = z.strictObject({
+    lingerMs: Ms.default(500),
+    limitMs: Ms.default(30_000),
+});
+
+const Settings = z.strictObject({
+    host: HostName,
+    hall: HallName,
+    region: RegionName,
+    ingress: Address,
+    peer: Address,
+    /** Where peers reach `peer`, when it is not the same. */
+    advertise: Address.optional(),
+    operator: Address,
+    store: Address,
+    seeds: z.array(Address).max(64).default([]),
+    peerKey: z.string().min(MIN_KEY).max(256),
+    limits: Limits.prefault({}),
+    control: Control.prefault({}),
+    policy: Policy.prefault({}),
+    stop: Stop.prefault({}),
+});
+type Settings = z.infer<typeof Settings>;
+
+/** Where a daemon stands, listens and is bounded; sizes in bytes, times in milliseconds. */
+export { Settings };
--- /dev/null
+++ b/src/hop/answernote.ts
@@ -0,0 +1,35 @@
+/** What goes with an answer from gate to ingress. */
+import { z } from "zod";
+import { Incarnation } from "../ids/incarnation.js";
+import { UpstreamName } from "../ids/upstreamname.js";
+
+const LoadReport = z.object({
+    running: z.number(),
+    waiting: z.number(),
+    limit: z.number(),
+    serviceMs: z.number(),
+    baseMs: z.number(),
+});
+
+const AnswerNote = z.object({
+    incarnation: Incarnation,
+    /** The gate's clock when the note was written. */
+    gateTime: z.number(),
+    revision: z.int().min(0),
+    report: LoadReport.optional(),
+    /** Milliseconds from the request's arrival at the gate to the note. */
+    tookMs: z.number().min(0).optional(),
+    /** Present when the gate has no upstream's answer to give. */
+    outcome: z.enum(["not-run", "unknown"]).optional(),
+    reason: z.string().max(64).optional(),
+    retryAfterMs: z.number().min(0).optional(),
+    /** Where a request that is handed back should go, and the offer it holds there. */
+    goTo: UpstreamName.optional(),
+    offer: z.string().max(64).optional(),
+    /** A call that the upstream made for this request failed and was retried there. */
+    retriedBelow: z.boolean().optional(),
+});
+type AnswerNote = z.infer<typeof AnswerNote>;
+
+/** What goes with an answer from gate to ingress; times in milliseconds. */
+export { AnswerNote };
--- /dev/null
+++ b/src/hop/callhead.ts
@@ -0,0 +1,36 @@
+/** What goes with a request from ingress to gate. */
+import { z } from "zod";
+import { AnswerMode } from "../config/answermode.js";
+import { Kind } from "../config/kind.js";
+import { Priority } from "../config/priority.js";
+import { Incarnation } from "../ids/incarnation.js";
+import { RequestId } from "../ids/requestid.js";
+import { TenantName } from "../ids/tenantname.js";
+import { UpstreamName } from "../ids/upstreamname.js";
+
+const CallHead = z.object({
+    id: RequestId,
+    upstream: UpstreamName,
+    kind: Kind,
+    priority: Priority,
+    tenant: TenantName,
+    answer: AnswerMode,
+    /** Milliseconds left at the time of sending. */
+    remainingMs: z.number().min(0),
+    maxWaitMs: z.number().min(0),
+    depth: z.int().min(0),
+    /** The sender's configuration. */
+    revision: z.int().min(0),
+    /** The gate's life that the sender means; required for `once`. */
+    incarnation: Incarnation.optional(),
+    /** The gate's clock at the time of sending, as the sender reckons it: never later than the truth. */
+    gateTime: z.number().optional(),
+    /** An offer of a slot that the sender was told to use. */
+    offer: z.string().max(64).optional(),
+    /** Where the sender hears load reports, IP:PORT. */
+    from: z.string().max(64).optional(),
+});
+type CallHead = z.infer<typeof CallHead>;
+
+/** What goes with a request from ingress to gate; times in milliseconds. */
+export { CallHead };
--- /dev/null
+++ b/src/hop/gateanswer.ts
@@ -0,0 +1,12 @@
+/** An upstream's answer on its way from gate to ingress. */
+import type { Readable } from "node:stream";
+import type { AnswerNote } from "./answernote.js";
+import type { HttpHeaders } from "./httpheaders.js";
+
+/** The body errors when the upstream's answer breaks off. */
+export type GateAnswer = {
+    readonly status: number;
+    readonly headers: HttpHeaders;
+    readonly body: Readable;
+    readonly note: AnswerNote | undefined;
+};
--- /dev/null
+++ b/src/hop/headername.ts
@@ -0,0 +1,21 @@
+/** The header fields that are winglock's own. */
+
+/** All start with `winglock-`, so that one test strips them from what callers send. */
+export const headerName = {
+    /** On every peer call: the key that daemons share. */
+    key: "winglock-key",
+    /** On a peer hop: the CallHead, as JSON. */
+    call: "winglock-call",
+    /** On a peer answer: the AnswerNote, as JSON. */
+    note: "winglock-note",
+    /** To callers on refusals, and from upstreams that shed: `not-run` or `unknown`. */
+    outcome: "winglock-outcome",
+    /** To upstreams, and back from them on calls that they make to their own daemon. */
+    context: "winglock-context",
+    /** To upstreams: milliseconds that are left for the request. */
+    timeout: "winglock-timeout-ms",
+    /** To upstreams: the request's id; an upstream that echoes it has its answers checked. */
+    requestId: "winglock-request-id",
+    /** From upstreams: present when they are about to stop. */
+    leaving: "winglock-leaving",
+} as const;
--- /dev/null
+++ b/src/hop/localhop.ts
@@ -0,0 +1,36 @@
+/** The way to a gate in the same process. */
+import type { Gate } from "../gate/gate.js";
+import type { GateIdentity } from "../gate/gateidentity.js";
+import type { Ledger } from "../ledger/ledger.js";
+import type { RevokeResult } from "../ledger/revokeresult.js";
+import type { Clock } from "../time/clock.js";
+import type { CallHead } from "./callhead.js";
+import type { GateAnswer } from "./gateanswer.js";
+import type { GateCall } from "./gatecall.js";
+import { Hop } from "./hop.js";
+
+/** Calls the gate directly, with its own clock and life. */
+export class LocalHop extends Hop {
+    constructor(
+        private readonly gate: Gate,
+        private readonly identity: GateIdentity,
+        private readonly ledger: Ledger,
+        private readonly clock: Clock,
+    ) {
+        super();
+    }
+
+    send(call: GateCall): Promise<GateAnswer> {
+        const head = { ...call.head, incarnation: this.identity.incarnation, gateTime: this.clock() };
+        return this.gate.serve({ ...call, head });
+    }
+
+    async revoke(head: CallHead): Promise<RevokeResult> {
+        const now = this.clock();
+        return this.ledger.revoke(head.id, now + head.remainingMs, now);
+    }
+
+    async greet(): Promise<void> {}
+
+    async close(): Promise<void> {}
+}
--- /dev/null
+++ b/src/ids/address.ts
@@ -0,0 +1,17 @@
+/** Where a process listens: an IP number and a port. */
+import { isIP } from "node:net";
+import { z } from "zod";
+import { splitAddress } from "./splitaddress.js";
+
+const MAX_PORT = 65535;
+
+const isAddress = (text: string): boolean => {
+    const { ip, port } = splitAddress(text);
+    return isIP(ip) !== 0 && Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+};
+
+const Address = z.string().refine(isAddress, "must be IP:PORT").brand("Address");
+type Address = z.infer<typeof Address>;
+
+/** Where a process listens, `IP:PORT` or `[IP]:PORT`. */
+export { Address };
--- /dev/null
+++ b/src/ids/regionname.ts
@@ -0,0 +1,11 @@
+/** The name of a region, a group of data halls. */
+import { z } from "zod";
+import { namePattern } from "./namepattern.js";
+
+const RegionName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand(
+    "RegionName",
+);
+type RegionName = z.infer<typeof RegionName>;
+
+/** The name of a region, a group of data halls. */
+export { RegionName };
--- /dev/null
+++ b/src/ids/rulename.ts
@@ -0,0 +1,9 @@
+/** The name of a rule. */
+import { z } from "zod";
+import { namePattern } from "./namepattern.js";
+
+const RuleName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand("RuleName");
+type RuleName = z.infer<typeof RuleName>;
+
+/** The name of a rule. */
+export { RuleName };
--- /dev/null
+++ b/src/ids/servicename.ts
@@ -0,0 +1,11 @@
+/** The name of a service. */
+import { z } from "zod";
+import { namePattern } from "./namepattern.js";
+
+const ServiceName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand(
+    "ServiceName",
+);
+type ServiceName = z.infer<typeof ServiceName>;
+
+/** The name of a service. */
+export { ServiceName };
--- /dev/null
+++ b/src/ingress/collect.ts
@@ -0,0 +1,42 @@
+/** Receives an answer's body whole, up to a bound. */
+import type { Readable } from "node:stream";
+
+/** Either the whole body, or what has come of a body that passes the bound; the stream goes on after that. */
+type Collected = { readonly whole: boolean; readonly chunks: Buffer[]; readonly size: number; };
+
+/** Rejects when the body breaks off before its end or its bound. */
+export function collect(body: Readable, bound: number): Promise<Collected> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        const stop = (): void => {
+            body.removeListener("data", onData);
+            body.removeListener("end", onEnd);
+            body.removeListener("error", onError);
+            body.removeListener("close", onClose);
+        };
+        const onData = (chunk: Buffer): void => {
+            chunks.push(chunk);
+            size += chunk.length;
+            if (size > bound) {
+                stop();
+                body.pause();
+                resolve({ whole: false, chunks, size });
+            }
+        };
+        const onEnd = (): void => {
+            stop();
+            resolve({ whole: true, chunks, size });
+        };
+        const onError = (err: Error): void => {
+            stop();
+            body.on("error", () => {});
+            reject(err);
+        };
+        const onClose = (): void => onError(new Error("the body closed before its end"));
+        body.on("data", onData);
+        body.on("end", onEnd);
+        body.on("error", onError);
+        body.on("close", onClose);
+    });
+}
--- /dev/null
+++ b/src/ingress/deliver.ts
@@ -0,0 +1,67 @@
+/** Sends an upstream's answer to the caller: whole, or as it comes. */
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { GateAnswer } from "../hop/gateanswer.js";
+import type { HttpHeaders } from "../hop/httpheaders.js";
+import { collect } from "./collect.js";
+
+/** Statuses whose answers have no body (RFC 9110, 6.4.1). */
+const NO_BODY: ReadonlySet<number> = new Set([204, 304]);
+
+const definedOnly = (headers: HttpHeaders): Record<string, string | string[]> => {
+    const kept: Record<string, string | string[]> = {};
+    for (const name in headers) {
+        const value = headers[name];
+        if (value !== undefined) {
+            kept[name] = value;
+        }
+    }
+    return kept;
+};
+
+const streamOn = async (res: ServerResponse, answer: GateAnswer): Promise<void> => {
+    answer.body.on("error", () => res.destroy());
+    answer.body.on("close", () => {
+        if (!answer.body.readableEnded) {
+            res.destroy();
+        }
+    });
+    res.on("close", () => answer.body.destroy());
+    answer.body.pipe(res);
+    await once(res, "close");
+};
+
+/**
+ * Resolves when the caller has the answer or has left. Rejects only while nothing has been sent, when a body within
+ * `bound` bytes breaks off; a longer one that breaks closes the caller's connection.
+ */
+export async function deliver(
+    res: ServerResponse,
+    answer: GateAnswer,
+    whole: boolean,
+    headOnly: boolean,
+    bound: number,
+): Promise<void> {
+    const headers = definedOnly(answer.headers);
+    const bare = headOnly || NO_BODY.has(answer.status);
+    if (!whole && !bare) {
+        res.writeHead(answer.status, headers);
+        res.flushHeaders();
+        return streamOn(res, answer);
+    }
+    const { whole: complete, chunks, size } = await collect(answer.body, bare ? Infinity : bound);
+    if (res.destroyed) {
+        answer.body.destroy();
+        return;
+    }
+    if (!complete) {
+        res.writeHead(answer.status, headers);
+        chunks.forEach(chunk => res.write(chunk));
+        return streamOn(res, answer);
+    }
+    if (!bare) {
+        headers["content-length"] = String(size);
+    }
+    res.writeHead(answer.status, headers);
+    res.end(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+}
--- /dev/null
+++ b/src/ingress/selectfit.ts
@@ -0,0 +1,19 @@
+/** Which upstreams a request may be placed on. */
+import type { Neighbour } from "./neighbour.js";
+
+/**
+ * Those that are fit and not yet tried; or else fit ones that were; or else, so that suspicion alone never empties a
+ * service, suspected ones. Draining and leaving ones never.
+ */
+export function selectFit(all: readonly Neighbour[], tried: ReadonlySet<Neighbour>, now: number): Neighbour[] {
+    const fit = all.filter(neighbour => neighbour.unfit(now) === undefined);
+    const fresh = tried.size === 0 ? fit : fit.filter(neighbour => !tried.has(neighbour));
+    if (fresh.length > 0) {
+        return fresh;
+    }
+    const suspected = all.filter(neighbour => neighbour.unfit(now) === "suspected" && !tried.has(neighbour));
+    if (suspected.length > 0) {
+        return suspected;
+    }
+    return fit;
+}
--- /dev/null
+++ b/src/ingress/trial.ts
@@ -0,0 +1,18 @@
+/** What has become of one try, as the exchange must act on it. */
+import type { GateAnswer } from "../hop/gateanswer.js";
+import type { Outcome } from "../policy/outcome.js";
+
+/** `answer` is the upstream's own, also when it says that the request failed there. */
+type TrialOutcome = Outcome | "served";
+
+/** Redirected: refused not for load but since it belongs elsewhere. */
+export type Trial = {
+    readonly outcome: TrialOutcome;
+    readonly reason: string;
+    readonly answer?: GateAnswer;
+    readonly retryAfterMs?: number;
+    readonly goTo?: string;
+    readonly offer?: string;
+    readonly redirected: boolean;
+    readonly retriedBelow: boolean;
+};
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,66 @@
+/** What the daemon counts, for /metrics. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { ServiceName } from "../ids/servicename.js";
+import type { Plan } from "../ingress/plan.js";
+
+const SECONDS = 1000;
+const BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+/** What the daemon spends for control. */
+type Spending = "beat" | "load" | "ping" | "relief" | "store" | "pull" | "health";
+
+/** One registry for each daemon. */
+export class Metrics {
+    readonly registry = new Registry();
+    readonly revision = this.#gauge("winglock_revision", "The revision of the configuration in force.");
+    readonly lagSeconds = this.#gauge("winglock_configuration_age_seconds", "Time since the store last confirmed it.");
+    readonly #requests = new Histogram({
+        name: "winglock_request_seconds",
+        help: "Time from a caller's request to the end of its answer.",
+        labelNames: ["service", "class", "tenant", "outcome"] as const,
+        buckets: BUCKETS,
+        registers: [this.registry],
+    });
+    readonly #retries = new Counter({
+        name: "winglock_retries_total",
+        help: "Tries after the first, by why the one before came to nothing.",
+        labelNames: ["service", "reason"] as const,
+        registers: [this.registry],
+    });
+    readonly #messages = new Counter({
+        name: "winglock_control_messages_total",
+        help: "Messages and calls sent for control.",
+        labelNames: ["kind"] as const,
+        registers: [this.registry],
+    });
+    readonly #bytes = new Counter({
+        name: "winglock_control_bytes_total",
+        help: "Bytes sent for control.",
+        labelNames: ["kind"] as const,
+        registers: [this.registry],
+    });
+
+    /** Takes in the end of a caller's request. */
+    finished(plan: Plan, outcome: string, elapsedMs: number): void {
+        this.#requests.observe({
+            service: plan.service.name,
+            class: plan.rule.priority,
+            tenant: plan.rule.tenant,
+            outcome,
+        }, elapsedMs / SECONDS);
+    }
+
+    retried(service: ServiceName, reason: string): void {
+        this.#retries.inc({ service, reason });
+    }
+
+    /** Takes in what was sent for control. */
+    spent(kind: Spending, bytes: number): void {
+        this.#messages.inc({ kind });
+        this.#bytes.inc({ kind }, bytes);
+    }
+
+    #gauge(name: string, help: string): Gauge {
+        return new Gauge({ name, help, registers: [this.registry] });
+    }
+}
--- /dev/null
+++ b/src/operator/collectstatus.ts
@@ -0,0 +1,28 @@
+/** Asks every gate how it is. */
+import type { Document } from "../config/document.js";
+import type { Address } from "../ids/address.js";
+import type { GateStatus } from "../peer/gatestatus.js";
+import type { PeerClient } from "../peer/peerclient.js";
+import type { StatusLine } from "./statusline.js";
+
+const AT_ONCE = 32;
+
+const askGate = async (peer: PeerClient, gate: Address): Promise<GateStatus[]> => {
+    try {
+        return await peer.status(gate);
+    }
+    catch {
+        return [];
+    }
+};
+
+/** One line for each upstream; asks a bounded number of daemons at once, and only when an operator asks. */
+export async function collectStatus(document: Document, peer: PeerClient): Promise<StatusLine[]> {
+    const gates = [...new Set(document.upstreams.map(upstream => upstream.gate))];
+    const said = new Map<string, GateStatus>();
+    for (let at = 0; at < gates.length; at += AT_ONCE) {
+        const asked = gates.slice(at, at + AT_ONCE).map(gate => askGate(peer, gate));
+        (await Promise.all(asked)).flat().forEach(status => said.set(status.upstream, status));
+    }
+    return document.upstreams.map(upstream => ({ upstream, gate: said.get(upstream.name) }));
+}
--- /dev/null
+++ b/src/operator/fromchange.ts
@@ -0,0 +1,74 @@
+/** From the schema's change to ours, checked. */
+import type { Change } from "../config/change.js";
+import { ConfigError } from "../config/configerror.js";
+import { parse } from "../config/parse.js";
+import { Rule } from "../config/rule.js";
+import { Service } from "../config/service.js";
+import { Upstream } from "../config/upstream.js";
+import type {
+    Change as ProtoChange,
+    Configuration,
+    Rule as ProtoRule,
+    Service as ProtoService,
+    Upstream as ProtoUpstream,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+import { nameOf } from "./nameof.js";
+import { protoAnswerMode } from "./protoanswermode.js";
+import { protoKind } from "./protokind.js";
+import { protoPriority } from "./protopriority.js";
+
+/** Numbers and texts that a message leaves at their zero value stand for "not set". */
+const set = <Value>(value: Value): Value | undefined => value ? value : undefined;
+
+const toService = (service: ProtoService): Service => {
+    const { name, bufferBytes, maxWaitMs, retryRatio } = service;
+    return parse(Service, { name, bufferBytes, maxWaitMs, retryRatio });
+};
+
+const toUpstream = (upstream: ProtoUpstream): Upstream => {
+    const { name, service, host, address, gate, hall, region, slots, connections, draining } = upstream;
+    const fields = { name, service, host, address, gate, hall, region, slots, draining };
+    return parse(Upstream, { ...fields, connections: set(connections) });
+};
+
+const toRule = (rule: ProtoRule): Rule =>
+    parse(Rule, {
+        name: rule.name,
+        host: rule.host,
+        pathPrefix: rule.pathPrefix,
+        methods: rule.methods,
+        service: rule.service,
+        priority: nameOf(protoPriority, rule.priority),
+        tenant: set(rule.tenant),
+        kind: nameOf(protoKind, rule.kind),
+        timeLimitMs: set(rule.timeLimitMs),
+        answer: nameOf(protoAnswerMode, rule.answer),
+    });
+
+const toContent = (configuration: Configuration): Extract<Change, { type: "replace"; }>["content"] => ({
+    services: configuration.services.map(toService),
+    upstreams: configuration.upstreams.map(toUpstream),
+    rules: configuration.rules.map(toRule),
+});
+
+/** Throws a ConfigError that names the field. */
+export function fromChange({ change }: ProtoChange): Change {
+    switch (change.case) {
+        case "putService":
+            return { type: "putService", service: toService(change.value) };
+        case "putUpstream":
+            return { type: "putUpstream", upstream: toUpstream(change.value) };
+        case "putRule":
+            return { type: "putRule", rule: toRule(change.value) };
+        case "deleteService":
+        case "deleteUpstream":
+        case "deleteRule":
+            return { type: change.case, name: change.value };
+        case "setDraining":
+            return { type: "setDraining", name: change.value.upstream, draining: change.value.draining };
+        case "replace":
+            return { type: "replace", content: toContent(change.value) };
+        default:
+            throw new ConfigError([{ code: "required", path: "changes", message: "a change says nothing" }]);
+    }
+}
--- /dev/null
+++ b/src/operator/fromresult.ts
@@ -0,0 +1,30 @@
+/** From what became of a change to the schema's answer. */
+import { create } from "@bufbuild/protobuf";
+import type { ChangeResult } from "../control/changeresult.js";
+import {
+    type ApplyChangesResponse,
+    ApplyChangesResponseSchema,
+    ChangeOutcome,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+
+const outcomes: Readonly<Record<ChangeResult["type"], ChangeOutcome>> = {
+    "accepted": ChangeOutcome.ACCEPTED,
+    "dry-run": ChangeOutcome.DRY_RUN,
+    "conflict": ChangeOutcome.CONFLICT,
+    "invalid": ChangeOutcome.INVALID,
+    "not-applied": ChangeOutcome.NOT_APPLIED,
+    "unknown": ChangeOutcome.UNKNOWN,
+};
+
+/** Leaves out what the outcome has not. */
+export function fromResult(result: ChangeResult): ApplyChangesResponse {
+    const other = result.type === "conflict" ? result.other : undefined;
+    return create(ApplyChangesResponseSchema, {
+        outcome: outcomes[result.type],
+        revision: "revision" in result ? BigInt(result.revision) : 0n,
+        difference: "difference" in result ? [...result.difference] : [],
+        issues: "issues" in result ? result.issues.map(issue => ({ ...issue })) : [],
+        conflictingChangeId: other?.id ?? "",
+        conflictingRevision: BigInt(other?.revision ?? 0),
+    });
+}
--- /dev/null
+++ b/src/operator/operatorface.ts
@@ -0,0 +1,52 @@
+/** What operators can ask of a daemon, in the domain's own words. */
+import type { Document } from "../config/document.js";
+import type { ChangeRequest } from "../control/changerequest.js";
+import type { ChangeResult } from "../control/changeresult.js";
+import type { Keeper } from "../control/keeper.js";
+import type { Publisher } from "../control/publisher.js";
+import type { ChangeId } from "../ids/changeid.js";
+import type { Neighbours } from "../ingress/neighbours.js";
+import type { PeerClient } from "../peer/peerclient.js";
+import type { Clock } from "../time/clock.js";
+import { collectStatus } from "./collectstatus.js";
+import { explain } from "./explain.js";
+import type { Explanation } from "./explanation.js";
+
+/** What the face needs of its daemon. */
+type OperatorParts = {
+    readonly clock: Clock;
+    readonly keeper: Keeper;
+    readonly publisher: Publisher;
+    readonly neighbours: Neighbours;
+    readonly peer: PeerClient;
+};
+
+/** Knows nothing of how the calls come in. */
+export class OperatorFace {
+    constructor(private readonly parts: OperatorParts) {}
+
+    get document(): Document {
+        return this.parts.keeper.document;
+    }
+
+    get fresh(): boolean {
+        return this.parts.keeper.fresh(this.parts.clock());
+    }
+
+    apply(request: ChangeRequest): Promise<ChangeResult> {
+        return this.parts.publisher.apply(request);
+    }
+
+    /** The revision that a change made, undefined when it made none; throws a StoreError. */
+    find(id: ChangeId): Promise<number | undefined> {
+        return this.parts.publisher.find(id);
+    }
+
+    status(): ReturnType<typeof collectStatus> {
+        return collectStatus(this.document, this.parts.peer);
+    }
+
+    explain(method: string, url: URL): Explanation {
+        return explain(this.document, this.fresh, this.parts.neighbours, method, url, this.parts.clock());
+    }
+}
--- /dev/null
+++ b/src/operator/operatorroutes.ts
@@ -0,0 +1,115 @@
+/** The operators' calls: a thin face that turns messages into the domain's words and back. */
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
+import { ConfigError } from "../config/configerror.js";
+import type { Issue } from "../config/issue.js";
+import { parse } from "../config/parse.js";
+import {
+    type ApplyChangesRequest,
+    type ApplyChangesResponse,
+    ChangeOutcome,
+    ExplainRequestResponseSchema,
+    GetStatusResponseSchema,
+    OperatorService,
+    UpstreamStatusSchema,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+import { ChangeId } from "../ids/changeid.js";
+import { fromChange } from "./fromchange.js";
+import { fromResult } from "./fromresult.js";
+import type { OperatorFace } from "./operatorface.js";
+import { protoKind } from "./protokind.js";
+import { protoPriority } from "./protopriority.js";
+import type { StatusLine } from "./statusline.js";
+import { toConfiguration } from "./toconfiguration.js";
+
+const under = (path: string, issues: readonly Issue[]): Issue[] =>
+    issues.map(issue => ({ ...issue, path: issue.path === "" ? path : `${path}.${issue.path}` }));
+
+const parseAt = <Value>(path: string, read: () => Value): Value => {
+    try {
+        return read();
+    }
+    catch (err) {
+        throw err instanceof ConfigError ? new ConfigError(under(path, err.issues)) : err;
+    }
+};
+
+const apply = async (face: OperatorFace, req: ApplyChangesRequest): Promise<ApplyChangesResponse> => {
+    try {
+        const id = parseAt("change_id", () => parse(ChangeId, req.changeId));
+        const changes = req.changes.map((change, at) => parseAt(`changes.${at}`, () => fromChange(change)));
+        const baseRevision = Number(req.baseRevision);
+        return fromResult(await face.apply({ id, baseRevision, changes, dryRun: req.dryRun }));
+    }
+    catch (err) {
+        if (err instanceof ConfigError) {
+            return fromResult({ type: "invalid", issues: err.issues });
+        }
+        throw err;
+    }
+};
+
+const resolve = async (
+    face: OperatorFace,
+    changeId: string,
+): Promise<{ outcome: ChangeOutcome; revision: bigint; }> => {
+    try {
+        const revision = await face.find(parse(ChangeId, changeId));
+        const outcome = revision === undefined ? ChangeOutcome.NOT_APPLIED : ChangeOutcome.ACCEPTED;
+        return { outcome, revision: BigInt(revision ?? 0) };
+    }
+    catch (err) {
+        if (err instanceof ConfigError) {
+            throw new ConnectError(err.message, Code.InvalidArgument);
+        }
+        return { outcome: ChangeOutcome.UNKNOWN, revision: 0n };
+    }
+};
+
+const toStatus = ({ upstream, gate }: StatusLine): ReturnType<typeof create<typeof UpstreamStatusSchema>> =>
+    create(UpstreamStatusSchema, {
+        ...gate,
+        upstream: upstream.name,
+        service: upstream.service,
+        hall: upstream.hall,
+        state: gate?.state ?? "silent",
+        revision: BigInt(gate?.revision ?? 0),
+        finished: BigInt(gate?.finished ?? 0),
+        refused: BigInt(gate?.refused ?? 0),
+    });
+
+const explainUrl = (face: OperatorFace, method: string, url: string): ReturnType<OperatorFace["explain"]> => {
+    if (!URL.canParse(url)) {
+        throw new ConnectError(`url: must be a whole URL; got ${JSON.stringify(url)}`, Code.InvalidArgument);
+    }
+    return face.explain(method.toUpperCase(), new URL(url));
+};
+
+/** Registers the calls. */
+export function operatorRoutes(face: OperatorFace): (router: ConnectRouter) => void {
+    return router =>
+        router.service(OperatorService, {
+            getConfiguration: () => ({ configuration: toConfiguration(face.document), fresh: face.fresh }),
+            applyChanges: req => apply(face, req),
+            resolveChange: req => resolve(face, req.changeId),
+            getStatus: async () =>
+                create(GetStatusResponseSchema, {
+                    revision: BigInt(face.document.revision),
+                    fresh: face.fresh,
+                    upstreams: (await face.status()).map(toStatus),
+                }),
+            explainRequest: req => {
+                const { rule, kind, kindReason, candidates } = explainUrl(face, req.method, req.url);
+                return create(ExplainRequestResponseSchema, {
+                    rule: rule?.name ?? "",
+                    service: rule?.service ?? "",
+                    priority: rule === undefined ? undefined : protoPriority[rule.priority],
+                    kind: kind === undefined ? undefined : protoKind[kind],
+                    tenant: rule?.tenant ?? "",
+                    timeLimitMs: rule?.timeLimitMs ?? 0,
+                    candidates: candidates.map(candidate => ({ ...candidate })),
+                    kindReason,
+                });
+            },
+        });
+}
--- /dev/null
+++ b/src/operator/toconfiguration.ts
@@ -0,0 +1,31 @@
+/** From our document to the schema's message. */
+import { create } from "@bufbuild/protobuf";
+import type { Document } from "../config/document.js";
+import type { Rule } from "../config/rule.js";
+import {
+    type Configuration,
+    ConfigurationSchema,
+    type Rule as ProtoRule,
+    RuleSchema,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+import { protoAnswerMode } from "./protoanswermode.js";
+import { protoKind } from "./protokind.js";
+import { protoPriority } from "./protopriority.js";
+
+const toRule = (rule: Rule): ProtoRule =>
+    create(RuleSchema, {
+        ...rule,
+        priority: protoPriority[rule.priority],
+        kind: rule.kind === undefined ? undefined : protoKind[rule.kind],
+        answer: protoAnswerMode[rule.answer],
+    });
+
+/** The message of the whole document. */
+export function toConfiguration(document: Document): Configuration {
+    return create(ConfigurationSchema, {
+        revision: BigInt(document.revision),
+        services: document.services.map(service => ({ ...service })),
+        upstreams: document.upstreams.map(upstream => ({ ...upstream })),
+        rules: document.rules.map(toRule),
+    });
+}
--- /dev/null
+++ b/src/peer/gatestatus.ts
@@ -0,0 +1,15 @@
+/** What a daemon says of the upstream beside it. */
+import type { UpstreamName } from "../ids/upstreamname.js";
+
+/** Counts since the daemon started. */
+export type GateStatus = {
+    readonly upstream: UpstreamName;
+    readonly state: "up" | "leaving";
+    readonly revision: number;
+    readonly fresh: boolean;
+    readonly running: number;
+    readonly waiting: number;
+    readonly limit: number;
+    readonly finished: number;
+    readonly refused: number;
+};
--- /dev/null
+++ b/src/peer/peerclient.ts
@@ -0,0 +1,79 @@
+/** Calls a peer; every call is bounded in time. */
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { Agent, fetch } from "undici";
+import type { Update } from "../config/update.js";
+import { headerName } from "../hop/headername.js";
+import type { Address } from "../ids/address.js";
+import type { RevokeResult } from "../ledger/revokeresult.js";
+import type { GateStatus } from "./gatestatus.js";
+import type { PeerOptions } from "./peeroptions.js";
+import type { peerRouter } from "./peerrouter.js";
+import type { PeerService } from "./peerservice.js";
+import type { RevokeInput } from "./revokeinput.js";
+
+const CALL_TIMEOUT_MS = 1000;
+const CONNECT_TIMEOUT_MS = 500;
+/** Short, since a caller waits for the word. */
+const REVOKE_TIMEOUT_MS = 300;
+
+type Client = TRPCClient<typeof peerRouter>;
+
+/** One client for all peers. */
+export class PeerClient {
+    readonly #agent: Agent;
+    readonly #clients = new Map<Address, Client>();
+
+    constructor(private readonly options: PeerOptions) {
+        this.#agent = new Agent({
+            connections: 2,
+            connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: options.localIp },
+        });
+    }
+
+    hello(address: Address): Promise<ReturnType<PeerService["hello"]>> {
+        return this.#client(address).hello.query(undefined, this.#bound());
+    }
+
+    /** Returns `unknown` when the gate says nothing. */
+    async revoke(address: Address, input: RevokeInput): Promise<RevokeResult> {
+        try {
+            return await this.#client(address).revoke.mutate(input, this.#bound(REVOKE_TIMEOUT_MS));
+        }
+        catch {
+            return "unknown";
+        }
+    }
+
+    /** What the peer has that is newer than `have`. */
+    async update(address: Address, have: number): Promise<Update | undefined> {
+        return await this.#client(address).update.query({ have }, this.#bound()) as Update | undefined;
+    }
+
+    status(address: Address): Promise<GateStatus[]> {
+        return this.#client(address).status.query(undefined, this.#bound());
+    }
+
+    close(): Promise<void> {
+        return this.#agent.destroy();
+    }
+
+    #bound(timeoutMs = CALL_TIMEOUT_MS): { signal: AbortSignal; } {
+        return { signal: AbortSignal.timeout(timeoutMs) };
+    }
+
+    #client(address: Address): Client {
+        const known = this.#clients.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const client = createTRPCClient<typeof peerRouter>({
+            links: [httpLink({
+                url: `http://${address}/trpc`,
+                headers: { [headerName.key]: this.options.key },
+                fetch: (url, init) => fetch(url as string, { ...(init as object), dispatcher: this.#agent }) as never,
+            })],
+        });
+        this.#clients.set(address, client);
+        return client;
+    }
+}
--- /dev/null
+++ b/src/peer/peeroptions.ts
@@ -0,0 +1,9 @@
+/** What every call to a peer needs. */
+import type { Clock } from "../time/clock.js";
+
+/** `localIp` is the address that connections go out from; `key` is shared by all daemons. */
+export type PeerOptions = {
+    readonly localIp: string;
+    readonly key: string;
+    readonly clock: Clock;
+};
--- /dev/null
+++ b/src/peer/peerrouter.ts
@@ -0,0 +1,17 @@
+/** The calls between daemons that carry no bodies. */
+import { initTRPC } from "@trpc/server";
+import { z } from "zod";
+import type { PeerService } from "./peerservice.js";
+import { RevokeInput } from "./revokeinput.js";
+
+const t = initTRPC.context<{ service: PeerService; }>().create();
+
+/** hello, revoke, update, status. */
+export const peerRouter = t.router({
+    hello: t.procedure.query(({ ctx }) => ctx.service.hello()),
+    revoke: t.procedure.input(RevokeInput).mutation(({ ctx, input }) => ctx.service.revoke(input)),
+    update: t.procedure
+        .input(z.object({ have: z.int().min(0) }))
+        .query(({ ctx, input }) => ctx.service.update(input.have)),
+    status: t.procedure.query(({ ctx }) => ctx.service.status()),
+});
--- /dev/null
+++ b/src/peer/peerservice.ts
@@ -0,0 +1,17 @@
+/** What a daemon does for its peers. */
+import type { Update } from "../config/update.js";
+import type { Incarnation } from "../ids/incarnation.js";
+import type { RevokeResult } from "../ledger/revokeresult.js";
+import type { GateStatus } from "./gatestatus.js";
+import type { RevokeInput } from "./revokeinput.js";
+
+type Hello = { readonly incarnation: Incarnation; readonly gateTime: number; readonly revision: number; };
+
+/** Implemented by the daemon; the router is a thin face over it. */
+export abstract class PeerService {
+    abstract hello(): Hello;
+    abstract revoke(input: RevokeInput): RevokeResult;
+    /** What is newer than the revision `have`. */
+    abstract update(have: number): Update | undefined;
+    abstract status(): GateStatus[];
+}
--- /dev/null
+++ b/src/policy/admission.ts
@@ -0,0 +1,133 @@
+/** The gate's decision: its counts are exact, so what an ingress only guessed is decided here. */
+import type { LoadReport } from "./loadreport.js";
+import type { Refusal } from "./refusal.js";
+import type { ServiceTimes } from "./servicetimes.js";
+import type { SlotLimit } from "./slotlimit.js";
+import type { Verdict } from "./verdict.js";
+import type { Waiting } from "./waiting.js";
+import { WaitQueue } from "./waitqueue.js";
+
+/** The queue holds so many requests for each slot at the most. */
+const QUEUE_PER_SLOT = 16;
+const RUN: Verdict = { type: "run" };
+const WAIT: Verdict = { type: "wait" };
+
+/** What `next` gives: requests that may run now, and requests whose time is up. */
+type Released<Item> = { readonly run: Item[]; readonly late: Item[]; };
+
+/** Counts what runs and what waits at one upstream. */
+export class Admission<Item extends Waiting> {
+    readonly #queue = new WaitQueue<Item>();
+    #running = 0;
+    #held = 0;
+
+    constructor(private readonly limit: SlotLimit, private readonly times: ServiceTimes) {}
+
+    get running(): number {
+        return this.#running;
+    }
+
+    get waiting(): number {
+        return this.#queue.length;
+    }
+
+    /** Slots that are neither in use nor held. */
+    get free(): number {
+        return Math.max(0, this.limit.current() - this.#running - this.#held - this.#queue.length);
+    }
+
+    report(): LoadReport {
+        return {
+            running: this.#running + this.#held,
+            waiting: this.#queue.length,
+            limit: this.limit.current(),
+            serviceMs: this.times.fastMs,
+            baseMs: this.times.slowMs,
+        };
+    }
+
+    /** Decides on an arrival; one that holds an offer takes the slot held for it. */
+    arrive(item: Item, now: number, holdsOffer = false): Verdict {
+        if (holdsOffer) {
+            this.release();
+        }
+        if (now >= item.deadline) {
+            return { type: "refuse", refusal: { reason: "deadline", retryAfterMs: 0 } };
+        }
+        if (this.#queue.length === 0 && this.#running + this.#held < this.limit.current()) {
+            this.#running += 1;
+            return RUN;
+        }
+        const refusal = this.#refusal(item, now);
+        if (refusal !== undefined) {
+            return { type: "refuse", refusal };
+        }
+        this.#queue.push(item);
+        return WAIT;
+    }
+
+    /** Keeps a slot free for a while; false when none is free. */
+    hold(): boolean {
+        if (this.free === 0) {
+            return false;
+        }
+        this.#held += 1;
+        return true;
+    }
+
+    /** Gives a held slot back. */
+    release(): void {
+        this.#held = Math.max(0, this.#held - 1);
+    }
+
+    /** Takes in that a running request has ended; `serviceMs` is undefined when it says nothing of the upstream. */
+    finish(serviceMs: number | undefined): void {
+        this.#running -= 1;
+        if (serviceMs !== undefined) {
+            this.times.observe(serviceMs);
+            this.limit.observe();
+        }
+    }
+
+    /** Takes a waiting request out; false when it does not wait. */
+    leave(item: Item): boolean {
+        return this.#queue.remove(item);
+    }
+
+    /** Takes out up to `count` waiting requests that the test allows, to be served elsewhere. */
+    handBack(count: number, test: (item: Item) => boolean): Item[] {
+        let left = count;
+        return this.#queue.removeWhere(item => left > 0 && test(item) && (left -= 1) >= 0);
+    }
+
+    /** Releases what may run now; what has waited past its deadline comes out as late. */
+    next(now: number): Released<Item> {
+        const released: Released<Item> = { run: [], late: [] };
+        while (this.#running + this.#held < this.limit.current()) {
+            const item = this.#queue.shift();
+            if (item === undefined) {
+                break;
+            }
+            if (now >= item.deadline) {
+                released.late.push(item);
+                continue;
+            }
+            this.#running += 1;
+            released.run.push(item);
+        }
+        return released;
+    }
+
+    #refusal(item: Item, now: number): Refusal | undefined {
+        const limit = this.limit.current();
+        const waitMs = (this.#queue.ahead(item.priority) + 1) * this.times.fastMs / limit;
+        const retryAfterMs = Math.ceil(waitMs);
+        if (this.#queue.length >= limit * QUEUE_PER_SLOT) {
+            return { reason: "queue-full", retryAfterMs };
+        }
+        if (waitMs > Math.min(item.maxWaitMs, item.deadline - now - this.times.fastMs)) {
+            return { reason: "wait-too-long", retryAfterMs };
+        }
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/policy/decideretry.ts
@@ -0,0 +1,39 @@
+/** Whether a request whose try has come to nothing is tried again. */
+import type { Kind } from "../config/kind.js";
+import type { Outcome } from "./outcome.js";
+import type { RetryBudget } from "./retrybudget.js";
+
+/** Tries of one request at the most, redirects apart. */
+const MAX_TRIES = 3;
+
+/** What is known after a try; `retriedBelow` says that a hop nearer to the failure has retried already. */
+type Attempt = {
+    readonly outcome: Outcome;
+    readonly kind: Kind;
+    readonly tries: number;
+    readonly remainingMs: number;
+    readonly bodyKept: boolean;
+    readonly retriedBelow: boolean;
+    /** Refused not for load but since it belongs elsewhere: handed back, or the gate is leaving. */
+    readonly redirected: boolean;
+    readonly redirects: number;
+};
+
+const MAX_REDIRECTS = 2;
+
+/** Decides by outcome, not by status: `not-run` may go elsewhere, the rest only when it is repeatable. */
+export function decideRetry(attempt: Attempt, budget: RetryBudget): boolean {
+    if (attempt.remainingMs <= 0 || !attempt.bodyKept || attempt.retriedBelow) {
+        return false;
+    }
+    if (attempt.redirected && attempt.redirects <= MAX_REDIRECTS) {
+        return true;
+    }
+    if (attempt.tries >= MAX_TRIES) {
+        return false;
+    }
+    if (attempt.outcome !== "not-run" && attempt.kind !== "repeatable") {
+        return false;
+    }
+    return budget.spend();
+}
--- /dev/null
+++ b/src/policy/expectedtime.ts
@@ -0,0 +1,82 @@
+/**
+ * The placement that winglock uses: the least expected time until the answer.
+ *
+ * Own outstanding requests are exact and never stale, so they weigh most. What others sent is known from reports
+ * only, and a report fades in a few milliseconds, since a herd of ingresses that all believe the same stale report
+ * is worse than none. How slow the upstream is changes less fast, so that part of a report fades later.
+ */
+import type { Candidate } from "./candidate.js";
+import { lowest } from "./lowest.js";
+import { Placement } from "./placement.js";
+import type { RandomSource } from "./randomsource.js";
+import { sample } from "./sample.js";
+
+/** What an operator's profile may set; times in milliseconds. */
+type Options = {
+    readonly choices: number;
+    readonly loadFadeMs: number;
+    readonly speedFadeMs: number;
+    readonly ownWeight: number;
+};
+
+const DEFAULTS: Options = { choices: 4, loadFadeMs: 5, speedFadeMs: 100, ownWeight: 3 };
+
+/** Assumed of an upstream that has never been heard of. */
+const UNKNOWN_SERVICE_MS = 5;
+
+/** How much a busy slot costs while there are free ones: enough to spread, too little to leave the hall. */
+const BUSY_SHARE = 0.5;
+
+const faded = (ageMs: number, fadeMs: number): number => Math.exp(-Math.max(0, ageMs) / fadeMs);
+
+/** Chooses the least expected time among a few candidates drawn at random. */
+export class ExpectedTime extends Placement {
+    readonly #options: Options;
+
+    constructor(options: Partial<Options> = {}) {
+        super();
+        this.#options = { ...DEFAULTS, ...options };
+    }
+
+    choose(candidates: readonly Candidate[], now: number, random: RandomSource): Candidate | undefined {
+        const drawn = sample(candidates, this.#options.choices, random);
+        return lowest(drawn, candidate => this.expectedMs(candidate, now));
+    }
+
+    /** Expected time from sending to the answer, in milliseconds. */
+    expectedMs(candidate: Candidate, now: number): number {
+        const ageMs = now - candidate.reportAt;
+        const limit = Math.max(1, this.#limit(candidate, ageMs));
+        const load = this.#load(candidate, ageMs);
+        const serviceMs = this.#serviceMs(candidate, ageMs);
+        const rounds = Math.max(0, load + 1 - limit) / limit;
+        const spread = BUSY_SHARE * Math.min(1, load / limit);
+        return candidate.roundTripMs + serviceMs * (1 + rounds + spread) + candidate.penaltyMs;
+    }
+
+    #limit(candidate: Candidate, ageMs: number): number {
+        const weight = faded(ageMs, this.#options.speedFadeMs);
+        const reported = candidate.report?.limit ?? candidate.slots;
+        return weight * reported + (1 - weight) * candidate.slots;
+    }
+
+    #load(candidate: Candidate, ageMs: number): number {
+        const { report } = candidate;
+        const own = candidate.own * this.#options.ownWeight;
+        if (report === undefined) {
+            return own;
+        }
+        const others = Math.max(0, report.running + report.waiting - candidate.ownAtReport);
+        const weight = faded(ageMs, this.#options.loadFadeMs);
+        return weight * (others + candidate.own) + (1 - weight) * own;
+    }
+
+    #serviceMs(candidate: Candidate, ageMs: number): number {
+        const { report } = candidate;
+        if (report === undefined) {
+            return UNKNOWN_SERVICE_MS;
+        }
+        const weight = faded(ageMs, this.#options.speedFadeMs);
+        return weight * report.serviceMs + (1 - weight) * report.baseMs;
+    }
+}
--- /dev/null
+++ b/src/policy/fairqueue.ts
@@ -0,0 +1,85 @@
+/** Start-time fair queueing over keys (Goyal and others 1996), each item costing the same. */
+
+type Lane<Item> = { items: Item[]; pass: number; weight: number; };
+
+/** First in, first out for each key; the keys share by weight, and none starves. */
+export class FairQueue<Key, Item> {
+    readonly #lanes = new Map<Key, Lane<Item>>();
+    #virtualTime = 0;
+    #length = 0;
+
+    constructor(private readonly weightOf: (key: Key) => number) {}
+
+    get length(): number {
+        return this.#length;
+    }
+
+    /** Items that wait under a key. */
+    waiting(key: Key): number {
+        return this.#lanes.get(key)?.items.length ?? 0;
+    }
+
+    push(key: Key, item: Item): void {
+        const lane = this.#lanes.get(key) ?? this.#open(key);
+        lane.items.push(item);
+        this.#length += 1;
+    }
+
+    /** Takes the next item, undefined when none waits. */
+    shift(): Item | undefined {
+        const key = this.#next();
+        if (key === undefined) {
+            return undefined;
+        }
+        const lane = this.#lanes.get(key)!;
+        const item = lane.items.shift();
+        this.#virtualTime = lane.pass;
+        lane.pass += 1 / lane.weight;
+        this.#length -= 1;
+        this.#close(key, lane);
+        return item;
+    }
+
+    /** Takes an item out of its turn; false when it does not wait. */
+    remove(key: Key, item: Item): boolean {
+        const lane = this.#lanes.get(key);
+        const at = lane?.items.indexOf(item) ?? -1;
+        if (lane === undefined || at < 0) {
+            return false;
+        }
+        lane.items.splice(at, 1);
+        this.#length -= 1;
+        this.#close(key, lane);
+        return true;
+    }
+
+    /** All that wait, in no particular order. */
+    items(): Item[] {
+        return [...this.#lanes.values()].flatMap(lane => lane.items);
+    }
+
+    #open(key: Key): Lane<Item> {
+        const weight = this.weightOf(key);
+        const lane = { items: [], pass: this.#virtualTime + 1 / weight, weight };
+        this.#lanes.set(key, lane);
+        return lane;
+    }
+
+    #close(key: Key, lane: Lane<Item>): void {
+        if (lane.items.length === 0) {
+            this.#lanes.delete(key);
+        }
+    }
+
+    #next(): Key | undefined {
+        let best: Key | undefined;
+        let bestPass = Infinity;
+        for (const [key, lane] of this.#lanes) {
+            if (lane.pass < bestPass) {
+                best = key;
+                bestPass = lane.pass;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/src/policy/refusal.ts
@@ -0,0 +1,7 @@
+/** Why a gate refuses. */
+
+/** The reason, and when to come back, in milliseconds. */
+export type Refusal = {
+    readonly reason: "queue-full" | "wait-too-long" | "deadline";
+    readonly retryAfterMs: number;
+};
--- /dev/null
+++ b/src/policy/waiting.ts
@@ -0,0 +1,11 @@
+/** A request at a gate, as admission sees it. */
+import type { Priority } from "../config/priority.js";
+import type { TenantName } from "../ids/tenantname.js";
+
+/** `deadline` is on the gate's clock, in milliseconds. */
+export type Waiting = {
+    readonly priority: Priority;
+    readonly tenant: TenantName;
+    readonly deadline: number;
+    readonly maxWaitMs: number;
+};
--- /dev/null
+++ b/src/policy/waitqueue.ts
@@ -0,0 +1,50 @@
+/** What waits at a gate: urgent first, none starved, fair between tenants. */
+import type { Priority } from "../config/priority.js";
+import type { TenantName } from "../ids/tenantname.js";
+import { FairQueue } from "./fairqueue.js";
+import type { Waiting } from "./waiting.js";
+
+const WEIGHTS: Readonly<Record<Priority, number>> = { urgent: 64, normal: 8, background: 1 };
+const ORDER: readonly Priority[] = ["urgent", "normal", "background"];
+
+/** Classes share by weight, and tenants within a class evenly. */
+export class WaitQueue<Item extends Waiting> {
+    readonly #classes = new FairQueue<Priority, Priority>(priority => WEIGHTS[priority]);
+    readonly #tenants = new Map<Priority, FairQueue<TenantName, Item>>(
+        ORDER.map(priority => [priority, new FairQueue(() => 1)]),
+    );
+
+    get length(): number {
+        return this.#classes.length;
+    }
+
+    /** How many wait that are as urgent or more so. */
+    ahead(priority: Priority): number {
+        const classes = ORDER.slice(0, ORDER.indexOf(priority) + 1);
+        return classes.reduce((sum, name) => sum + this.#classes.waiting(name), 0);
+    }
+
+    push(item: Item): void {
+        this.#classes.push(item.priority, item.priority);
+        this.#tenants.get(item.priority)!.push(item.tenant, item);
+    }
+
+    shift(): Item | undefined {
+        const priority = this.#classes.shift();
+        return priority === undefined ? undefined : this.#tenants.get(priority)!.shift();
+    }
+
+    remove(item: Item): boolean {
+        if (!this.#tenants.get(item.priority)!.remove(item.tenant, item)) {
+            return false;
+        }
+        return this.#classes.remove(item.priority, item.priority);
+    }
+
+    /** Takes out whatever the test picks. */
+    removeWhere(test: (item: Item) => boolean): Item[] {
+        const picked = [...this.#tenants.values()].flatMap(queue => queue.items()).filter(test);
+        picked.forEach(item => this.remove(item));
+        return picked;
+    }
+}
--- /dev/null
+++ b/src/store/store.ts
@@ -0,0 +1,14 @@
+/** The platform's key-value service, as far as winglock uses it. */
+import type { Stored } from "./stored.js";
+import type { StoredHost } from "./storedhost.js";
+
+/** All calls throw a StoreError. */
+export abstract class Store {
+    abstract read(): Promise<Stored>;
+    /** Writes if the version is still `version`; false when it is not. */
+    abstract write(value: string, version: number): Promise<boolean>;
+    /** Waits for a version above `version`; undefined when none came in time. */
+    abstract watch(version: number, signal: AbortSignal): Promise<Stored | undefined>;
+    abstract hosts(): Promise<StoredHost[]>;
+    abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/standin/seededrandom.ts
@@ -0,0 +1,12 @@
+/** Repeatable randomness (mulberry32). */
+
+/** Returns a source of numbers from 0 up to 1 that is the same for the same seed. */
+export function seededRandom(seed: number): () => number {
+    let state = seed >>> 0;
+    return () => {
+        state = (state + 0x6D2B79F5) >>> 0;
+        let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+        mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+    };
+}
--- /dev/null
+++ b/standin/upstream.ts
@@ -0,0 +1,250 @@
+/** A stand-in for a service's instance. */
+import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from "node:http";
+import { readJson } from "./readjson.js";
+import { sendJson } from "./sendjson.js";
+import { drawServiceTime } from "./servicetime.js";
+import type { UpstreamControl } from "./upstreamcontrol.js";
+
+const COLD_FACTOR = 5;
+const STREAM_EVERY_MS = 50;
+const STREAM_EVENTS = 10;
+
+type Work = { readonly run: () => void; };
+
+/**
+ * Serves a bounded number of requests at once, the rest in turn, and prints a line for each that it runs: `R id`.
+ * `/events` streams, `/poll?ms=N` waits without a slot, `/chain` calls the next service through the local daemon.
+ */
+export class UpstreamStandin {
+    readonly server: Server = createServer((req, res) => void this.#handle(req, res));
+    readonly #waiting: Work[] = [];
+    #control: UpstreamControl = {
+        slowdown: 1,
+        meanMs: 10,
+        spread: "low",
+        failing: 0,
+        shed: "no",
+        leaving: false,
+        answerFault: "none",
+        faultShare: 1,
+        lyingHealth: false,
+        coldRequests: 0,
+        noiseEveryMs: 0,
+        next: "",
+    };
+    #running = 0;
+    #served = 0;
+    #cancelled = 0;
+    #inFlight = 0;
+
+    constructor(private readonly slots: number, private readonly random: () => number) {}
+
+    get inFlight(): number {
+        return this.#inFlight;
+    }
+
+    /** Refuses new work from now on and says so; what runs is finished. */
+    leave(): void {
+        this.#control.leaving = true;
+    }
+
+    async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const path = (req.url ?? "/").split("?", 1)[0];
+        switch (path) {
+            case "/control":
+                return await this.#takeControl(req, res);
+            case "/counts":
+                return sendJson(res, 200, { served: this.#served, cancelled: this.#cancelled, running: this.#running });
+            case "/health":
+                return this.#health(res);
+            default:
+                return await this.#serve(req, res, path!);
+        }
+    }
+
+    async #takeControl(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const before = this.#control.noiseEveryMs;
+        this.#control = { ...this.#control, ...await readJson<Partial<UpstreamControl>>(req) };
+        if (before === 0 && this.#control.noiseEveryMs > 0) {
+            this.#scheduleNoise();
+        }
+        sendJson(res, 200, this.#control);
+    }
+
+    /** A noisy neighbour: 5 to 10 times slower for 50 to 500 ms, again and again at random. */
+    #scheduleNoise(): void {
+        const pauseMs = -Math.log(1 - this.random()) * this.#control.noiseEveryMs;
+        setTimeout(() => {
+            this.#control.slowdown = 5 + 5 * this.random();
+            setTimeout(() => {
+                this.#control.slowdown = 1;
+                if (this.#control.noiseEveryMs > 0) {
+                    this.#scheduleNoise();
+                }
+            }, 50 + 450 * this.random());
+        }, pauseMs);
+    }
+
+    #health(res: ServerResponse): void {
+        const leaving = this.#control.leaving && !this.#control.lyingHealth;
+        res.writeHead(200, leaving ? { "winglock-leaving": "1" } : {});
+        res.end();
+    }
+
+    async #serve(req: IncomingMessage, res: ServerResponse, path: string): Promise<void> {
+        req.resume();
+        if (this.#refuse(res)) {
+            return;
+        }
+        this.#inFlight += 1;
+        res.on("close", () => this.#inFlight -= 1);
+        if (path === "/poll") {
+            const ms = Number(new URL(req.url!, "http://upstream").searchParams.get("ms"));
+            this.#record(req);
+            await new Promise(resolve => setTimeout(resolve, ms));
+            return this.#answer(req, res);
+        }
+        if (path === "/events") {
+            this.#record(req);
+            return this.#stream(req, res);
+        }
+        const work = { run: () => this.#run(req, res, path) };
+        if (this.#running < this.slots) {
+            work.run();
+        }
+        else {
+            this.#waiting.push(work);
+        }
+    }
+
+    #refuse(res: ServerResponse): boolean {
+        if (this.#control.leaving) {
+            res.writeHead(503, { "winglock-outcome": "not-run", "winglock-leaving": "1" }).end();
+            return true;
+        }
+        if (this.#control.shed !== "no") {
+            res.writeHead(503, this.#control.shed === "said" ? { "winglock-outcome": "not-run" } : {}).end();
+            return true;
+        }
+        return false;
+    }
+
+    #record(req: IncomingMessage): void {
+        const id = req.headers["x-load-id"];
+        if (id !== undefined) {
+            process.stdout.write(`R ${id}\n`);
+        }
+    }
+
+    #run(req: IncomingMessage, res: ServerResponse, path: string): void {
+        this.#running += 1;
+        this.#record(req);
+        if (this.random() < this.#control.failing) {
+            this.#finish(() => sendJson(res, 500, { error: "failed" }));
+            return;
+        }
+        const cold = this.#served < this.#control.coldRequests ? COLD_FACTOR : 1;
+        const { meanMs, spread, slowdown } = this.#control;
+        const ms = drawServiceTime(meanMs, spread, this.random()) * slowdown * cold;
+        const timer = setTimeout(() => this.#finish(() => void this.#chainOrAnswer(req, res, path)), ms);
+        res.on("close", () => {
+            if (!res.writableFinished && req.method === "GET" && timer.hasRef() && !res.headersSent) {
+                clearTimeout(timer);
+                this.#cancelled += 1;
+                this.#finish(() => {});
+            }
+        });
+    }
+
+    #finish(answer: () => void): void {
+        this.#served += 1;
+        this.#running -= 1;
+        answer();
+        this.#waiting.shift()?.run();
+    }
+
+    async #chainOrAnswer(req: IncomingMessage, res: ServerResponse, path: string): Promise<void> {
+        if (path.startsWith("/chain") && this.#control.next !== "") {
+            const status = await this.#callNext(req);
+            if (status >= 500) {
+                return sendJson(res, 502, { error: "the next service failed" });
+            }
+        }
+        this.#answer(req, res);
+    }
+
+    /** A nested call through the local daemon; `next` is the daemon's ingress and the path, IP:PORT/PATH. */
+    #callNext(req: IncomingMessage): Promise<number> {
+        const headers: Record<string, string> = { "winglock-context": String(req.headers["winglock-context"] ?? "") };
+        if (req.headers["x-load-id"] !== undefined) {
+            headers["x-load-id"] = String(req.headers["x-load-id"]);
+        }
+        return new Promise(resolve => {
+            const call = request(`http://${this.#control.next}`, { headers }, res => {
+                res.resume();
+                res.on("end", () => resolve(res.statusCode ?? 500));
+                res.on("error", () => resolve(500));
+            });
+            call.on("error", () => resolve(500));
+            call.end();
+        });
+    }
+
+    #answer(req: IncomingMessage, res: ServerResponse): void {
+        if (res.destroyed) {
+            return;
+        }
+        const id = String(req.headers["x-load-id"] ?? "");
+        const body = JSON.stringify({ id, depth: req.headers["winglock-timeout-ms"], pad: "x".repeat(200) });
+        const echo = String(req.headers["winglock-request-id"] ?? "");
+        const fault = this.random() < this.#control.faultShare ? this.#control.answerFault : "none";
+        const length = Buffer.byteLength(body);
+        const write = (announced: number, sent: string, id = echo): void => {
+            res.writeHead(200, { "content-length": announced, "winglock-request-id": id });
+            res.end(sent);
+        };
+        const raw = (announced: number, sent: string): void => {
+            const head = `HTTP/1.1 200 OK\r\ncontent-length: ${announced}\r\nwinglock-request-id: ${echo}\r\n\r\n`;
+            res.socket?.write(head + sent);
+        };
+        switch (fault) {
+            case "cut":
+                raw(length, body.slice(0, length / 2));
+                setTimeout(() => res.socket?.destroy(), 1);
+                return;
+            case "short":
+                raw(length + 10, body);
+                setTimeout(() => res.socket?.destroy(), 5);
+                return;
+            case "long":
+                raw(length - 10, body);
+                return;
+            case "doubled":
+                raw(length, body);
+                setTimeout(() => raw(length, body), 2);
+                return;
+            case "foreign":
+                return write(length, body, "another-request");
+            case "late":
+                setTimeout(() => write(length, body), 300);
+                return;
+            default:
+                return write(length, body);
+        }
+    }
+
+    #stream(req: IncomingMessage, res: ServerResponse): void {
+        const id = String(req.headers["x-load-id"] ?? "");
+        let sent = 0;
+        res.writeHead(200, { "content-type": "text/event-stream" });
+        const timer = setInterval(() => {
+            sent += 1;
+            res.write(`data: ${id} ${sent}\n\n`);
+            if (sent === STREAM_EVENTS) {
+                clearInterval(timer);
+                res.end();
+            }
+        }, STREAM_EVERY_MS);
+        res.on("close", () => clearInterval(timer));
+    }
+}
--- /dev/null
+++ b/standin/upstreamcontrol.ts
@@ -0,0 +1,20 @@
+/** What a test may tell an upstream. */
+
+/** What is done to answers: none, broken off, sent twice, shorter or longer than announced, of another request. */
+type AnswerFault = "none" | "cut" | "doubled" | "short" | "long" | "foreign" | "late";
+
+/** `slowdown` multiplies service times; `shed` refuses with or without saying that nothing ran. */
+export type UpstreamControl = {
+    slowdown: number;
+    meanMs: number;
+    spread: "none" | "low" | "wide";
+    failing: number;
+    shed: "no" | "said" | "unsaid";
+    leaving: boolean;
+    answerFault: AnswerFault;
+    faultShare: number;
+    lyingHealth: boolean;
+    coldRequests: number;
+    noiseEveryMs: number;
+    next: string;
+};
--- /dev/null
+++ b/standin/upstreammain.ts
@@ -0,0 +1,19 @@
+/** `upstreammain IP:PORT SLOTS SEED`; SIGTERM stops it by plan. */
+import { listenOn } from "./listenon.js";
+import { seededRandom } from "./seededrandom.js";
+import { UpstreamStandin } from "./upstream.js";
+
+const LINGER_MS = 2500;
+
+const [address, slots, seed] = process.argv.slice(2);
+const standin = new UpstreamStandin(Number(slots), seededRandom(Number(seed)));
+listenOn(standin.server, address!);
+
+process.on("SIGTERM", () => {
+    standin.leave();
+    setInterval(() => {
+        if (standin.inFlight === 0) {
+            process.exit(0);
+        }
+    }, LINGER_MS);
+});
