Gate, exchange and daemon in small parts; a stop asks peers first

Cause: two result postings were told unknown when a daemon stopped by plan: its peer listener was cut when the gates were idle, with answers still on their way to peers. Ruled out: the gate's own count, which was right.

--- a/src/control/relief.ts
+++ b/src/control/relief.ts
@@ -41,12 +41,15 @@
 
     constructor(private readonly parts: ReliefParts) {}
 
-    start(): void {
-        this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    /** Takes in that something has changed at a gate; looks on by itself while something waits. */
+    look(): void {
+        if (this.#timer === undefined && this.#anyWaiting()) {
+            this.#timer = setTimeout(() => this.#tick(), TICK_MS);
+        }
     }
 
     stop(): void {
-        clearInterval(this.#timer);
+        clearTimeout(this.#timer);
     }
 
     /** Makes offers to a gate in need. */
@@ -80,13 +83,24 @@
         setTimeout(() => offers.forEach(id => gate.withdraw(id)), HOLD_MS);
     }
 
+    #anyWaiting(): boolean {
+        for (const gate of this.parts.gates()) {
+            if (gate.waiting > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     #tick(): void {
+        this.#timer = undefined;
         const now = this.parts.clock();
         for (const gate of this.parts.gates()) {
             if (gate.waiting > 0 && now - (this.#askedAt.get(gate) ?? -Infinity) >= ASK_EVERY_MS) {
                 this.#ask(gate, now);
             }
         }
+        this.look();
     }
 
     #ask(gate: Gate, now: number): void {
--- a/src/control/reporter.ts
+++ b/src/control/reporter.ts
@@ -5,9 +5,9 @@
 import type { Clock } from "../time/clock.js";
 import type { Message } from "./message.js";
 
-const TICK_MS = 10;
+const LOOK_EVERY_MS = 10;
 const RECENT_MS = 1000;
-const MAX_SENDERS = 32;
+const MAX_SENDERS = 64;
 const CHANGE = 2;
 
 /** What the reporter needs of its daemon. */
@@ -22,16 +22,20 @@
 export class Reporter {
     readonly #senders = new Map<Address, number>();
     readonly #told = new Map<Gate, LoadReport>();
-    #timer: NodeJS.Timeout | undefined;
+    #lookedAt = 0;
 
     constructor(private readonly parts: ReporterParts) {}
 
-    start(): void {
-        this.#timer = setInterval(() => this.#tick(), TICK_MS);
-    }
-
-    stop(): void {
-        clearInterval(this.#timer);
+    /** Takes in that something has changed at a gate; looks at most every few milliseconds. */
+    look(): void {
+        const now = this.parts.clock();
+        if (now - this.#lookedAt < LOOK_EVERY_MS) {
+            return;
+        }
+        this.#lookedAt = now;
+        for (const gate of this.parts.gates()) {
+            this.#compare(gate);
+        }
     }
 
     /** Takes in that a peer sends work here. */
@@ -43,21 +47,17 @@
         }
     }
 
-    /** Those that sent work within the last second. */
-    recent(): Address[] {
-        const now = this.parts.clock();
-        return [...this.#senders].filter(([, at]) => now - at < RECENT_MS).map(([sender]) => sender);
+    /** All that are remembered, the latest last. */
+    senders(): Address[] {
+        return [...this.#senders.keys()];
     }
 
-    #tick(): void {
-        for (const gate of this.parts.gates()) {
-            const report = gate.report();
-            const told = this.#told.get(gate) ?? report;
-            this.#told.set(gate, told);
-            if (this.#differs(report, told)) {
-                this.#told.set(gate, report);
-                this.#tell(gate, report);
-            }
+    #compare(gate: Gate): void {
+        const report = gate.report();
+        const told = this.#told.get(gate);
+        if (told === undefined || this.#differs(report, told)) {
+            this.#told.set(gate, report);
+            this.#tell(gate, report);
         }
     }
 
@@ -68,8 +68,11 @@
 
     #tell(gate: Gate, report: LoadReport): void {
         const loads = [{ upstream: gate.upstream.name, report }];
-        for (const sender of this.recent()) {
-            this.parts.send(sender, { type: "load", from: this.parts.self, loads });
+        const now = this.parts.clock();
+        for (const [sender, at] of this.#senders) {
+            if (now - at < RECENT_MS) {
+                this.parts.send(sender, { type: "load", from: this.parts.self, loads });
+            }
         }
     }
 }
--- /dev/null
+++ b/src/daemon/hops.ts
@@ -0,0 +1,50 @@
+/** The ways to gates, one for each gate that requests are sent to. */
+import type { Document } from "../config/document.js";
+import type { Upstream } from "../config/upstream.js";
+import type { GateIdentity } from "../gate/gateidentity.js";
+import type { Hop } from "../hop/hop.js";
+import { LocalHop } from "../hop/localhop.js";
+import { RemoteHop } from "../hop/remotehop.js";
+import type { Address } from "../ids/address.js";
+import type { Ledger } from "../ledger/ledger.js";
+import type { PeerClient } from "../peer/peerclient.js";
+import type { PeerOptions } from "../peer/peeroptions.js";
+import type { GateSet } from "./gateset.js";
+
+/** What a way is made of. */
+type HopsParts = {
+    readonly gates: GateSet;
+    readonly identity: GateIdentity;
+    readonly ledger: Ledger;
+    readonly peer: PeerClient;
+    readonly options: PeerOptions;
+};
+
+/** Opens ways when they are first wanted and closes those that the configuration no longer names. */
+export class Hops {
+    readonly #remote = new Map<Address, RemoteHop>();
+
+    constructor(private readonly parts: HopsParts) {}
+
+    /** The way to an upstream's gate: none of the network when the gate is this daemon's own. */
+    open(upstream: Upstream): { readonly hop: Hop; readonly local: boolean; } {
+        const { gates, identity, ledger, options, peer } = this.parts;
+        const gate = gates.find(upstream.name);
+        if (gate !== undefined) {
+            return { hop: new LocalHop(gate, identity, ledger, options.clock), local: true };
+        }
+        const hop = this.#remote.get(upstream.gate) ?? new RemoteHop(upstream.gate, peer, options);
+        this.#remote.set(upstream.gate, hop);
+        return { hop, local: false };
+    }
+
+    apply(document: Document): void {
+        const named = new Set(document.upstreams.map(upstream => upstream.gate));
+        for (const [address, hop] of this.#remote) {
+            if (!named.has(address)) {
+                this.#remote.delete(address);
+                void hop.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/inbox.ts
@@ -0,0 +1,57 @@
+/** Hands each datagram to the task that it is for. */
+import type { Membership } from "../control/membership.js";
+import type { Message } from "../control/message.js";
+import type { Pinger } from "../control/pinger.js";
+import type { Relief } from "../control/relief.js";
+import type { GateIdentity } from "../gate/gateidentity.js";
+import type { Address } from "../ids/address.js";
+import type { Neighbours } from "../ingress/neighbours.js";
+import type { Clock } from "../time/clock.js";
+import type { GateSet } from "./gateset.js";
+
+/** The tasks, and how to answer. */
+type InboxParts = {
+    readonly self: Address;
+    readonly clock: Clock;
+    readonly identity: GateIdentity;
+    readonly gates: GateSet;
+    readonly neighbours: Neighbours;
+    readonly membership: Membership;
+    readonly pinger: Pinger;
+    readonly relief: Relief;
+    readonly send: (to: Address, message: Message) => boolean;
+};
+
+/** Knows every type of message. */
+export class Inbox {
+    constructor(private readonly parts: InboxParts) {}
+
+    receive(message: Message): void {
+        const { clock, neighbours, membership, pinger, relief } = this.parts;
+        switch (message.type) {
+            case "beat":
+                return membership.hear(message);
+            case "ping":
+                return this.#answer(message.from, message.sentAt);
+            case "pong":
+                return pinger.hear(message);
+            case "load":
+                return message.loads.forEach(({ upstream, report }) =>
+                    neighbours.find(upstream)?.observe(report, clock())
+                );
+            case "leave":
+                return message.upstreams.forEach(name => neighbours.find(name)?.stops(clock()));
+            case "need":
+                return relief.hearNeed(message);
+            case "offer":
+                return relief.hearOffer(message);
+        }
+    }
+
+    #answer(to: Address, sentAt: number): void {
+        const { self, clock, identity, gates, send } = this.parts;
+        const { incarnation, gateTime, revision } = identity.note(clock());
+        const loads = [...gates.all].map(gate => ({ upstream: gate.upstream.name, report: gate.report() }));
+        send(to, { type: "pong", from: self, sentAt, incarnation, gateTime, revision, loads });
+    }
+}
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -4,46 +4,36 @@
  * It owns the upstream's slots, its queue and its part of the ledger. Every refusal is a HopError whose outcome is
  * `not-run` exactly when the ledger or the upstream proves it.
  */
-import { PassThrough, type Readable } from "node:stream";
 import type { Upstream } from "../config/upstream.js";
 import type { AnswerNote } from "../hop/answernote.js";
-import { cleanHeaders } from "../hop/cleanheaders.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
-import { headerName } from "../hop/headername.js";
 import { HopError } from "../hop/hoperror.js";
-import type { Ledger } from "../ledger/ledger.js";
 import { AdaptiveLimit } from "../policy/adaptivelimit.js";
 import { Admission } from "../policy/admission.js";
 import { FixedLimit } from "../policy/fixedlimit.js";
 import type { LoadReport } from "../policy/loadreport.js";
 import { ServiceTimes } from "../policy/servicetimes.js";
-import type { Clock } from "../time/clock.js";
 import { log } from "../time/log.js";
-import type { Contexts } from "./contexts.js";
-import type { GateIdentity } from "./gateidentity.js";
+import type { GateParts } from "./gateparts.js";
+import { Offers } from "./offers.js";
 import { Ticket } from "./ticket.js";
 import { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
+import { UpstreamRun } from "./upstreamrun.js";
 
 const debug = log("gate");
 
-/** What a gate shares with the rest of its daemon. */
-type GateParts = {
-    readonly clock: Clock;
-    readonly ledger: Ledger;
-    readonly contexts: Contexts;
-    readonly identity: GateIdentity;
-    readonly limit: "adaptive" | "fixed";
-    readonly localIp: string;
-};
+/** Why a gate is closed when the upstream itself said that it is leaving. */
+const UPSTREAM_REASON = "upstream";
 
 /** Serves the calls for one upstream. */
 export class Gate {
     readonly #times = new ServiceTimes();
     readonly #client: UpstreamClient;
     readonly #admission: Admission<Ticket>;
-    readonly #offers = new Set<string>();
+    readonly #offers: Offers;
+    readonly #runs = new Set<UpstreamRun>();
     readonly #leaving = new Set<string>();
     #finished = 0;
     #refused = 0;
@@ -53,6 +43,7 @@
         const { slots } = upstream;
         const limit = parts.limit === "fixed" ? new FixedLimit(slots) : new AdaptiveLimit(slots, this.#times);
         this.#admission = new Admission(limit, this.#times);
+        this.#offers = new Offers(this.#admission);
     }
 
     get finished(): number {
@@ -73,8 +64,11 @@
         return this.#admission.running + this.#admission.waiting;
     }
 
+    /** An upstream that answers nothing shows by the age of what it has: that counts as its service time. */
     report(): LoadReport {
-        return this.#admission.report();
+        const report = this.#admission.report();
+        const meanAgeMs = this.#meanAgeMs();
+        return meanAgeMs > report.serviceMs ? { ...report, serviceMs: meanAgeMs } : report;
     }
 
     /** Closes the gate to new work for a reason; what waits and runs is finished. */
@@ -104,23 +98,19 @@
                 throw this.#refuse(`ledger-${admitted}`, admitted === "duplicate" ? "unknown" : "not-run");
             }
         }
+        this.parts.onChange();
         await this.#enter(ticket);
         return this.#run(ticket);
     }
 
     /** Keeps a slot for a sibling's request; returns false when none is free. */
     offer(id: string): boolean {
-        if (this.#leaving.size > 0 || !this.#admission.hold()) {
-            return false;
-        }
-        this.#offers.add(id);
-        return true;
+        return this.#leaving.size === 0 && this.#offers.make(id);
     }
 
     /** Takes an offer back if it was not used. */
     withdraw(id: string): void {
-        if (this.#offers.delete(id)) {
-            this.#admission.release();
+        if (this.#offers.withdraw(id)) {
             this.#advance();
         }
     }
@@ -149,9 +139,18 @@
         return { ...this.parts.identity.note(this.parts.clock()), report: this.report(), ...more };
     }
 
+    #meanAgeMs(): number {
+        const now = this.parts.clock();
+        let sumMs = 0;
+        for (const run of this.#runs) {
+            sumMs += run.ageMs(now);
+        }
+        return this.#runs.size === 0 ? 0 : sumMs / this.#runs.size;
+    }
+
     async #enter(ticket: Ticket): Promise<void> {
         const { head, signal } = ticket.call;
-        const verdict = this.#admission.arrive(ticket, this.parts.clock(), this.#takeOffer(head.offer));
+        const verdict = this.#admission.arrive(ticket, this.parts.clock(), this.#offers.take(head.offer));
         if (verdict.type === "run") {
             return;
         }
@@ -171,10 +170,6 @@
         }
     }
 
-    #takeOffer(offer: string | undefined): boolean {
-        return offer !== undefined && this.#offers.delete(offer);
-    }
-
     /** Gives up a request that still waits: it has not run. */
     #abandon(ticket: Ticket, reason: string): void {
         if (this.#admission.leave(ticket)) {
@@ -190,89 +185,45 @@
     }
 
     async #run(ticket: Ticket): Promise<GateAnswer> {
-        const { clock, ledger, contexts } = this.parts;
-        const { call } = ticket;
-        const startedAt = clock();
-        if (startedAt >= ticket.deadline || (ticket.once && !ledger.start(call.head.id, startedAt))) {
+        const { clock, ledger } = this.parts;
+        const { id } = ticket.call.head;
+        const now = clock();
+        if (now >= ticket.deadline || (ticket.once && !ledger.start(id, now))) {
             this.#withdrawFromLedger(ticket);
             this.#release(undefined);
             throw this.#refuse("deadline-or-revoked");
         }
-        const context = contexts.open(ticket.deadline, call.head.depth);
-        let open = true;
-        const end = (served: boolean): void => {
-            if (open) {
-                open = false;
-                contexts.close(context);
-                ledger.finish(call.head.id);
-                this.#finished += 1;
-                this.#release(served ? clock() - startedAt : undefined);
-            }
+        const ended = (serviceMs: number | undefined): void => {
+            this.#runs.delete(run);
+            this.#finished += 1;
+            this.#release(serviceMs);
         };
+        const run = new UpstreamRun(ticket, { ...this.parts, client: this.#client, ended });
+        this.#runs.add(run);
         try {
-            const answer = await this.#client.send(call, this.#headers(ticket, context.token), ticket.upstreamSignal());
-            const streamed = call.head.answer === "streamed";
-            if (streamed) {
-                end(true);
+            const { leaving, retriedBelow, ...answer } = await run.send();
+            if (leaving) {
+                this.leave(UPSTREAM_REASON);
             }
-            if (answer.headers[headerName.leaving] !== undefined) {
-                this.leave("upstream");
-            }
-            return {
-                status: answer.status,
-                headers: cleanHeaders(answer.headers),
-                body: streamed ? answer.body : this.#watch(answer.body, ticket, end),
-                note: this.note({
-                    tookMs: clock() - ticket.arrivedAt,
-                    ...(context.retriedBelow ? { retriedBelow: true } : {}),
-                }),
-            };
+            return { ...answer, note: this.note({ tookMs: clock() - ticket.arrivedAt, retriedBelow }) };
         }
         catch (err) {
-            throw this.#turn(err, ticket, () => end(false));
-        }
-    }
-
-    /** Passes a body on and ends the request with it; a `once` request is read to its end whoever has left. */
-    #watch(body: Readable, ticket: Ticket, end: (served: boolean) => void): Readable {
-        if (ticket.once) {
-            const out = new PassThrough();
-            body.on("error", err => out.destroy(err));
-            out.on("error", () => {});
-            out.on("close", () => body.unpipe(out).resume());
-            body.on("close", () => end(true));
-            return body.pipe(out);
+            throw this.#turn(err);
         }
-        body.on("close", () => end(true));
-        return body;
     }
 
-    #headers(ticket: Ticket, token: string): GateCall["headers"] {
-        const { call } = ticket;
-        return {
-            ...call.headers,
-            [headerName.context]: token,
-            [headerName.requestId]: call.head.id,
-            [headerName.timeout]: String(Math.max(1, Math.floor(ticket.deadline - this.parts.clock()))),
-        };
-    }
-
-    #turn(err: unknown, ticket: Ticket, end: () => void): HopError {
-        const failure = err as UpstreamError;
-        const sent = !(err instanceof UpstreamError) || failure.sent;
-        if (!sent && ticket.once) {
-            this.parts.ledger.disprove(ticket.call.head.id);
-        }
+    #turn(err: unknown): HopError {
+        const failure = err instanceof UpstreamError ? err : new UpstreamError(true, "gate-error", { cause: err });
         if (failure.reason === "leaving") {
-            this.leave("upstream");
+            this.leave(UPSTREAM_REASON);
         }
-        end();
-        return this.#refuse(failure.reason ?? "upstream-broke", sent ? "unknown" : "not-run");
+        return this.#refuse(failure.reason, failure.sent ? "unknown" : "not-run");
     }
 
     #release(serviceMs: number | undefined): void {
         this.#admission.finish(serviceMs);
         this.#advance();
+        this.parts.onChange();
     }
 
     #advance(): void {
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -34,7 +34,8 @@
             keepAliveTimeout: KEEP_ALIVE_MS,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: localIp },
+            localAddress: localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
         });
     }
 
--- /dev/null
+++ b/src/gate/upstreamrun.ts
@@ -0,0 +1,100 @@
+/** One request at the upstream, from its start to the end of its answer. */
+import { PassThrough, type Readable } from "node:stream";
+import { cleanHeaders } from "../hop/cleanheaders.js";
+import type { GateAnswer } from "../hop/gateanswer.js";
+import { headerName } from "../hop/headername.js";
+import type { HttpHeaders } from "../hop/httpheaders.js";
+import type { Ledger } from "../ledger/ledger.js";
+import type { Clock } from "../time/clock.js";
+import type { Contexts } from "./contexts.js";
+import type { Ticket } from "./ticket.js";
+import type { UpstreamClient } from "./upstreamclient.js";
+import { UpstreamError } from "./upstreamerror.js";
+
+/** What a run needs; `ended` is called once, with the service time when the upstream served the request. */
+type RunParts = {
+    readonly clock: Clock;
+    readonly ledger: Ledger;
+    readonly contexts: Contexts;
+    readonly client: UpstreamClient;
+    readonly ended: (serviceMs: number | undefined) => void;
+};
+
+/** An answer without its note, and what the note must say. */
+type RunAnswer = Omit<GateAnswer, "note"> & { readonly leaving: boolean; readonly retriedBelow: boolean; };
+
+/** Holds a slot until the answer's body has ended or, for a streamed answer, until its head. */
+export class UpstreamRun {
+    readonly #startedAt: number;
+    readonly #context: ReturnType<Contexts["open"]>;
+    #open = true;
+
+    constructor(private readonly ticket: Ticket, private readonly parts: RunParts) {
+        this.#startedAt = parts.clock();
+        this.#context = parts.contexts.open(ticket.deadline, ticket.call.head.depth);
+    }
+
+    /** How long it has run, in milliseconds. */
+    ageMs(now: number): number {
+        return now - this.#startedAt;
+    }
+
+    /** Sends the request; throws an UpstreamError, and then the run has ended. */
+    async send(): Promise<RunAnswer> {
+        const { ticket, parts } = this;
+        try {
+            const answer = await parts.client.send(ticket.call, this.#headers(), ticket.upstreamSignal());
+            const streamed = ticket.call.head.answer === "streamed";
+            if (streamed) {
+                this.#end(true);
+            }
+            return {
+                status: answer.status,
+                headers: cleanHeaders(answer.headers),
+                body: streamed ? answer.body : this.#watch(answer.body),
+                leaving: answer.headers[headerName.leaving] !== undefined,
+                retriedBelow: this.#context.retriedBelow,
+            };
+        }
+        catch (err) {
+            if (ticket.once && err instanceof UpstreamError && !err.sent) {
+                parts.ledger.disprove(ticket.call.head.id);
+            }
+            this.#end(false);
+            throw err;
+        }
+    }
+
+    /** Ends the run with the body; a `once` request's answer is read to its end whoever has left. */
+    #watch(body: Readable): Readable {
+        body.on("close", () => this.#end(true));
+        if (!this.ticket.once) {
+            return body;
+        }
+        const out = new PassThrough();
+        body.on("error", err => out.destroy(err));
+        out.on("error", () => {});
+        out.on("close", () => body.unpipe(out).resume());
+        return body.pipe(out);
+    }
+
+    #headers(): HttpHeaders {
+        const { call, deadline } = this.ticket;
+        return {
+            ...call.headers,
+            [headerName.context]: this.#context.token,
+            [headerName.requestId]: call.head.id,
+            [headerName.timeout]: String(Math.max(1, Math.floor(deadline - this.#startedAt))),
+        };
+    }
+
+    #end(served: boolean): void {
+        if (!this.#open) {
+            return;
+        }
+        this.#open = false;
+        this.parts.contexts.close(this.#context);
+        this.parts.ledger.finish(this.ticket.call.head.id);
+        this.parts.ended(served ? this.ageMs(this.parts.clock()) : undefined);
+    }
+}
--- a/src/hop/remotehop.ts
+++ b/src/hop/remotehop.ts
@@ -35,7 +35,8 @@
             keepAliveTimeout: KEEP_ALIVE_MS,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: options.localIp },
+            localAddress: options.localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
         });
     }
 
--- /dev/null
+++ b/src/ingress/attempt.ts
@@ -0,0 +1,157 @@
+/** One try of a request at one upstream. */
+import type { CallHead } from "../hop/callhead.js";
+import type { GateAnswer } from "../hop/gateanswer.js";
+import { HopError } from "../hop/hoperror.js";
+import type { RequestId } from "../ids/requestid.js";
+import type { IngressParts } from "./ingressparts.js";
+import type { Neighbour } from "./neighbour.js";
+import type { Outgoing } from "./outgoing.js";
+import type { Plan } from "./plan.js";
+import type { Trial } from "./trial.js";
+
+const FAILED_STATUS = 500;
+const REDIRECTS: ReadonlySet<string> = new Set([
+    "handed-back",
+    "leaving",
+    "incarnation",
+    "no-such-upstream",
+    "stale-rule",
+]);
+const UNREACHABLE: ReadonlySet<string> = new Set(["unreachable", "peer-broke"]);
+
+/** What the exchange lends to a try. */
+type AttemptParts = {
+    readonly ingress: IngressParts;
+    readonly plan: Plan;
+    readonly out: Outgoing;
+    /** Aborts when the caller has left or the time is up. */
+    readonly left: AbortSignal;
+    readonly deadlinePassed: () => boolean;
+    /** Sends an answer to the caller; rejects only while nothing has been sent. */
+    readonly deliver: (answer: GateAnswer) => Promise<void>;
+};
+
+/** Sends the request once and turns whatever comes of it into a Trial. */
+export class Attempt {
+    readonly #giveUp = new AbortController();
+    readonly #head: CallHead;
+
+    constructor(
+        private readonly neighbour: Neighbour,
+        offer: string | undefined,
+        private readonly parts: AttemptParts,
+    ) {
+        const { ingress, plan } = parts;
+        this.#head = {
+            id: ingress.newId() as RequestId,
+            upstream: neighbour.upstream,
+            kind: plan.kind,
+            priority: plan.rule.priority,
+            tenant: plan.rule.tenant,
+            answer: plan.rule.answer,
+            remainingMs: Math.max(0, plan.deadline - ingress.clock()),
+            maxWaitMs: plan.service.maxWaitMs,
+            depth: plan.depth,
+            revision: ingress.revision(),
+            offer,
+            from: ingress.from,
+        };
+    }
+
+    async run(): Promise<Trial> {
+        const { neighbour } = this;
+        const { ingress, plan, left } = this.parts;
+        const onLeft = (): void => this.#giveUp.abort();
+        left.addEventListener("abort", onLeft, { once: true });
+        const abandonable = plan.kind === "repeatable" ? this.#giveUp : undefined;
+        neighbour.begin(ingress.clock(), abandonable);
+        try {
+            return await this.#send();
+        }
+        catch (err) {
+            return await this.#explain(err);
+        }
+        finally {
+            neighbour.end(abandonable);
+            left.removeEventListener("abort", onLeft);
+        }
+    }
+
+    async #send(): Promise<Trial> {
+        const { neighbour } = this;
+        const { ingress, plan, out, left, deliver } = this.parts;
+        if (left.aborted) {
+            throw new HopError("not-run", "deadline");
+        }
+        const sentAt = ingress.clock();
+        const { method, path, headers, body } = out;
+        const signal = this.#giveUp.signal;
+        const answer = await neighbour.hop.send({
+            head: this.#head,
+            method,
+            path,
+            headers,
+            body: body.content,
+            signal,
+        });
+        const now = ingress.clock();
+        neighbour.answered(answer.note, now - sentAt, now);
+        if (answer.status >= FAILED_STATUS) {
+            return this.#failed(answer);
+        }
+        await deliver(answer);
+        neighbour.succeeded();
+        ingress.budget(plan.service.name).earn(plan.service.retryRatio);
+        return { outcome: "served", reason: "", redirected: false, retriedBelow: false };
+    }
+
+    #failed(answer: GateAnswer): Trial {
+        this.neighbour.failed();
+        answer.body.on("error", () => {});
+        const retriedBelow = answer.note?.retriedBelow === true;
+        return { outcome: "failed", reason: `status-${answer.status}`, answer, redirected: false, retriedBelow };
+    }
+
+    /** Turns an error into what is known of the request. */
+    async #explain(err: unknown): Promise<Trial> {
+        const { neighbour } = this;
+        const now = this.parts.ingress.clock();
+        if (!(err instanceof HopError)) {
+            neighbour.failed();
+            const reason = this.parts.deadlinePassed() ? "deadline" : "broken-answer";
+            return { outcome: "unknown", reason, redirected: false, retriedBelow: false };
+        }
+        const { note, reason, outcome } = err;
+        if (note !== undefined) {
+            neighbour.heard(now);
+            neighbour.observe(note.report, now);
+        }
+        if (reason === "leaving") {
+            neighbour.leaves(now);
+        }
+        if (outcome === "broken") {
+            return await this.#settle();
+        }
+        if (UNREACHABLE.has(reason)) {
+            neighbour.suspect(now);
+        }
+        const { retryAfterMs, goTo, offer, revision } = note ?? {};
+        const redirected = REDIRECTS.has(reason);
+        return { outcome, reason, retryAfterMs, goTo, offer, revision, redirected, retriedBelow: false };
+    }
+
+    /** No word came. A repeatable request needs none; the gate is asked to take back one that may run once. */
+    async #settle(): Promise<Trial> {
+        const { ingress, plan, left, deadlinePassed } = this.parts;
+        const reason = deadlinePassed() ? "deadline" : "peer-broke";
+        const base = { reason, redirected: false, retriedBelow: false };
+        if (!left.aborted) {
+            this.neighbour.suspect(ingress.clock());
+        }
+        if (plan.kind === "repeatable") {
+            return { outcome: "unknown", ...base };
+        }
+        const result = await this.neighbour.hop.revoke(this.#head);
+        return { outcome: result === "revoked" ? "not-run" : "unknown", ...base };
+    }
+}
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -1,108 +1,105 @@
 /** One caller's request, from its plan to its answer. */
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallHead } from "../hop/callhead.js";
-import { HopError } from "../hop/hoperror.js";
-import type { HttpHeaders } from "../hop/httpheaders.js";
-import type { RequestId } from "../ids/requestid.js";
+import type { ServerResponse } from "node:http";
+import type { GateAnswer } from "../hop/gateanswer.js";
 import { decideRetry } from "../policy/decideretry.js";
+import { Attempt } from "./attempt.js";
 import { deliver } from "./deliver.js";
 import type { IngressParts } from "./ingressparts.js";
 import type { Neighbour } from "./neighbour.js";
+import type { Outgoing } from "./outgoing.js";
 import type { Plan } from "./plan.js";
-import type { ProblemType } from "./problemtype.js";
-import type { readBody } from "./requestbody.js";
+import { problemOf } from "./problemof.js";
 import { selectFit } from "./selectfit.js";
 import { sendProblem } from "./sendproblem.js";
 import type { Trial } from "./trial.js";
 
-const FAILED_STATUS = 500;
-const REDIRECTS: ReadonlySet<string> = new Set(["handed-back", "leaving", "incarnation", "no-such-upstream"]);
-const UNREACHABLE: ReadonlySet<string> = new Set(["unreachable", "peer-broke", "silent"]);
-const DEADLINE_REASONS: ReadonlySet<string> = new Set(["deadline", "deadline-or-revoked", "ledger-expired"]);
+/** What the caller was told; `left` means that it did not wait. */
+type Ending = "served" | "not-run" | "unknown" | "left";
 
-const problemOf = (trial: Trial): ProblemType => {
-    if (trial.outcome !== "not-run") {
-        return DEADLINE_REASONS.has(trial.reason) ? "deadline" : "answer-lost";
-    }
-    if (DEADLINE_REASONS.has(trial.reason)) {
-        return "deadline";
-    }
-    if (trial.reason === "no-upstream" || trial.reason === "leaving") {
-        return "no-upstream";
-    }
-    return UNREACHABLE.has(trial.reason) ? "unreachable" : "overloaded";
-};
-
-/** The request as it goes to every try. */
-type Outgoing = {
-    readonly headers: HttpHeaders;
-    readonly path: string;
-    readonly body: Awaited<ReturnType<typeof readBody>>;
+const RETRY_SOON_MS = 1000;
+const NO_UPSTREAM: Trial = {
+    outcome: "not-run",
+    reason: "no-upstream",
+    retryAfterMs: RETRY_SOON_MS,
+    redirected: false,
+    retriedBelow: false,
 };
 
 /** Owns the answer to the caller: tries, retries, and says the outcome. */
 export class Exchange {
     readonly #tried = new Set<Neighbour>();
     readonly #left = new AbortController();
+    #timer: NodeJS.Timeout | undefined;
     #tries = 0;
     #redirects = 0;
     #deadlinePassed = false;
 
     constructor(
-        private readonly req: IncomingMessage,
         private readonly res: ServerResponse,
-        private readonly plan: Plan,
+        private plan: Plan,
         private readonly out: Outgoing,
         private readonly parts: IngressParts,
     ) {}
 
-    /** Serves the request; resolves with the outcome that the caller was told. */
-    async run(): Promise<"served" | "not-run" | "unknown" | "left"> {
+    /** Serves the request; resolves with what the caller was told. */
+    async run(): Promise<Ending> {
         const onClose = (): void => this.#left.abort();
         this.res.on("close", onClose);
-        const timer = setTimeout(() => {
+        this.#timer = setTimeout(() => {
             this.#deadlinePassed = true;
             this.#left.abort();
         }, this.plan.deadline - this.parts.clock());
         try {
-            return await this.#tryUntilSettled(timer);
+            return await this.#tryUntilSettled();
         }
         finally {
-            clearTimeout(timer);
+            clearTimeout(this.#timer);
             this.res.removeListener("close", onClose);
         }
     }
 
-    async #tryUntilSettled(timer: NodeJS.Timeout): Promise<"served" | "not-run" | "unknown" | "left"> {
-        let directed: Trial | undefined;
+    async #tryUntilSettled(): Promise<Ending> {
+        let last: Trial | undefined;
         for (;;) {
-            const neighbour = this.#place(directed);
-            const trial = neighbour === undefined ? NO_UPSTREAM : await this.#try(neighbour, directed?.offer, timer);
+            const neighbour = this.#place(last);
+            const trial = neighbour === undefined ? last ?? NO_UPSTREAM : await this.#try(neighbour, last?.offer);
             if (trial.outcome === "served") {
-                return this.res.destroyed && !this.res.writableFinished ? "left" : "served";
+                return this.res.writableFinished || !this.res.destroyed ? "served" : "left";
             }
             if (this.res.destroyed) {
                 return "left";
             }
             if (neighbour === undefined || !this.#mayRetry(trial)) {
-                return this.#conclude(trial, timer);
+                return await this.#conclude(trial);
             }
-            this.parts.metrics.retried(this.plan.service.name, trial.reason);
-            trial.answer?.body.resume();
-            directed = trial;
+            await this.#prepare(trial, neighbour);
+            last = trial;
         }
     }
 
-    #place(directed: Trial | undefined): Neighbour | undefined {
+    #place(last: Trial | undefined): Neighbour | undefined {
         const { neighbours, placement, random, clock } = this.parts;
-        const now = clock();
         const all = neighbours.ofService(this.plan.service.name);
-        const named = all.find(neighbour => neighbour.upstream === directed?.goTo);
+        const named = all.find(neighbour => neighbour.upstream === last?.goTo);
         if (named !== undefined) {
             return named;
         }
-        const fit = selectFit(all, this.#tried, now);
-        return placement.choose(fit, now, random) as Neighbour | undefined;
+        const now = clock();
+        return placement.choose(selectFit(all, this.#tried, now), now, random) as Neighbour | undefined;
+    }
+
+    #try(neighbour: Neighbour, offer: string | undefined): Promise<Trial> {
+        this.#tries += 1;
+        this.#tried.add(neighbour);
+        const attempt = new Attempt(neighbour, offer, {
+            ingress: this.parts,
+            plan: this.plan,
+            out: this.out,
+            left: this.#left.signal,
+            deadlinePassed: () => this.#deadlinePassed,
+            deliver: answer => this.#deliver(answer),
+        });
+        return attempt.run();
     }
 
     #mayRetry(trial: Trial): boolean {
@@ -119,20 +116,31 @@
         }, this.parts.budget(this.plan.service.name));
     }
 
-    async #conclude(trial: Trial, timer: NodeJS.Timeout): Promise<"served" | "not-run" | "unknown" | "left"> {
+    /** Lets the last answer go, and gets a newer rule when the gate has one. */
+    async #prepare(trial: Trial, neighbour: Neighbour): Promise<void> {
+        this.parts.metrics.retried(this.plan.service.name, trial.reason);
+        trial.answer?.body.resume();
+        if (trial.reason === "stale-rule") {
+            this.#tried.delete(neighbour);
+            await this.parts.catchUp(trial.revision ?? 0, neighbour.settings.gate);
+            this.plan = this.parts.replan(this.out, this.plan);
+        }
+    }
+
+    async #conclude(trial: Trial): Promise<Ending> {
         if (trial.answer !== undefined) {
-            return await this.#pass(trial, timer);
+            return await this.#pass(trial.answer);
         }
         const outcome = trial.outcome === "not-run" ? "not-run" : "unknown";
-        const detail = trial.reason;
-        sendProblem(this.res, problemOf(trial), { outcome, detail, retryAfterMs: trial.retryAfterMs });
+        const { reason: detail, retryAfterMs } = trial;
+        sendProblem(this.res, problemOf(trial), { outcome, detail, retryAfterMs });
         return outcome;
     }
 
     /** Passes on an answer that says that the request failed, when there is no more to try. */
-    async #pass(trial: Trial, timer: NodeJS.Timeout): Promise<"served" | "unknown"> {
+    async #pass(answer: GateAnswer): Promise<Ending> {
         try {
-            await this.#deliver(trial.answer!, timer);
+            await this.#deliver(answer);
             return "served";
         }
         catch {
@@ -141,128 +149,11 @@
         }
     }
 
-    async #try(neighbour: Neighbour, offer: string | undefined, timer: NodeJS.Timeout): Promise<Trial> {
-        const { clock } = this.parts;
-        const head = this.#head(neighbour, offer);
-        const giveUp = new AbortController();
-        const onLeft = (): void => giveUp.abort();
-        this.#left.signal.addEventListener("abort", onLeft, { once: true });
-        this.#tries += 1;
-        this.#tried.add(neighbour);
-        const sentAt = clock();
-        const abandonable = this.plan.kind === "repeatable" ? giveUp : undefined;
-        neighbour.begin(sentAt, abandonable);
-        try {
-            if (this.#left.signal.aborted) {
-                throw new HopError("not-run", "deadline");
-            }
-            const answer = await neighbour.hop.send({
-                head,
-                method: this.req.method ?? "GET",
-                path: this.out.path,
-                headers: this.out.headers,
-                body: this.out.body.content,
-                signal: giveUp.signal,
-            });
-            const now = clock();
-            neighbour.answered(answer.note, now - sentAt, now);
-            if (answer.status >= FAILED_STATUS) {
-                return this.#failed(neighbour, answer);
-            }
-            await this.#deliver(answer, timer);
-            neighbour.succeeded();
-            this.parts.budget(this.plan.service.name).earn(this.plan.service.retryRatio);
-            return { outcome: "served", reason: "", redirected: false, retriedBelow: false };
-        }
-        catch (err) {
-            return await this.#explain(err, neighbour, head);
-        }
-        finally {
-            neighbour.end(abandonable);
-            this.#left.signal.removeEventListener("abort", onLeft);
-        }
-    }
-
-    #failed(neighbour: Neighbour, answer: NonNullable<Trial["answer"]>): Trial {
-        neighbour.failed();
-        const retriedBelow = answer.note?.retriedBelow === true;
-        answer.body.on("error", () => {});
-        return { outcome: "failed", reason: `status-${answer.status}`, answer, redirected: false, retriedBelow };
-    }
-
-    #deliver(answer: NonNullable<Trial["answer"]>, timer: NodeJS.Timeout): Promise<void> {
+    #deliver(answer: GateAnswer): Promise<void> {
         const whole = this.plan.rule.answer === "whole";
         if (!whole) {
-            clearTimeout(timer);
-        }
-        return deliver(this.res, answer, whole, this.req.method === "HEAD", this.plan.service.bufferBytes);
-    }
-
-    /** Turns a try that brought no answer into what is known of it. */
-    async #explain(err: unknown, neighbour: Neighbour, head: CallHead): Promise<Trial> {
-        const now = this.parts.clock();
-        if (!(err instanceof HopError)) {
-            neighbour.failed();
-            const reason = this.#deadlinePassed ? "deadline" : "broken-answer";
-            return { outcome: "unknown", reason, redirected: false, retriedBelow: false };
-        }
-        const { note, reason } = err;
-        if (note !== undefined) {
-            neighbour.heard(now);
-            neighbour.observe(note.report, now);
+            clearTimeout(this.#timer);
         }
-        if (reason === "leaving") {
-            neighbour.leaves(now);
-        }
-        if (err.outcome === "broken") {
-            return await this.#settle(neighbour, head);
-        }
-        if (UNREACHABLE.has(reason)) {
-            neighbour.suspect(now);
-        }
-        return {
-            outcome: err.outcome,
-            reason,
-            retryAfterMs: note?.retryAfterMs,
-            goTo: note?.goTo,
-            offer: note?.offer,
-            redirected: REDIRECTS.has(reason),
-            retriedBelow: false,
-        };
-    }
-
-    /** No word came. A repeatable request needs none; the gate is asked to take back one that may run once. */
-    async #settle(neighbour: Neighbour, head: CallHead): Promise<Trial> {
-        const now = this.parts.clock();
-        const reason = this.#deadlinePassed ? "deadline" : "peer-broke";
-        const base = { reason, redirected: false, retriedBelow: false };
-        if (!this.#left.signal.aborted) {
-            neighbour.suspect(now);
-        }
-        if (this.plan.kind === "repeatable") {
-            return { outcome: "unknown", ...base };
-        }
-        const result = await neighbour.hop.revoke(head);
-        return { outcome: result === "revoked" ? "not-run" : "unknown", ...base };
-    }
-
-    #head(neighbour: Neighbour, offer: string | undefined): CallHead {
-        const { plan, parts } = this;
-        return {
-            id: parts.newId() as RequestId,
-            upstream: neighbour.upstream,
-            kind: plan.kind,
-            priority: plan.rule.priority,
-            tenant: plan.rule.tenant,
-            answer: plan.rule.answer,
-            remainingMs: Math.max(0, plan.deadline - parts.clock()),
-            maxWaitMs: plan.service.maxWaitMs,
-            depth: plan.depth,
-            revision: parts.revision(),
-            offer,
-            from: parts.from,
-        };
+        return deliver(this.res, answer, whole, this.out.method === "HEAD", this.plan.service.bufferBytes);
     }
 }
-
-const NO_UPSTREAM: Trial = { outcome: "not-run", reason: "no-upstream", redirected: false, retriedBelow: false };
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -1,8 +1,7 @@
 /** The listener for callers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { decideKind } from "../config/decidekind.js";
 import type { Document } from "../config/document.js";
-import { matchRule } from "../config/matchrule.js";
+import { findRuling } from "../config/findruling.js";
 import type { Contexts } from "../gate/contexts.js";
 import { cleanHeaders } from "../hop/cleanheaders.js";
 import { headerName } from "../hop/headername.js";
@@ -115,8 +114,8 @@
         if (body === undefined) {
             return;
         }
-        const out = { headers: cleanHeaders(req.headers), path, body };
-        const outcome = await new Exchange(req, res, plan, out, this.parts).run();
+        const out = { method: req.method ?? "GET", headers: cleanHeaders(req.headers), path, body };
+        const outcome = await new Exchange(res, plan, out, this.parts).run();
         this.#noteFailure(req, outcome, res.statusCode);
         this.parts.metrics.finished(plan, outcome, this.parts.clock() - startedAt);
     }
@@ -127,11 +126,10 @@
             sendProblem(res, "not-ready", { outcome: "not-run", detail: "", retryAfterMs: RETRY_SOON_MS });
             return undefined;
         }
-        const bare = path.split("?", 1)[0]!;
-        const rule = matchRule(document.rules, req.method ?? "GET", req.headers.host ?? "", bare);
-        const service = document.services.find(item => item.name === rule?.service);
-        if (rule === undefined || service === undefined) {
-            sendProblem(res, "no-rule", { outcome: "not-run", detail: bare });
+        const method = req.method ?? "GET";
+        const ruling = findRuling(document, method, req.headers.host, path, this.source.fresh());
+        if (ruling === undefined) {
+            sendProblem(res, "no-rule", { outcome: "not-run", detail: `${method} ${path}` });
             return undefined;
         }
         const parent = this.source.contexts.find(req.headers[headerName.context] as string | undefined);
@@ -140,9 +138,8 @@
             sendProblem(res, "too-deep", { outcome: "not-run", detail: `depth ${depth}` });
             return undefined;
         }
-        const kind = decideKind(rule, req.method ?? "GET", this.source.fresh());
-        const deadline = Math.min(now + rule.timeLimitMs, parent?.deadline ?? Infinity);
-        return { rule, service, kind, deadline, depth };
+        const deadline = Math.min(now + ruling.rule.timeLimitMs, parent?.deadline ?? Infinity);
+        return { ...ruling, deadline, depth };
     }
 
     async #body(req: IncomingMessage, res: ServerResponse): Promise<Awaited<ReturnType<typeof readBody>> | undefined> {
--- a/src/ingress/ingressparts.ts
+++ b/src/ingress/ingressparts.ts
@@ -1,4 +1,5 @@
 /** What an exchange needs of its daemon. */
+import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { Placement } from "../policy/placement.js";
@@ -6,6 +7,8 @@
 import type { RetryBudget } from "../policy/retrybudget.js";
 import type { Clock } from "../time/clock.js";
 import type { Neighbours } from "./neighbours.js";
+import type { Outgoing } from "./outgoing.js";
+import type { Plan } from "./plan.js";
 
 /** `from` is the daemon's own peer address, where it hears load reports. */
 export type IngressParts = {
@@ -18,4 +21,8 @@
     readonly newId: () => string;
     readonly revision: () => number;
     readonly from: string;
+    /** Pulls the configuration from a gate that has a newer one. */
+    readonly catchUp: (revision: number, from: Address) => Promise<void>;
+    /** The plan by the rules as they are now; the plan itself when none matches. */
+    readonly replan: (out: Outgoing, plan: Plan) => Plan;
 };
--- a/src/ingress/neighbour.ts
+++ b/src/ingress/neighbour.ts
@@ -14,6 +14,8 @@
 const PENALTY_DECAY = 0.7;
 /** How long a gate that said it is leaving is left alone before it is asked again. */
 const LEAVING_MS = 2000;
+/** How long a gate whose daemon stops is left alone: longer than its idle connections last. */
+const STOPPING_MS = 5000;
 
 /** Holds the upstream's own word and this daemon's own count. */
 export class Neighbour implements Candidate {
@@ -107,8 +109,14 @@
         this.penaltyMs = Math.min(MAX_PENALTY_MS, this.penaltyMs + FAILURE_PENALTY_MS);
     }
 
+    /** Takes in that the gate refused since it takes no new work. */
     leaves(now: number): void {
-        this.#leavingUntil = now + LEAVING_MS;
+        this.#leavingUntil = Math.max(this.#leavingUntil, now + LEAVING_MS);
+    }
+
+    /** Takes in that the gate's daemon is about to stop. */
+    stops(now: number): void {
+        this.#leavingUntil = now + STOPPING_MS;
     }
 
     /** Takes in that the gate can't be reached or has fallen silent; repeatable tries there are given up. */
--- a/src/ingress/trial.ts
+++ b/src/ingress/trial.ts
@@ -13,6 +13,8 @@
     readonly retryAfterMs?: number;
     readonly goTo?: string;
     readonly offer?: string;
+    /** The gate's configuration. */
+    readonly revision?: number;
     readonly redirected: boolean;
     readonly retriedBelow: boolean;
 };
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -26,7 +26,8 @@
     constructor(private readonly options: PeerOptions) {
         this.#agent = new Agent({
             connections: 2,
-            connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: options.localIp },
+            localAddress: options.localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
         });
     }
 
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -30,6 +30,8 @@
     readonly gate: (name: UpstreamName) => Gate | undefined;
     /** Pulls a newer configuration before the gate decides. */
     readonly catchUp: (revision: number, from: string | undefined) => Promise<void>;
+    /** True when the sender's older rules let a request repeat that the newer ones do not. */
+    readonly isStale: (head: CallHead, method: string, host: string | undefined, path: string) => boolean;
     /** Takes in that a peer sends work here, so that it is told of load. */
     readonly heardFrom: (address: string | undefined) => void;
 };
@@ -38,6 +40,8 @@
 export class PeerServer {
     readonly #server: Server;
     readonly #key: Buffer;
+    #inFlight = 0;
+    #winding = false;
     readonly #trpc: (req: IncomingMessage, res: ServerResponse) => void;
 
     constructor(private readonly parts: PeerServerParts) {
@@ -56,12 +60,24 @@
         return listen(this.#server, address);
     }
 
+    /** Requests that have not been answered whole. */
+    get inFlight(): number {
+        return this.#inFlight;
+    }
+
+    /** From now on each answer ends its connection. */
+    wind(): void {
+        this.#winding = true;
+    }
+
+    /** Ends idle connections and goes on listening. */
+    closeIdle(): void {
+        this.#server.closeIdleConnections();
+    }
+
     /** Ends once all connections have. */
     close(): Promise<void> {
-        return new Promise(resolve => {
-            this.#server.close(() => resolve());
-            this.#server.closeIdleConnections();
-        });
+        return new Promise(resolve => this.#server.close(() => resolve()));
     }
 
     /** Cuts what is left. */
@@ -70,6 +86,9 @@
     }
 
     #handle(req: IncomingMessage, res: ServerResponse): void {
+        this.#inFlight += 1;
+        res.on("close", () => this.#inFlight -= 1);
+        res.shouldKeepAlive = res.shouldKeepAlive && !this.#winding;
         if (!this.#isPeer(req)) {
             res.writeHead(FORBIDDEN_STATUS).end();
             return;
@@ -125,6 +144,9 @@
         if (gate === undefined) {
             throw new HopError("not-run", "no-such-upstream");
         }
+        if (this.parts.isStale(head, req.method ?? "GET", req.headers.host, req.url ?? "/")) {
+            throw new HopError("not-run", "stale-rule");
+        }
         const hasBody = req.headers["content-length"] !== undefined || req.headers["transfer-encoding"] !== undefined;
         const answer = await gate.serve({
             head,
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -30,7 +30,8 @@
         super();
         this.#pool = new Pool(`http://${address}`, {
             connections: 4,
-            connect: { timeout: 500, localAddress: localIp },
+            localAddress: localIp,
+            connect: { timeout: 500 },
         });
     }
 
