Promises under faults: tests with real processes, and five faults found and mended

Suspicion now ends with a sign of life, and one request probes. - an upstream that had failed was never tried again (answers): the penalty fades with time.

--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -55,7 +55,8 @@
             return this.#told(req, outcome as "not-run", status, false, dueAt);
         }
         const wrong = status === 200 && !this.#isOwn(req.id, body);
-        return this.#told(req, "answered", status, wrong, dueAt);
+        const foreign = wrong && !body.startsWith(`{"id":"${req.id}"`);
+        return { ...this.#told(req, "answered", status, wrong, dueAt), foreign };
     }
 
     #isOwn(id: string, body: string): boolean {
--- a/demo/told.ts
+++ b/demo/told.ts
@@ -11,6 +11,8 @@
     readonly word: Word;
     readonly status: number;
     readonly wrong: boolean;
+    /** The answer begins as another request's does. */
+    readonly foreign?: boolean;
     readonly ms: number;
     readonly at: number;
 };
--- a/src/control/datagrams.ts
+++ b/src/control/datagrams.ts
@@ -13,6 +13,8 @@
 /** IPv4 and UDP headers, counted as sent. */
 const HEADER_BYTES = 28;
 const MAX_BYTES = 1400;
+/** The rest of the budget is for the store, for pulling the configuration, and for health. */
+const DATAGRAM_SHARE = 0.75;
 
 /** `bytesPerSecond` is never passed in any second; what does not fit is not sent. */
 type DatagramOptions = {
@@ -38,7 +40,7 @@
     readonly #bucket: TokenBucket;
 
     constructor(private readonly options: DatagramOptions, private readonly receive: (message: Message) => void) {
-        const half = options.bytesPerSecond / 2;
+        const half = options.bytesPerSecond * DATAGRAM_SHARE / 2;
         this.#bucket = new TokenBucket(half, half, options.clock());
         this.#socket = createSocket("udp4");
         this.#socket.on("message", data => this.#take(data));
--- a/src/control/pinger.ts
+++ b/src/control/pinger.ts
@@ -8,6 +8,8 @@
 const TICK_MS = 50;
 const SILENT_MS = 150;
 const PATIENCE_MS = 250;
+/** A gate that has not been asked yet is, a few of them a second. */
+const ASK_EVERY_MS = 100;
 
 /** What the pinger needs of its daemon. */
 type PingerParts = {
@@ -21,6 +23,7 @@
 export class Pinger {
     readonly #answered = new Set<Address>();
     #timer: NodeJS.Timeout | undefined;
+    #askedAt = 0;
 
     constructor(private readonly parts: PingerParts) {}
 
@@ -56,16 +59,31 @@
         if (neighbour.pingedAt !== undefined) {
             if (now - neighbour.pingedAt > PATIENCE_MS) {
                 neighbour.pingedAt = undefined;
-                neighbour.silentSince = now;
+                neighbour.silentSince = neighbour.own > 0 ? now : undefined;
                 if (this.#answered.has(gate)) {
                     neighbour.suspect(now);
                 }
             }
             return;
         }
-        const silent = neighbour.silentSince !== undefined && now - neighbour.silentSince > SILENT_MS;
-        if (silent && this.parts.send(gate, { type: "ping", from: this.parts.self, sentAt: now })) {
+        if (
+            this.#hasReason(neighbour, now)
+            && this.parts.send(gate, { type: "ping", from: this.parts.self, sentAt: now })
+        ) {
             neighbour.pingedAt = now;
         }
     }
+
+    /** A gate is asked when it owes an answer and is silent, when it is suspected, and once to know that it can answer. */
+    #hasReason(neighbour: Neighbour, now: number): boolean {
+        const { silentSince, suspicion, heardAt, settings } = neighbour;
+        if (suspicion.suspected || (silentSince !== undefined && now - silentSince > SILENT_MS)) {
+            return true;
+        }
+        const due = heardAt > 0 && !this.#answered.has(settings.gate) && now - this.#askedAt > ASK_EVERY_MS;
+        if (due) {
+            this.#askedAt = now;
+        }
+        return due;
+    }
 }
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -5,6 +5,7 @@
 import type { Cancel } from "../hop/cancel.js";
 import { isConnectError } from "../hop/connecterror.js";
 import type { GateCall } from "../hop/gatecall.js";
+import { guardBody } from "../hop/guardbody.js";
 import { headerName } from "../hop/headername.js";
 import type { HttpHeaders } from "../hop/httpheaders.js";
 import { UpstreamError } from "./upstreamerror.js";
@@ -26,18 +27,10 @@
 
 /** Sends requests and tells what is proven when one fails. */
 export class UpstreamClient {
-    readonly #pool: Pool;
+    #pool: Pool;
 
-    constructor(readonly upstream: Upstream, localIp: string) {
-        this.#pool = new Pool(`http://${upstream.address}`, {
-            connections: upstream.connections,
-            pipelining: 1,
-            keepAliveTimeout: KEEP_ALIVE_MS,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            localAddress: localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
-        });
+    constructor(readonly upstream: Upstream, private readonly localIp: string) {
+        this.#pool = this.#open();
     }
 
     /** Sends a request; throws an UpstreamError. An answer that echoes another request's id is an error. */
@@ -51,6 +44,7 @@
         const echo = answer.headers[headerName.requestId];
         if (echo !== undefined && echo !== call.head.id) {
             answer.body.destroy();
+            this.#renew();
             throw new UpstreamError(true, "foreign-answer");
         }
         return answer;
@@ -60,6 +54,24 @@
         return this.#pool.close();
     }
 
+    #open(): Pool {
+        return new Pool(`http://${this.upstream.address}`, {
+            connections: this.upstream.connections,
+            pipelining: 1,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            localAddress: this.localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
+        });
+    }
+
+    /** An answer too many on a connection would shift all that follow on it: no connection is used again. */
+    #renew(): void {
+        void this.#pool.close();
+        this.#pool = this.#open();
+    }
+
     async #request(call: GateCall, headers: HttpHeaders, cancel: Cancel | undefined): Promise<UpstreamAnswer> {
         try {
             const { statusCode, headers: got, body } = await this.#pool.request({
@@ -69,7 +81,7 @@
                 body: call.body,
                 signal: cancel,
             });
-            return { status: statusCode, headers: got, body };
+            return { status: statusCode, headers: got, body: guardBody(body) };
         }
         catch (err) {
             const unsent = isConnectError(err);
--- a/src/hop/remotehop.ts
+++ b/src/hop/remotehop.ts
@@ -9,6 +9,7 @@
 import type { GateAnswer } from "./gateanswer.js";
 import type { GateCall } from "./gatecall.js";
 import { GateClock } from "./gateclock.js";
+import { guardBody } from "./guardbody.js";
 import { headerName } from "./headername.js";
 import { Hop } from "./hop.js";
 import { HopError } from "./hoperror.js";
@@ -91,7 +92,7 @@
 
     async #request(call: GateCall, head: CallHead): Promise<Awaited<ReturnType<Pool["request"]>>> {
         try {
-            return await this.#pool.request({
+            const answer = await this.#pool.request({
                 method: call.method as "GET",
                 path: call.path,
                 headers: {
@@ -102,6 +103,8 @@
                 body: call.body,
                 signal: call.cancel,
             });
+            guardBody(answer.body);
+            return answer;
         }
         catch (err) {
             const unsent = isConnectError(err);
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -106,7 +106,7 @@
     }
 
     #failed(answer: GateAnswer): Trial {
-        this.neighbour.failed();
+        this.neighbour.failed(this.parts.ingress.clock());
         answer.body.on("error", () => {});
         const retriedBelow = answer.note?.retriedBelow === true;
         return { outcome: "failed", reason: `status-${answer.status}`, answer, redirected: false, retriedBelow };
@@ -117,7 +117,7 @@
         const { neighbour } = this;
         const now = this.parts.ingress.clock();
         if (!(err instanceof HopError)) {
-            neighbour.failed();
+            neighbour.failed(now);
             const reason = this.parts.deadlinePassed() ? "deadline" : "broken-answer";
             return { outcome: "unknown", reason, redirected: false, retriedBelow: false };
         }
@@ -126,6 +126,9 @@
             neighbour.heard(now);
             neighbour.observe(note.report, now);
         }
+        if (reason === "shed") {
+            neighbour.failed(now);
+        }
         if (reason === "leaving") {
             neighbour.leaves(now);
         }
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -17,6 +17,8 @@
 /** What the caller was told; `left` means that it did not wait. */
 type Ending = "served" | "not-run" | "unknown" | "left";
 
+/** The upstream itself refused; its siblings may well take the request. */
+const SHED = "shed";
 const RETRY_SOON_MS = 1000;
 const NO_UPSTREAM: Trial = {
     outcome: "not-run",
@@ -33,6 +35,8 @@
     #timer: NodeJS.Timeout | undefined;
     #tries = 0;
     #redirects = 0;
+    /** A try has been sent whose request may have run, and then no later refusal proves the contrary. */
+    #mayHaveRun = false;
     #deadlinePassed = false;
 
     constructor(
@@ -70,6 +74,7 @@
             if (this.res.destroyed) {
                 return "left";
             }
+            this.#mayHaveRun ||= trial.outcome !== "not-run";
             if (neighbour === undefined || !this.#mayRetry(trial)) {
                 return await this.#conclude(trial);
             }
@@ -114,6 +119,7 @@
             retriedBelow: trial.retriedBelow,
             redirected: trial.redirected,
             redirects: this.#redirects,
+            overloaded: problemOf(trial) === "overloaded" && trial.reason !== SHED,
         }, this.parts.budget(this.plan.service.name));
     }
 
@@ -132,7 +138,7 @@
         if (trial.answer !== undefined) {
             return await this.#pass(trial.answer);
         }
-        const outcome = trial.outcome === "not-run" ? "not-run" : "unknown";
+        const outcome = this.#mayHaveRun ? "unknown" : "not-run";
         const { reason: detail, retryAfterMs } = trial;
         sendProblem(this.res, problemOf(trial), { outcome, detail, retryAfterMs });
         return outcome;
--- a/src/ingress/neighbour.ts
+++ b/src/ingress/neighbour.ts
@@ -26,6 +26,7 @@
     ownAtReport = 0;
     roundTripMs = START_ROUND_TRIP_MS;
     penaltyMs = 0;
+    penaltyAt = 0;
     /** When the gate was last heard, and when the oldest unanswered request was sent. */
     heardAt = 0;
     silentSince: number | undefined;
@@ -58,6 +59,7 @@
     /** Counts a try; a repeatable one is given up when the gate falls silent. */
     begin(now: number, giveUp: Cancel | undefined): void {
         this.own += 1;
+        this.suspicion.probe(now);
         this.silentSince ??= now;
         if (giveUp !== undefined) {
             this.#waiting.add(giveUp);
@@ -106,7 +108,8 @@
     }
 
     /** Takes in a failed answer: it counts as a slow one. */
-    failed(): void {
+    failed(now: number): void {
+        this.penaltyAt = now;
         this.penaltyMs = Math.min(MAX_PENALTY_MS, this.penaltyMs + FAILURE_PENALTY_MS);
     }
 
--- a/src/policy/candidate.ts
+++ b/src/policy/candidate.ts
@@ -14,6 +14,7 @@
     readonly reportAt: number;
     /** `own` when the report came. */
     readonly ownAtReport: number;
-    /** Added to the expected time, for an upstream that fails: a fast failure must not look fast. */
+    /** Added to the expected time, for an upstream that fails: a fast failure must not look fast. Fades. */
     readonly penaltyMs: number;
+    readonly penaltyAt: number;
 };
--- a/src/policy/decideretry.ts
+++ b/src/policy/decideretry.ts
@@ -17,6 +17,8 @@
     /** Refused not for load but since it belongs elsewhere: handed back, or the gate is leaving. */
     readonly redirected: boolean;
     readonly redirects: number;
+    /** Refused since the gate is busy: a retry adds to a load that is too high already. */
+    readonly overloaded: boolean;
 };
 
 const MAX_REDIRECTS = 2;
@@ -35,5 +37,6 @@
     if (attempt.outcome !== "not-run" && attempt.kind !== "repeatable") {
         return false;
     }
-    return budget.spend();
+    const isFree = attempt.outcome === "not-run" && !attempt.overloaded;
+    return isFree || budget.spend();
 }
--- a/src/policy/expectedtime.ts
+++ b/src/policy/expectedtime.ts
@@ -27,6 +27,8 @@
 /** How much a busy slot costs while there are free ones: enough to spread, too little to leave the hall. */
 const BUSY_SHARE = 0.5;
 
+const PENALTY_FADE_MS = 1000;
+
 const faded = (ageMs: number, fadeMs: number): number => Math.exp(-Math.max(0, ageMs) / fadeMs);
 
 /** Chooses the least expected time among a few candidates drawn at random. */
@@ -51,7 +53,12 @@
         const serviceMs = this.#serviceMs(candidate, ageMs);
         const rounds = Math.max(0, load + 1 - limit) / limit;
         const spread = BUSY_SHARE * Math.min(1, load / limit);
-        return candidate.roundTripMs + serviceMs * (1 + rounds + spread) + candidate.penaltyMs;
+        return candidate.roundTripMs + serviceMs * (1 + rounds + spread) + this.#penaltyMs(candidate, now);
+    }
+
+    /** It fades, since an upstream that nothing is sent to can't show that it is well again. */
+    #penaltyMs(candidate: Candidate, now: number): number {
+        return candidate.penaltyMs === 0 ? 0 : candidate.penaltyMs * faded(now - candidate.penaltyAt, PENALTY_FADE_MS);
     }
 
     #limit(candidate: Candidate, ageMs: number): number {
--- a/src/policy/retrybudget.ts
+++ b/src/policy/retrybudget.ts
@@ -1,6 +1,6 @@
 /** Bounds what retries add to a service's load. */
 
-const START_TOKENS = 10;
+const START_TOKENS = 20;
 const MAX_TOKENS = 100;
 
 /** Each success earns a share of a retry; a retry spends a whole one. */
--- /dev/null
+++ b/src/policy/suspicion.test.ts
@@ -0,0 +1,20 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Suspicion } from "./suspicion.js";
+
+test("suspicion: after the pause one request tries, and no other follows", () => {
+    const suspicion = new Suspicion();
+    suspicion.fail(0);
+    assert.equal(suspicion.active(999), true);
+    assert.equal(suspicion.active(1000), false);
+    suspicion.probe(1000);
+    assert.equal(suspicion.active(1001), true);
+});
+
+test("suspicion: a sign of life ends it at once", () => {
+    const suspicion = new Suspicion();
+    suspicion.fail(0);
+    suspicion.clear();
+    assert.equal(suspicion.active(1), false);
+    assert.equal(suspicion.suspected, false);
+});
--- /dev/null
+++ b/test/leaving.test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { control } from "../demo/control.js";
+import type { Mesh } from "../demo/mesh.js";
+import { loaded } from "./loaded.js";
+import { pause } from "./pause.js";
+import { withMesh } from "./withmesh.js";
+
+const BOUND_MS = 3000;
+const LIST_LAG_MS = 500;
+
+const checkLeaves = async (mesh: Mesh, upstream: string, leave: () => Promise<unknown>, lagMs = 0): Promise<void> => {
+    let signAt = 0;
+    await loaded(mesh, async () => {
+        await pause(1000);
+        await leave();
+        signAt = performance.now() + lagMs;
+    }, { seconds: 7 });
+    const starts = mesh.record.startsAt(upstream);
+    assert.ok(starts.some(at => at < signAt), "it had work before");
+    const late = starts.filter(at => at > signAt + BOUND_MS);
+    assert.deepEqual(late, [], "no new work after the bound");
+};
+
+test("leaving: by the operator's call", async () => {
+    await withMesh(mesh => checkLeaves(mesh, "fees-1", () => mesh.cli("drain", "fees-1")));
+});
+
+test("leaving: by the upstream's word, given only by its health endpoint", async () => {
+    await withMesh(mesh => checkLeaves(mesh, "fees-2", () => control(mesh.host("fees-2").upstream, { leaving: true })));
+});
+
+test("leaving: by the platform's list", async () => {
+    await withMesh(mesh => {
+        const hosts = [{ name: "fees-3", state: "leaving" }];
+        return checkLeaves(mesh, "fees-3", () => control(mesh.storeAddress, { hosts }), LIST_LAG_MS);
+    });
+});
+
+test("leaving: by silence, a daemon that stands still gets nothing and holds nothing up", async () => {
+    await withMesh(async mesh => {
+        const frozen = mesh.host("pages-1");
+        let at = 0;
+        const { told } = await loaded(mesh, async () => {
+            await pause(1500);
+            mesh.daemons.get(frozen.name)!.signal("SIGSTOP");
+            at = performance.now();
+        }, { seconds: 6, ingresses: () => mesh.hosts.filter(host => host !== frozen).map(host => host.ingress) });
+        const pages = told.filter(item => !item.once && item.at > at + BOUND_MS);
+        assert.ok(pages.length > 0);
+        assert.ok(pages.every(item => item.word === "answered"));
+    });
+});
--- /dev/null
+++ b/test/split.test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Mesh } from "../demo/mesh.js";
+import { eventually } from "./eventually.js";
+import { loaded } from "./loaded.js";
+import { pause } from "./pause.js";
+import { revisions } from "./revisions.js";
+import { withMesh } from "./withmesh.js";
+
+const FRESH_MS = 12_000;
+
+/** Cuts hall number `place` off from the other halls and from the store. */
+const cutHall = async (mesh: Mesh, place: number): Promise<void> => {
+    const inside = mesh.hosts.filter(host => host.place === place).map(host => host.peerProxy);
+    const outside = mesh.hosts.filter(host => host.place !== place).map(host => host.peerProxy);
+    await mesh.setFaults([
+        { links: inside, from: [1, 2, 3].filter(other => other !== place), cut: true },
+        { links: [...outside, mesh.storeProxy], from: [place], cut: true },
+    ]);
+};
+
+test("split: a hall is cut off and healed; each side serves, and the configuration meets again", async () => {
+    await withMesh(async mesh => {
+        const { counts } = await loaded(mesh, async () => {
+            await pause(1000);
+            await cutHall(mesh, 3);
+            const { code } = await mesh.cli("service", "update", "pages", "--max-wait-ms", "400");
+            assert.equal(code, 0, "the side with the store takes changes");
+            await pause(3000);
+            await mesh.setFaults([]);
+        }, { seconds: 7 });
+        assert.ok(counts.answered > counts.sent * 0.9, JSON.stringify(counts));
+        await eventually("all at revision 2", async () => [...(await revisions(mesh)).values()].every(at => at === 2));
+    });
+});
+
+test("split: without proof that the rules are fresh, an unsafe method is once", async () => {
+    await withMesh(async mesh => {
+        await mesh.cli(
+            "rule",
+            "create",
+            "again",
+            "--path-prefix",
+            "/pages/again",
+            "--service",
+            "pages",
+            "--kind",
+            "repeatable",
+        );
+        const kindAt = async (operator: string): Promise<number> => {
+            const { stdout } = await mesh.cli(
+                "explain",
+                "POST",
+                "http://x/pages/again",
+                "--json",
+                "--daemon",
+                operator,
+            );
+            return (JSON.parse(stdout) as { kind: number; }).kind;
+        };
+        const inside = mesh.hosts.find(host => host.place === 3)!;
+        await eventually("the rule is in force", async () => (await kindAt(inside.operator)) === 1);
+        await cutHall(mesh, 3);
+        await pause(FRESH_MS);
+        await eventually("the cut hall falls back", async () => (await kindAt(inside.operator)) === 2);
+        assert.equal(await kindAt(mesh.hosts[0]!.operator), 1, "the other side has proof");
+    });
+});
--- /dev/null
+++ b/test/withmesh.ts
@@ -0,0 +1,18 @@
+/** Runs a test body against a mesh of real processes. */
+import { Mesh } from "../demo/mesh.js";
+import { smallMesh } from "./smallmesh.js";
+
+/** Starts the small mesh, runs the body, and stops every process whatever came of it. */
+export async function withMesh(
+    body: (mesh: Mesh) => Promise<void>,
+    options: Parameters<typeof Mesh.start>[1] = {},
+    spec = smallMesh,
+): Promise<void> {
+    const mesh = await Mesh.start(spec, options);
+    try {
+        await body(mesh);
+    }
+    finally {
+        await mesh.stop();
+    }
+}
