--- a/src/hop/remotehop.ts
+++ b/src/hop/remotehop.ts
@@ -5,6 +5,7 @@
 import type { PeerClient } from "../peer/peerclient.js";
 import type { PeerOptions } from "../peer/peeroptions.js";
 import type { CallHead } from "./callhead.js";
+import { cleanHeaders } from "./cleanheaders.js";
 import { isConnectError } from "./connecterror.js";
 import type { GateAnswer } from "./gateanswer.js";
 import type { GateCall } from "./gatecall.js";
@@ -48,7 +49,6 @@
         const head = this.#stamp(call.head);
         const { statusCode, headers, body } = await this.#request(call, head);
         const note = readNote(headers[headerName.note]);
-        delete headers[headerName.note];
         if (note !== undefined) {
             this.clock.observe(note.incarnation, note.gateTime, this.options.clock());
         }
@@ -56,7 +56,7 @@
             body.resume();
             throw new HopError(note?.outcome ?? "unknown", note?.reason ?? "not-a-gate", note);
         }
-        return { status: statusCode, headers, body, note };
+        return { status: statusCode, headers: cleanHeaders(headers), body, note };
     }
 
     async revoke(head: CallHead): Promise<RevokeResult> {
--- /dev/null
+++ b/test/chainmesh.ts
@@ -0,0 +1,19 @@
+/** Services that call each other, six deep. */
+import type { MeshSpec } from "../demo/meshspec.js";
+
+const DEPTH = 6;
+const names = Array.from({ length: DEPTH }, (_, at) => `level${at + 1}`);
+
+/** One service a level, two instances each. */
+export const chainMesh: MeshSpec = {
+    name: "chain",
+    region: "here",
+    halls: ["a", "b"],
+    betweenMs: 0.5,
+    slots: 8,
+    meanMs: 2,
+    services: names.map(name => ({ name, instances: 2 })),
+    rules: names.map(name => ({ name, pathPrefix: `/chain/${name}`, service: name, timeLimitMs: 3000 })),
+    requests: [{ name: "chain", method: "GET", path: "/chain/level1", share: 1, once: false }],
+    profile: "responsive",
+};
--- /dev/null
+++ b/test/input.test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { once } from "node:events";
+import { writeFileSync } from "node:fs";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { request } from "undici";
+import { Child } from "../demo/child.js";
+import type { Mesh } from "../demo/mesh.js";
+import { seededRandom } from "../standin/seededrandom.js";
+import { pause } from "./pause.js";
+import { withMesh } from "./withmesh.js";
+
+const ROUNDS = 40;
+const MAX_BYTES = 600;
+const KEY = "demo-key-of-no-secrecy";
+
+const randomBytes = (random: () => number): Buffer =>
+    Buffer.from(Array.from({ length: 1 + Math.floor(random() * MAX_BYTES) }, () => Math.floor(random() * 256)));
+
+const place = (address: string): [number, string] => {
+    const [ip, port] = address.split(":") as [string, string];
+    return [Number(port), ip];
+};
+
+const sendTcp = async (address: string, bytes: Buffer): Promise<void> => {
+    const socket = connect(...place(address));
+    socket.on("error", () => {});
+    socket.setTimeout(500, () => socket.destroy());
+    socket.end(bytes);
+    socket.resume();
+    await once(socket, "close");
+};
+
+const peerCall = (mesh: Mesh, call: string): Promise<number> =>
+    request(`http://${mesh.hosts[0]!.peer}/pages/1`, { headers: { "winglock-key": KEY, "winglock-call": call } })
+        .then(async ({ statusCode, body }) => {
+            await body.dump();
+            return statusCode;
+        });
+
+test("input: random bytes at each listener leave the daemon serving", async () => {
+    await withMesh(async mesh => {
+        const random = seededRandom(99);
+        const host = mesh.hosts[0]!;
+        const udp = createSocket("udp4");
+        for (let round = 0; round < ROUNDS; round++) {
+            const heads = [Buffer.alloc(0), Buffer.from("GET / HTTP/1.1\r\nhost: x\r\n"), Buffer.from("POST ")];
+            const bytes = Buffer.concat([heads[round % heads.length]!, randomBytes(random)]);
+            await Promise.all([host.ingress, host.peer, host.operator].map(address => sendTcp(address, bytes)));
+            udp.send(bytes, ...place(host.peer));
+        }
+        udp.close();
+        await pause(100);
+        assert.ok(mesh.daemons.get(host.name)!.running);
+        const { statusCode, body } = await request(`http://${host.ingress}/pages/1`);
+        await body.dump();
+        assert.equal(statusCode, 200);
+    });
+});
+
+test("input: malformed peer calls and operators' calls get a clear answer", async () => {
+    await withMesh(async mesh => {
+        for (const call of ["", "{", "[]", "{}", "{\"id\":1}", `{"id":"${"x".repeat(100)}"}`]) {
+            assert.equal(await peerCall(mesh, call), 400, call);
+        }
+        const table: [string[], RegExp][] = [
+            [
+                ["rule", "create", "r", "--path-prefix", "pages", "--service", "pages"],
+                /changes\.0\.pathPrefix: .*got "pages"/,
+            ],
+            [["rule", "create", "r", "--path-prefix", "/x", "--service", "nope"], /no service is named nope/],
+            [["service", "create", "bad name"], /changes\.0\.name: must be 1 to 63/],
+            [["service", "delete", "pages"], /upstreams\.0\.service: no service is named pages/],
+            [
+                ["upstream", "update", "pages-1", "--address", "host:1"],
+                /changes\.0\.address: must be IP:PORT; got "host:1"/,
+            ],
+            [["drain", "nobody"], /nothing is named nobody/],
+        ];
+        for (const [args, message] of table) {
+            const { code, stderr } = await mesh.cli(...args);
+            assert.equal(code, 2, args.join(" "));
+            assert.match(stderr, message);
+        }
+        const status = await mesh.cli("status", "--json");
+        assert.equal((JSON.parse(status.stdout) as { revision: number; }).revision, 1, "nothing was lost or changed");
+    });
+});
+
+test("input: settings that are wrong are named, and the exit code says so", async () => {
+    const script = new URL("../src/daemon/winglockd.js", import.meta.url).pathname;
+    const good = {
+        host: "h",
+        hall: "a",
+        region: "r",
+        ingress: "127.0.0.1:1",
+        peer: "127.0.0.1:2",
+        operator: "127.0.0.1:3",
+        store: "127.0.0.1:4",
+        peerKey: "0123456789abcdef",
+    };
+    const table: [object, RegExp][] = [
+        [{ ...good, ingress: "localhost:1" }, /ingress: must be IP:PORT; got "localhost:1"/],
+        [{ ...good, peerKey: "short" }, /peerKey: .*got "short"/],
+        [{ ...good, colour: "red" }, /colour/],
+        [{ ...good, control: { bytesPerSecond: 5 } }, /control\.bytesPerSecond: .*got 5/],
+        [{ ...good, hall: undefined }, /hall: .*got nothing/],
+    ];
+    const file = `${process.env["TMPDIR"] ?? "/tmp"}/winglock-settings-${process.pid}.json`;
+    for (const [settings, message] of table) {
+        writeFileSync(file, JSON.stringify(settings));
+        const child = new Child(script, ["--settings", file], () => {});
+        await assert.rejects(child.ready(), message);
+        assert.equal(await child.end(), 2);
+    }
+});
