--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -22,6 +22,8 @@
     readonly direct?: boolean;
     readonly directPeers?: boolean;
     readonly seed?: number;
+    /** False leaves the store empty. */
+    readonly configured?: boolean;
     /** Flags of Node for the daemons, to profile them. */
     readonly daemonFlags?: readonly string[];
 };
@@ -56,7 +58,9 @@
             mesh.hosts.forEach(host => mesh.startDaemon(host));
             const all = [...mesh.upstreams.values(), ...mesh.daemons.values()];
             await Promise.all(all.map(child => child.ready()));
-            await mesh.#configure();
+            if (options.configured ?? true) {
+                await mesh.#configure();
+            }
             return mesh;
         }
         catch (err) {
