--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,211 @@
+/** `npm run slopes`: what one more upstream, neighbour, report, revision or request costs a daemon. */
+import { pack, unpack } from "msgpackr";
+import { createHmac } from "node:crypto";
+import { control } from "../demo/control.js";
+import { Mesh } from "../demo/mesh.js";
+import { timePath } from "../demo/timepath.js";
+import { table } from "../src/cli/table.js";
+import { Document } from "../src/config/document.js";
+import { findRuling } from "../src/config/findruling.js";
+import { makePatch } from "../src/config/makepatch.js";
+import { parse } from "../src/config/parse.js";
+import { hallMembers } from "../src/control/hallmembers.js";
+import { Keeper } from "../src/control/keeper.js";
+import { Message } from "../src/control/message.js";
+import { rank } from "../src/control/rank.js";
+import { RemoteHop } from "../src/hop/remotehop.js";
+import type { Address } from "../src/ids/address.js";
+import type { HallName } from "../src/ids/hallname.js";
+import type { RequestId } from "../src/ids/requestid.js";
+import { Neighbour } from "../src/ingress/neighbour.js";
+import { Ledger } from "../src/ledger/ledger.js";
+import { ExpectedTime } from "../src/policy/expectedtime.js";
+import { makeDocument } from "./makedocument.js";
+import { measureSlope } from "./measureslope.js";
+import { pathMesh } from "./pathmesh.js";
+import type { Slope } from "./slope.js";
+import { readUsage } from "./usage.js";
+
+const COUNTS = [10, 50, 200, 660];
+const MICRO = 1000;
+const HEADER_BYTES = 28;
+const SEAL_BYTES = 8;
+const kept: unknown[] = [];
+
+const heap = (): number => {
+    globalThis.gc!();
+    globalThis.gc!();
+    return process.memoryUsage().heapUsed;
+};
+
+const bytesKept = (make: () => unknown): number => {
+    const before = heap();
+    kept.push(make());
+    const bytes = heap() - before;
+    kept.pop();
+    return bytes;
+};
+
+const microseconds = (times: number, act: (at: number) => void): number => {
+    for (let at = 0; at < times; at++) {
+        act(at);
+    }
+    const startAt = performance.now();
+    for (let at = 0; at < times; at++) {
+        act(at);
+    }
+    return (performance.now() - startAt) * MICRO / times;
+};
+
+const random = (): number => Math.random();
+const hall = "hall-1" as HallName;
+const makeKeeper = (count: number): Keeper => {
+    const keeper = new Keeper();
+    keeper.adopt(parse(Document, makeDocument(count)));
+    return keeper;
+};
+const makeNeighbours = (count: number): Neighbour[] =>
+    makeDocument(count).upstreams.map(upstream => {
+        const options = { localIp: "127.0.0.1", key: "k", clock: () => performance.now() };
+        const neighbour = new Neighbour(upstream, new RemoteHop(upstream.gate, undefined as never, options), false);
+        neighbour.observe({ running: 3, waiting: 0, limit: 12, serviceMs: 10, baseMs: 10 }, 0);
+        return neighbour;
+    });
+const changed = (count: number): [Document, Document] => {
+    const before = makeDocument(count);
+    const upstreams = before.upstreams.with(0, { ...before.upstreams[0]!, draining: true });
+    return [before, { ...before, revision: 2, upstreams }];
+};
+
+const beat: Message = {
+    type: "beat",
+    from: "10.1.0.1:7100" as Address,
+    revision: 123456,
+    ageMs: 1234,
+    watching: true,
+    leaving: [],
+};
+const load: Message = {
+    type: "load",
+    from: "10.1.0.1:7100" as Address,
+    loads: [{
+        upstream: "upstream-123" as never,
+        report: { running: 12, waiting: 7, limit: 12, serviceMs: 10.123456, baseMs: 10.123456 },
+    }],
+};
+const wireBytes = (message: Message): number => pack(message).length + SEAL_BYTES + HEADER_BYTES;
+const seal = (body: Buffer): Buffer => createHmac("sha256", "key").update(body).digest();
+
+const slopes: Slope[] = [
+    await measureSlope("document in memory, by upstream", "bytes", COUNTS, count => bytesKept(() => makeKeeper(count))),
+    await measureSlope(
+        "document as JSON, by upstream",
+        "bytes",
+        COUNTS,
+        count => JSON.stringify(makeDocument(count)).length,
+    ),
+    await measureSlope(
+        "patch of one change, by upstream",
+        "bytes",
+        COUNTS,
+        count => JSON.stringify(makePatch(...changed(count))).length,
+    ),
+    await measureSlope("taking in a revision, by upstream", "us", COUNTS, count =>
+        microseconds(20, () => {
+            const [before, after] = changed(count);
+            parse(Document, after);
+            makePatch(before, after);
+            rank(hallMembers(after, hall), hall);
+        })),
+    await measureSlope("finding a rule, by upstream (0.3 rules each)", "us", COUNTS, count => {
+        const document = makeDocument(count);
+        return microseconds(2000, () => findRuling(document, "GET", "any", "/service-0/get/1?x", true));
+    }),
+    await measureSlope(
+        "neighbour in memory, no connection",
+        "bytes",
+        COUNTS,
+        count => bytesKept(() => makeNeighbours(count)),
+    ),
+    await measureSlope("placing a request, by candidate", "us", [4, 7, 50, 200], count => {
+        const neighbours = makeNeighbours(count);
+        const placement = new ExpectedTime();
+        return microseconds(2000, at => placement.choose(neighbours, at / 10, random));
+    }),
+    await measureSlope("ledger entry", "bytes", [1000, 5000, 50_000], count =>
+        bytesKept(() => {
+            const ledger = new Ledger(count);
+            for (let at = 0; at < count; at++) {
+                ledger.admit(`AbCdEfGhIjKl.${at}` as RequestId, 1e9, 0);
+            }
+            return ledger;
+        })),
+    await measureSlope("beat sent", "us", [1000, 10_000], count => count * microseconds(count, () => seal(pack(beat)))),
+    await measureSlope("beat heard", "us", [1000, 10_000], count => {
+        const body = pack(beat);
+        return count * microseconds(count, () => {
+            seal(body);
+            Message.safeParse(unpack(body));
+        });
+    }),
+    await measureSlope("load report heard", "us", [1000, 10_000], count => {
+        const body = pack(load);
+        return count * microseconds(count, () => {
+            seal(body);
+            Message.safeParse(unpack(body));
+        });
+    }),
+];
+
+/** Processor time of the two roles by request, from real daemons under load less the same when idle. */
+const measureRoles = async (): Promise<
+    { readonly ingressUs: number; readonly gateUs: number; readonly idlePercent: number; readonly residentMb: number; }
+> => {
+    const mesh = await Mesh.start(pathMesh, { direct: true, directPeers: true });
+    try {
+        const [target, neighbour] = mesh.hosts as [Mesh["hosts"][number], Mesh["hosts"][number]];
+        await control(target.upstream, { meanMs: 1, spread: "none" });
+        for (let round = 0; round < 4; round++) {
+            await timePath(neighbour.ingress, "/target");
+        }
+        const pids = [neighbour, target].map(host => mesh.daemons.get(host.name)!.pid);
+        const idleMs = 5000;
+        const start = pids.map(pid => readUsage(pid).cpuMs);
+        await new Promise(resolve => setTimeout(resolve, idleMs));
+        const idle = pids.map((pid, at) => (readUsage(pid).cpuMs - start[at]!) / idleMs);
+        const before = pids.map(pid => readUsage(pid).cpuMs);
+        const beganAt = performance.now();
+        let requests = 0;
+        for (let round = 0; round < 8; round++) {
+            requests += (await timePath(neighbour.ingress, "/target")).length;
+        }
+        const elapsedMs = performance.now() - beganAt;
+        const used = pids.map((pid, at) => readUsage(pid).cpuMs - before[at]! - idle[at]! * elapsedMs);
+        const [ingressUs, gateUs] = used.map(ms => ms * MICRO / requests);
+        return {
+            ingressUs: ingressUs!,
+            gateUs: gateUs!,
+            idlePercent: idle[1]! * 100,
+            residentMb: readUsage(pids[1]!).residentMb,
+        };
+    }
+    finally {
+        await mesh.stop();
+    }
+};
+
+const roles = await measureRoles();
+const rows = slopes.map(({ what, unit, each, at }) => [
+    what,
+    `${each.toFixed(each < 10 ? 3 : 0)} ${unit}`,
+    at.map(({ count, total }) => `${count}: ${total.toFixed(0)}`).join("  "),
+]);
+console.log(table(["what", "each", "totals"], rows));
+console.log(`bytes on the wire: beat ${wireBytes(beat)}, load report ${wireBytes(load)}`);
+console.log(JSON.stringify({
+    slopes: Object.fromEntries(slopes.map(({ what, unit, each }) => [what, `${each.toFixed(3)} ${unit}`])),
+    beatBytes: wireBytes(beat),
+    loadBytes: wireBytes(load),
+    ...roles,
+}));
+process.exit(0);
--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -11,6 +11,7 @@
     readonly method: string;
     readonly path: string;
     readonly once: boolean;
+    readonly headers?: Readonly<Record<string, string>>;
 };
 
 type Got = { readonly res: IncomingMessage; readonly body: string; readonly complete: boolean; };
@@ -79,7 +80,7 @@
             const sent = httpRequest(`http://${ingress}${req.path}`, {
                 method: req.method,
                 agent: this.#agent,
-                headers: { "x-load-id": req.id, "content-type": "application/json" },
+                headers: { "x-load-id": req.id, "content-type": "application/json", ...req.headers },
             }, res => {
                 let body = "";
                 res.setEncoding("utf8");
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -189,9 +189,14 @@
         });
     }
 
+    /** The frugal profile sends nothing that no one has asked for. */
     #lookAtGates(): void {
+        const { profile, relief } = this.settings.policy;
+        if (profile === "frugal") {
+            return;
+        }
         this.reporter.look();
-        if (this.settings.policy.relief) {
+        if (relief) {
             this.relief.look();
         }
     }
--- a/standin/upstream.ts
+++ b/standin/upstream.ts
@@ -4,6 +4,7 @@
 import { sendJson } from "./sendjson.js";
 import { drawServiceTime } from "./servicetime.js";
 import type { UpstreamControl } from "./upstreamcontrol.js";
+import { writeAnswer } from "./writeanswer.js";
 
 const COLD_FACTOR = 5;
 const STREAM_EVERY_MS = 50;
@@ -30,6 +31,8 @@
         lyingHealth: false,
         coldRequests: 0,
         noiseEveryMs: 0,
+        noise: [],
+        noiseFrom: 0,
         next: "",
     };
     #running = 0;
@@ -145,7 +148,9 @@
         }
         const cold = this.#served < this.#control.coldRequests ? COLD_FACTOR : 1;
         const { meanMs, spread, slowdown } = this.#control;
-        const ms = drawServiceTime(meanMs, spread, this.random()) * slowdown * cold;
+        const given = req.headers["x-service-ms"];
+        const drawn = given === undefined ? drawServiceTime(meanMs, spread, this.random()) : Number(given);
+        const ms = drawn * slowdown * cold * this.#noiseNow();
         const timer = setTimeout(() => this.#finish(() => void this.#chainOrAnswer(req, res, path)), ms);
         res.on("close", () => {
             if (!res.writableFinished && req.method === "GET" && timer.hasRef() && !res.headersSent) {
@@ -156,6 +161,11 @@
         });
     }
 
+    #noiseNow(): number {
+        const at = Date.now() - this.#control.noiseFrom;
+        return this.#control.noise.find(spell => spell.from <= at && at < spell.to)?.factor ?? 1;
+    }
+
     #finish(answer: () => void): void {
         this.#served += 1;
         this.#running -= 1;
@@ -191,45 +201,9 @@
     }
 
     #answer(req: IncomingMessage, res: ServerResponse): void {
-        if (res.destroyed) {
-            return;
-        }
-        const id = String(req.headers["x-load-id"] ?? "");
-        const body = JSON.stringify({ id, depth: req.headers["winglock-timeout-ms"], pad: "x".repeat(200) });
-        const echo = String(req.headers["winglock-request-id"] ?? "");
-        const fault = this.random() < this.#control.faultShare ? this.#control.answerFault : "none";
-        const length = Buffer.byteLength(body);
-        const write = (announced: number, sent: string, id = echo): void => {
-            res.writeHead(200, { "content-length": announced, "winglock-request-id": id });
-            res.end(sent);
-        };
-        const raw = (announced: number, sent: string): void => {
-            const head = `HTTP/1.1 200 OK\r\ncontent-length: ${announced}\r\nwinglock-request-id: ${echo}\r\n\r\n`;
-            res.socket?.write(head + sent);
-        };
-        switch (fault) {
-            case "cut":
-                raw(length, body.slice(0, length / 2));
-                setTimeout(() => res.socket?.destroy(), 1);
-                return;
-            case "short":
-                raw(length + 10, body);
-                setTimeout(() => res.socket?.destroy(), 5);
-                return;
-            case "long":
-                raw(length - 10, body);
-                return;
-            case "doubled":
-                raw(length, body);
-                setTimeout(() => raw(length, body), 2);
-                return;
-            case "foreign":
-                return write(length, body, "another-request");
-            case "late":
-                setTimeout(() => write(length, body), 300);
-                return;
-            default:
-                return write(length, body);
+        if (!res.destroyed) {
+            const fault = this.random() < this.#control.faultShare ? this.#control.answerFault : "none";
+            writeAnswer(req, res, fault);
         }
     }
 
--- a/standin/upstreamcontrol.ts
+++ b/standin/upstreamcontrol.ts
@@ -16,5 +16,8 @@
     lyingHealth: boolean;
     coldRequests: number;
     noiseEveryMs: number;
+    /** Slow spells in milliseconds since `noiseFrom`, a time of Date.now(). */
+    noise: { readonly from: number; readonly to: number; readonly factor: number; }[];
+    noiseFrom: number;
     next: string;
 };
