--- a/standin/fault.ts
+++ b/standin/fault.ts
@@ -10,4 +10,6 @@
     pause?: boolean;
     lose?: "there" | "back";
     delayMs?: number;
+    /** Drops datagrams and leaves connections alone. */
+    deaf?: boolean;
 };
--- a/standin/proxy.ts
+++ b/standin/proxy.ts
@@ -117,7 +117,7 @@
         socket.on("error", () => {});
         socket.on("message", (data, sender) => {
             const from = placeOf(sender.address);
-            const dropped = (["cut", "pause", "lose"] as const).some(name =>
+            const dropped = (["cut", "pause", "lose", "deaf"] as const).some(name =>
                 this.#fault(link, from, name) !== undefined
             );
             if (!dropped) {
