A gate that is replaced is found again by its own daemon

Cause: the local way held the gate that was there first; after a change of slots it was closed, and its own daemon told no-upstream. Seen failing first (503) in the configuration test, then passing.

--- a/src/cli/noun.ts
+++ b/src/cli/noun.ts
@@ -1,6 +1,6 @@
 /** What services, upstreams and rules have in common on the command line. */
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { ArgParser } from "cmd-ts/dist/cjs/argparser.js";
+import type { command } from "cmd-ts";
 import type { ChangeSchema, Configuration } from "../gen/winglock/operator/v1/operator_pb.js";
 
 /** Values of the flags that were given, by field. */
@@ -13,7 +13,7 @@
 export abstract class Noun {
     abstract readonly name: string;
     abstract readonly columns: readonly string[];
-    abstract readonly flags: Record<string, ArgParser<unknown>>;
+    abstract readonly flags: Parameters<typeof command>[0]["args"];
     abstract readonly example: string;
     /** The things of this noun in a configuration. */
     abstract list(configuration: Configuration): Item[];
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -94,6 +94,7 @@
         this.puller = new Puller(this.keeper, this.peer, this.#metrics);
         this.gates = new GateSet(self, upstream => this.#makeGate(upstream));
         this.#hops = new Hops({
+            self,
             gates: this.gates,
             identity: this.#identity,
             ledger: this.#ledger,
--- a/src/daemon/hops.ts
+++ b/src/daemon/hops.ts
@@ -1,6 +1,7 @@
 /** The ways to gates, one for each gate that requests are sent to. */
 import type { Document } from "../config/document.js";
 import type { Upstream } from "../config/upstream.js";
+import type { Gate } from "../gate/gate.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
 import type { Hop } from "../hop/hop.js";
 import { LocalHop } from "../hop/localhop.js";
@@ -13,6 +14,7 @@
 
 /** What a way is made of. */
 type HopsParts = {
+    readonly self: Address;
     readonly gates: GateSet;
     readonly identity: GateIdentity;
     readonly ledger: Ledger;
@@ -28,9 +30,9 @@
 
     /** The way to an upstream's gate: none of the network when the gate is this daemon's own. */
     open(upstream: Upstream): { readonly hop: Hop; readonly local: boolean; } {
-        const { gates, identity, ledger, options, peer } = this.parts;
-        const gate = gates.find(upstream.name);
-        if (gate !== undefined) {
+        const { self, gates, identity, ledger, options, peer } = this.parts;
+        if (upstream.gate === self) {
+            const gate = (): Gate | undefined => gates.find(upstream.name);
             return { hop: new LocalHop(gate, identity, ledger, options.clock), local: true };
         }
         const hop = this.#remote.get(upstream.gate) ?? new RemoteHop(upstream.gate, peer, options);
--- a/src/hop/localhop.ts
+++ b/src/hop/localhop.ts
@@ -8,11 +8,12 @@
 import type { GateAnswer } from "./gateanswer.js";
 import type { GateCall } from "./gatecall.js";
 import { Hop } from "./hop.js";
+import { HopError } from "./hoperror.js";
 
-/** Calls the gate directly, with its own clock and life. */
+/** Calls the gate directly, with its own clock and life; a gate is replaced when its settings change. */
 export class LocalHop extends Hop {
     constructor(
-        private readonly gate: Gate,
+        private readonly gate: () => Gate | undefined,
         private readonly identity: GateIdentity,
         private readonly ledger: Ledger,
         private readonly clock: Clock,
@@ -20,9 +21,13 @@
         super();
     }
 
-    send(call: GateCall): Promise<GateAnswer> {
+    async send(call: GateCall): Promise<GateAnswer> {
         const head = { ...call.head, incarnation: this.identity.incarnation, gateTime: this.clock() };
-        return this.gate.serve({ ...call, head });
+        const gate = this.gate();
+        if (gate === undefined) {
+            throw new HopError("not-run", "no-such-upstream");
+        }
+        return gate.serve({ ...call, head });
     }
 
     async revoke(head: CallHead): Promise<RevokeResult> {
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -90,3 +90,18 @@
     const { reads, writes, watches } = await res.json() as { reads: number; writes: number; watches: number; };
     return reads + writes + watches;
 };
+
+test("configuration: an upstream whose slots change is still served by its own daemon", async () => {
+    await withMesh(async mesh => {
+        const host = mesh.host("pages-1");
+        const get = async (): Promise<number> => (await fetch(`http://${host.ingress}/pages/1`)).status;
+        await mesh.cli("drain", "pages-2");
+        await mesh.cli("drain", "pages-3");
+        await allAt(mesh, 3);
+        assert.equal(await get(), 200);
+        const { code } = await mesh.cli("upstream", "update", "pages-1", "--slots", "2");
+        assert.equal(code, 0);
+        await allAt(mesh, 4);
+        assert.equal(await get(), 200);
+    });
+});
