Relief holds fewer slots and asks later; no second try once a newer rule says once

Cause: three siblings each held as many slots as one gate asked for, for 15 ms; held slots made them queue and ask in turn. Now a third of the need is asked of each, a sibling offers half of what is free for 10 ms, and a gate asks only for a wait of a whole service time. Once a rule says once, a request that may have run is not sent again.

--- a/src/control/beater.ts
+++ b/src/control/beater.ts
@@ -2,6 +2,8 @@
 import type { Address } from "../ids/address.js";
 
 const ROUND_MS = 2000;
+/** How often `tick` is called. */
+const TICK_MS = 50;
 
 /** Sends one beat; false when the budget is spent. */
 type SendBeat = (to: Address) => boolean;
@@ -35,5 +37,3 @@
         this.#urgent = this.#urgent && this.#pending.length > 0;
     }
 }
-
-const TICK_MS = 50;
--- a/src/control/relief.ts
+++ b/src/control/relief.ts
@@ -19,8 +19,10 @@
 const MAX_ASKED = 3;
 const MAX_COUNT = 16;
 /** Long enough for the way there and back between halls, short enough not to waste a slot. */
-const HOLD_MS = 15;
-/** Moving a request costs about two hops, so a shorter wait is waited out. */
+const HOLD_MS = 10;
+/** A sibling keeps the rest for its own arrivals: slots held for many gates at once would make it queue, and ask in turn. */
+const OFFERED_SHARE = 0.5;
+/** Moving a request costs about two hops; a wait of less than that, or than a usual service time, is waited out. */
 const WORTH_MS = 6;
 
 /** What relief needs of its daemon. */
@@ -68,7 +70,8 @@
 
     #offer(gate: Gate, need: Extract<Message, { type: "need"; }>): void {
         const offers: string[] = [];
-        while (offers.length < need.count) {
+        const most = Math.min(need.count, Math.floor(gate.free * OFFERED_SHARE));
+        while (offers.length < most) {
             const id = randomUUID();
             if (!gate.offer(id)) {
                 break;
@@ -104,8 +107,8 @@
     }
 
     #ask(gate: Gate, now: number): void {
-        const { waiting, limit, serviceMs } = gate.report();
-        if (waiting * serviceMs / limit < WORTH_MS) {
+        const { waiting, limit, serviceMs, baseMs } = gate.report();
+        if (waiting * serviceMs / limit < Math.max(WORTH_MS, baseMs)) {
             return;
         }
         this.#askedAt.set(gate, now);
@@ -113,8 +116,9 @@
         const siblings = this.parts.document().upstreams.filter(other =>
             other.service === service && other.name !== upstream && other.gate !== this.parts.self && !other.draining
         );
-        const count = Math.min(MAX_COUNT, waiting);
-        for (const sibling of sample(siblings, MAX_ASKED, this.parts.random)) {
+        const asked = sample(siblings, MAX_ASKED, this.parts.random);
+        const count = Math.min(MAX_COUNT, Math.ceil(waiting / Math.max(1, asked.length)));
+        for (const sibling of asked) {
             this.parts.send(sibling.gate, { type: "need", from: this.parts.self, service, upstream, count });
         }
     }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -126,6 +126,11 @@
         return tickets.length;
     }
 
+    /** Slots that are neither in use nor held. */
+    get free(): number {
+        return this.#admission.free;
+    }
+
     get waiting(): number {
         return this.#admission.waiting;
     }
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -4,11 +4,11 @@
 import type { GateAnswer } from "../hop/gateanswer.js";
 import { HopError } from "../hop/hoperror.js";
 import type { RequestId } from "../ids/requestid.js";
+import type { AttemptResult } from "./attemptresult.js";
 import type { IngressParts } from "./ingressparts.js";
 import type { Neighbour } from "./neighbour.js";
 import type { Outgoing } from "./outgoing.js";
 import type { Plan } from "./plan.js";
-import type { Trial } from "./trial.js";
 
 const FAILED_STATUS = 500;
 const REDIRECTS: ReadonlySet<string> = new Set([
@@ -34,7 +34,7 @@
     readonly deliver: (answer: GateAnswer) => Promise<void>;
 };
 
-/** Sends the request once and turns whatever comes of it into a Trial. */
+/** Sends the request once and turns whatever comes of it into a AttemptResult. */
 export class Attempt {
     readonly #giveUp = new Cancel();
     readonly #head: CallHead;
@@ -66,7 +66,7 @@
         this.#giveUp.abort();
     }
 
-    async run(): Promise<Trial> {
+    async run(): Promise<AttemptResult> {
         const { neighbour } = this;
         const { ingress, plan, left } = this.parts;
         const forget = left.onAbort(() => this.#giveUp.abort());
@@ -84,7 +84,7 @@
         }
     }
 
-    async #send(): Promise<Trial> {
+    async #send(): Promise<AttemptResult> {
         const { neighbour } = this;
         const { ingress, plan, out, left, deliver } = this.parts;
         if (left.aborted) {
@@ -117,7 +117,7 @@
         return { outcome: "served", reason: "", redirected: false, retriedBelow: false };
     }
 
-    #failed(answer: GateAnswer): Trial {
+    #failed(answer: GateAnswer): AttemptResult {
         this.neighbour.failed(this.parts.ingress.clock());
         answer.body.on("error", () => {});
         const retriedBelow = answer.note?.retriedBelow === true;
@@ -125,7 +125,7 @@
     }
 
     /** Turns an error into what is known of the request. */
-    async #explain(err: unknown): Promise<Trial> {
+    async #explain(err: unknown): Promise<AttemptResult> {
         const { neighbour } = this;
         const now = this.parts.ingress.clock();
         if (!(err instanceof HopError)) {
@@ -156,7 +156,7 @@
     }
 
     /** No word came. A repeatable request needs none; the gate is asked to take back one that may run once. */
-    async #settle(): Promise<Trial> {
+    async #settle(): Promise<AttemptResult> {
         const { ingress, plan, left, deadlinePassed } = this.parts;
         const reason = deadlinePassed() ? "deadline" : "peer-broke";
         const base = { reason, redirected: false, retriedBelow: false };
--- a/src/ingress/trial.ts
+++ b/src/ingress/attemptresult.ts
@@ -3,11 +3,11 @@
 import type { Outcome } from "../policy/outcome.js";
 
 /** `answer` is the upstream's own, also when it says that the request failed there. */
-type TrialOutcome = Outcome | "served";
+type AttemptOutcome = Outcome | "served";
 
 /** Redirected: refused not for load but since it belongs elsewhere. */
-export type Trial = {
-    readonly outcome: TrialOutcome;
+export type AttemptResult = {
+    readonly outcome: AttemptOutcome;
     readonly reason: string;
     readonly answer?: GateAnswer;
     readonly retryAfterMs?: number;
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -4,6 +4,7 @@
 import type { GateAnswer } from "../hop/gateanswer.js";
 import { decideRetry } from "../policy/decideretry.js";
 import { Attempt } from "./attempt.js";
+import type { AttemptResult } from "./attemptresult.js";
 import { deliver } from "./deliver.js";
 import type { IngressParts } from "./ingressparts.js";
 import type { Neighbour } from "./neighbour.js";
@@ -13,7 +14,6 @@
 import { problemOf } from "./problemof.js";
 import { selectFit } from "./selectfit.js";
 import { sendProblem } from "./sendproblem.js";
-import type { Trial } from "./trial.js";
 
 /** What the caller was told; `left` means that it did not wait. */
 type Ending = "served" | "not-run" | "unknown" | "left";
@@ -21,7 +21,7 @@
 /** The upstream itself refused; its siblings may well take the request. */
 const SHED = "shed";
 const RETRY_SOON_MS = 1000;
-const NO_UPSTREAM: Trial = {
+const NO_UPSTREAM: AttemptResult = {
     outcome: "not-run",
     reason: "no-upstream",
     retryAfterMs: RETRY_SOON_MS,
@@ -66,27 +66,32 @@
     }
 
     async #tryUntilSettled(): Promise<Ending> {
-        let last: Trial | undefined;
+        let last: AttemptResult | undefined;
         for (;;) {
             const neighbour = this.#place(last);
-            const trial = neighbour === undefined ? last ?? NO_UPSTREAM : await this.#tryHedged(neighbour, last?.offer);
-            if (trial.outcome === "served") {
+            const result = neighbour === undefined
+                ? last ?? NO_UPSTREAM
+                : await this.#tryHedged(neighbour, last?.offer);
+            if (result.outcome === "served") {
                 return this.res.writableFinished || !this.res.destroyed ? "served" : "left";
             }
             if (this.res.destroyed) {
                 return "left";
             }
-            this.#mayHaveRun ||= trial.outcome !== "not-run";
-            if (neighbour === undefined || !this.#mayRetry(trial)) {
-                return await this.#conclude(trial);
+            this.#mayHaveRun ||= result.outcome !== "not-run";
+            if (neighbour === undefined || !this.#mayRetry(result)) {
+                return await this.#conclude(result);
+            }
+            await this.#prepare(result, neighbour);
+            if (this.plan.kind === "once" && this.#mayHaveRun) {
+                return await this.#conclude(result);
             }
-            await this.#prepare(trial, neighbour);
             this.#claimed = undefined;
-            last = trial;
+            last = result;
         }
     }
 
-    #place(last: Trial | undefined): Neighbour | undefined {
+    #place(last: AttemptResult | undefined): Neighbour | undefined {
         const { neighbours, placement, random, clock } = this.parts;
         const all = neighbours.ofService(this.plan.service.name);
         const named = all.find(neighbour => neighbour.upstream === last?.goTo);
@@ -98,22 +103,22 @@
     }
 
     /** Tries a neighbour and, when its answer is overdue, another beside it; the first that answers is taken. */
-    async #tryHedged(neighbour: Neighbour, offer: string | undefined): Promise<Trial> {
+    async #tryHedged(neighbour: Neighbour, offer: string | undefined): Promise<AttemptResult> {
         const first = this.#attempt(neighbour, offer);
-        const trial = first.run();
-        const second = await this.#hedge(neighbour, trial);
+        const running = first.run();
+        const second = await this.#hedge(neighbour, running);
         if (second === undefined) {
-            return await trial;
+            return await running;
         }
-        const other = second.run();
-        const [one, two] = await Promise.all([this.#overtake(trial, second), this.#overtake(other, first)]);
+        const beside = second.run();
+        const [one, two] = await Promise.all([this.#overtake(running, second), this.#overtake(beside, first)]);
         this.#mayHaveRun ||= one.outcome === "unknown" || two.outcome === "unknown";
         return one.outcome === "served" ? one : two;
     }
 
     /** Cancels the other try when this one has served. */
-    async #overtake(trial: Promise<Trial>, other: Attempt): Promise<Trial> {
-        const result = await trial;
+    async #overtake(running: Promise<AttemptResult>, other: Attempt): Promise<AttemptResult> {
+        const result = await running;
         if (result.outcome === "served") {
             other.cancel();
         }
@@ -121,7 +126,7 @@
     }
 
     /** A second try for a repeatable request whose answer is overdue, if the budget has one. */
-    async #hedge(neighbour: Neighbour, trial: Promise<Trial>): Promise<Attempt | undefined> {
+    async #hedge(neighbour: Neighbour, running: Promise<AttemptResult>): Promise<Attempt | undefined> {
         const { hedge, retries, clock } = this.parts;
         const { kind, rule, service } = this.plan;
         if (!hedge || kind !== "repeatable" || rule.answer !== "whole" || !this.out.body.kept) {
@@ -129,7 +134,7 @@
         }
         const { hedging, budget } = retries(service.name);
         const { afterMs } = hedging;
-        if (!await isOverdue(trial, afterMs) || this.#claimed !== undefined || this.#left.aborted) {
+        if (!await isOverdue(running, afterMs) || this.#claimed !== undefined || this.#left.aborted) {
             return undefined;
         }
         neighbour.lags(afterMs, clock());
@@ -161,39 +166,39 @@
         return this.#claimed === attempt;
     }
 
-    #mayRetry(trial: Trial): boolean {
-        this.#redirects += trial.redirected ? 1 : 0;
+    #mayRetry(result: AttemptResult): boolean {
+        this.#redirects += result.redirected ? 1 : 0;
         return decideRetry({
-            outcome: trial.outcome as "not-run",
+            outcome: result.outcome as "not-run",
             kind: this.plan.kind,
             tries: this.#tries - this.#redirects,
             remainingMs: this.plan.deadline - this.parts.clock(),
             bodyKept: this.out.body.kept,
-            retriedBelow: trial.retriedBelow,
-            redirected: trial.redirected,
+            retriedBelow: result.retriedBelow,
+            redirected: result.redirected,
             redirects: this.#redirects,
-            overloaded: problemOf(trial) === "overloaded" && trial.reason !== SHED,
+            overloaded: problemOf(result) === "overloaded" && result.reason !== SHED,
         }, this.parts.retries(this.plan.service.name).budget);
     }
 
     /** Lets the last answer go, and gets a newer rule when the gate has one. */
-    async #prepare(trial: Trial, neighbour: Neighbour): Promise<void> {
-        this.parts.metrics.retried(this.plan.service.name, trial.reason);
-        trial.answer?.body.resume();
-        if (trial.reason === "stale-rule") {
+    async #prepare(result: AttemptResult, neighbour: Neighbour): Promise<void> {
+        this.parts.metrics.retried(this.plan.service.name, result.reason);
+        result.answer?.body.resume();
+        if (result.reason === "stale-rule") {
             this.#tried.delete(neighbour);
-            await this.parts.catchUp(trial.revision ?? 0, neighbour.settings.gate);
+            await this.parts.catchUp(result.revision ?? 0, neighbour.settings.gate);
             this.plan = this.parts.replan(this.out, this.plan);
         }
     }
 
-    async #conclude(trial: Trial): Promise<Ending> {
-        if (trial.answer !== undefined) {
-            return await this.#pass(trial.answer);
+    async #conclude(result: AttemptResult): Promise<Ending> {
+        if (result.answer !== undefined) {
+            return await this.#pass(result.answer);
         }
         const outcome = this.#mayHaveRun ? "unknown" : "not-run";
-        const { reason: detail, retryAfterMs } = trial;
-        sendProblem(this.res, problemOf(trial), { outcome, detail, retryAfterMs });
+        const { reason: detail, retryAfterMs } = result;
+        sendProblem(this.res, problemOf(result), { outcome, detail, retryAfterMs });
         return outcome;
     }
 
