Of two tries side by side, one that may have run is not hidden by the other's refusal

Found in reading the change: when the first of a hedged pair failed at its upstream and the second was refused, the caller was told not-run, and the first answer's body was left unread. The outcome of a pair was a special case beside the rule of all tries; now the more telling result is picked and the one rule applies. Dead size getters are out, and one comment said what was not so.

--- a/src/gate/contexts.ts
+++ b/src/gate/contexts.ts
@@ -15,10 +15,6 @@
 export class Contexts {
     readonly #open = new Map<string, Context>();
 
-    get size(): number {
-        return this.#open.size;
-    }
-
     open(deadline: number, depth: number): Context {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
         const context = { token, deadline, depth, retriedBelow: false };
--- a/src/gate/ticket.ts
+++ b/src/gate/ticket.ts
@@ -36,7 +36,7 @@
         this.deadline = Math.min(now, head.gateTime ?? now) + head.remainingMs;
     }
 
-    /** True while the request can be sent elsewhere: its body has not been read. */
+    /** False for a request that was handed back once already: it is not handed on again. */
     get movable(): boolean {
         return this.call.head.offer === undefined;
     }
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -10,6 +10,7 @@
 import type { Neighbour } from "./neighbour.js";
 import type { Outgoing } from "./outgoing.js";
 import { isOverdue } from "./overdue.js";
+import { pickResult } from "./pickresult.js";
 import type { Plan } from "./plan.js";
 import { problemOf } from "./problemof.js";
 import { selectFit } from "./selectfit.js";
@@ -112,8 +113,9 @@
         }
         const beside = second.run();
         const [one, two] = await Promise.all([this.#overtake(running, second), this.#overtake(beside, first)]);
-        this.#mayHaveRun ||= one.outcome === "unknown" || two.outcome === "unknown";
-        return one.outcome === "served" ? one : two;
+        const picked = pickResult(one, two);
+        (picked === one ? two : one).answer?.body.resume();
+        return picked;
     }
 
     /** Cancels the other try when this one has served. */
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -21,10 +21,6 @@
 
     constructor(readonly capacity: number) {}
 
-    get size(): number {
-        return this.#entries.size;
-    }
-
     /** Takes in a request that has arrived; must be asked before anything else is done with it. */
     admit(id: RequestId, deadline: number, now: number): AdmitResult {
         this.#sweep(now);
