--- a/src/gate/entrance.ts
+++ b/src/gate/entrance.ts
@@ -36,7 +36,10 @@
             throw refuse(verdict.refusal.reason, { retryAfterMs: verdict.refusal.retryAfterMs });
         }
         const forget = cancel.onAbort(() => this.#abandon(ticket, "caller-left"));
-        const timer = setTimeout(() => this.#abandon(ticket, "deadline"), ticket.deadline - clock());
+        const leftMs = ticket.deadline - clock();
+        const timer = ticket.maxWaitMs < leftMs
+            ? setTimeout(() => this.#abandon(ticket, "wait-too-long", admission.retryAfterMs(ticket)), ticket.maxWaitMs)
+            : setTimeout(() => this.#abandon(ticket, "deadline"), leftMs);
         try {
             await ticket.turn();
         }
@@ -95,10 +98,10 @@
     }
 
     /** Gives up a request that still waits: it has not run. */
-    #abandon(ticket: Ticket, reason: string): void {
+    #abandon(ticket: Ticket, reason: string, retryAfterMs?: number): void {
         if (this.parts.admission.leave(ticket)) {
             this.withdraw(ticket);
-            ticket.refuse(this.parts.refuse(reason));
+            ticket.refuse(this.parts.refuse(reason, { retryAfterMs }));
         }
     }
 }
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -31,6 +31,7 @@
 /** Holds a slot until the answer's body has ended or, for a streamed answer, until its head. */
 export class UpstreamRun {
     readonly #startedAt: number;
+    readonly #requestId: string;
     readonly #context: ReturnType<Contexts["open"]>;
     readonly #cancel = new Cancel();
     readonly #overtime: NodeJS.Timeout;
@@ -38,7 +39,8 @@
 
     constructor(private readonly ticket: Ticket, private readonly parts: RunParts) {
         this.#startedAt = parts.clock();
-        this.#context = parts.contexts.open(ticket.deadline, ticket.call.head.depth);
+        this.#requestId = this.#idOf();
+        this.#context = parts.contexts.open(this.#requestId, ticket.deadline, ticket.call.head.depth);
         this.#overtime = setTimeout(() => this.#cancel.abort(), ticket.deadline - this.#startedAt + OVERTIME_MS);
     }
 
@@ -95,16 +97,22 @@
     #headers(): HttpHeaders {
         const { call, deadline } = this.ticket;
         const { vocabulary } = this.parts;
-        const given = vocabulary.callersGiveIds ? call.headers[vocabulary.requestId] : undefined;
         return {
             ...call.headers,
             [vocabulary.context]: this.#context.token,
-            [vocabulary.requestId]: given ?? call.head.id,
+            [vocabulary.requestId]: this.#requestId,
             [vocabulary.upstream]: call.head.upstream,
             [vocabulary.timeLimit]: String(Math.max(1, Math.floor(deadline - this.#startedAt))),
         };
     }
 
+    #idOf(): string {
+        const { callersGiveIds, requestId } = this.parts.vocabulary;
+        const { call } = this.ticket;
+        const given = callersGiveIds ? call.headers[requestId] : undefined;
+        return typeof given === "string" ? given : call.head.id;
+    }
+
     #end(served: boolean): void {
         if (!this.#open) {
             return;
--- a/src/hop/ownvocabulary.ts
+++ b/src/hop/ownvocabulary.ts
@@ -32,6 +32,11 @@
         return echo === undefined || echo === id;
     }
 
+    /** The context ties a call to its request. */
+    parentOf(): undefined {
+        return undefined;
+    }
+
     isLeaving(headers: HttpHeaders): boolean {
         return headers[headerName.leaving] !== undefined;
     }
--- a/src/hop/vocabulary.ts
+++ b/src/hop/vocabulary.ts
@@ -25,6 +25,8 @@
     abstract notRun(status: number, headers: HttpHeaders): "shed" | "leaving" | "misdirected" | undefined;
     /** True when the answer is the upstream's own to the request with this id. */
     abstract isOwnAnswer(status: number, headers: HttpHeaders, id: string): boolean;
+    /** The id of the request for which an upstream makes this call, as far as the call tells. */
+    abstract parentOf(headers: HttpHeaders): string | undefined;
     /** True when the upstream says that it is about to stop. */
     abstract isLeaving(headers: HttpHeaders): boolean;
     /** What the upstream says of its load; undefined when it says nothing that can be read. */
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -7,6 +7,7 @@
 import { log } from "../log/log.js";
 import type { AttemptResult } from "./attemptresult.js";
 import type { IngressParts } from "./ingressparts.js";
+import { maxWaitMs } from "./maxwaitms.js";
 import type { Neighbour } from "./neighbour.js";
 import type { Outgoing } from "./outgoing.js";
 import type { Plan } from "./plan.js";
@@ -60,7 +61,7 @@
             tenant: plan.rule.tenant,
             answer: plan.rule.answer,
             remainingMs: Math.max(0, plan.deadline - ingress.clock()),
-            maxWaitMs: plan.service.maxWaitMs,
+            maxWaitMs: maxWaitMs(plan, ingress.clock()),
             depth: plan.depth,
             revision: ingress.revision(),
             choices,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -176,7 +176,7 @@
             return undefined;
         }
         const { vocabulary } = this.parts;
-        const parent = this.source.contexts.find(req.headers[vocabulary.context] as string | undefined);
+        const parent = this.#parentOf(req);
         const depth = parent === undefined ? 0 : parent.depth + 1;
         if (depth > MAX_DEPTH) {
             this.#refuse(res, "too-deep", `depth ${depth}`);
@@ -186,7 +186,7 @@
         const given = callerTimeLimit === undefined ? undefined : req.headers[callerTimeLimit];
         const limitMs = Math.min(ruling.rule.timeLimitMs, timeLimitOf(given));
         const deadline = Math.min(now + limitMs, parent?.deadline ?? Infinity);
-        return { ...ruling, deadline, depth };
+        return { ...ruling, startedAt: now, deadline, depth };
     }
 
     async #body(req: IncomingMessage, res: ServerResponse): Promise<Awaited<ReturnType<typeof readBody>> | undefined> {
@@ -219,9 +219,16 @@
         sendProblem(res, this.parts.vocabulary, type, { outcome: "not-run", detail, retryAfterMs });
     }
 
+    /** The request for which the upstream beside this daemon makes this call; undefined for a caller's own. */
+    #parentOf(req: IncomingMessage): ReturnType<Contexts["find"]> {
+        const { vocabulary } = this.parts;
+        const token = req.headers[vocabulary.context] as string | undefined;
+        return this.source.contexts.find(token) ?? this.source.contexts.ofRequest(vocabulary.parentOf(req.headers));
+    }
+
     /** Tells the hop above that this one has retried already, so that a chain of calls does not multiply. */
     #noteFailure(req: IncomingMessage, outcome: string, status: number): void {
-        const parent = this.source.contexts.find(req.headers[this.parts.vocabulary.context] as string | undefined);
+        const parent = this.#parentOf(req);
         if (parent !== undefined && (outcome !== "served" || status >= 500)) {
             parent.retriedBelow = true;
         }
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -1,5 +1,5 @@
 /** What is to be done with a request, before any upstream is chosen. */
 import type { Ruling } from "../config/ruling.js";
 
-/** `deadline` is on the daemon's clock, in milliseconds. */
-export type Plan = Ruling & { readonly deadline: number; readonly depth: number; };
+/** Times are on the daemon's clock, in milliseconds. */
+export type Plan = Ruling & { readonly startedAt: number; readonly deadline: number; readonly depth: number; };
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -12,6 +12,8 @@
 const QUEUE_PER_SLOT = 16;
 /** A request that can go elsewhere does so when it would wait longer than this share of a usual service time. */
 const MOVE_SHARE = 0.25;
+/** A caller that comes back just when the queue should have ended mostly finds that it has not. */
+const COME_BACK_SHARE = 0.5;
 const RUN: Verdict = { type: "run" };
 const WAIT: Verdict = { type: "wait" };
 
@@ -126,11 +128,21 @@
         return released;
     }
 
+    /** When a request that is refused now is likely to find a slot, in milliseconds. */
+    retryAfterMs(item: Item): number {
+        return Math.ceil(this.#waitMs(item) + this.times.usualMs(item.rule) * COME_BACK_SHARE);
+    }
+
+    /** How long an arrival waits for its turn, by what is ahead of it. */
+    #waitMs(item: Item): number {
+        return (this.#queue.ahead(item.priority) + 1) * this.times.all.fastMs / this.limit.current();
+    }
+
     #refusal(item: Item, now: number): Refusal | undefined {
         const limit = this.limit.current();
-        const { fastMs, slowMs } = this.times.all;
-        const waitMs = (this.#queue.ahead(item.priority) + 1) * fastMs / limit;
-        const retryAfterMs = Math.ceil(waitMs);
+        const { slowMs } = this.times.all;
+        const waitMs = this.#waitMs(item);
+        const retryAfterMs = this.retryAfterMs(item);
         if (this.#queue.length >= limit * QUEUE_PER_SLOT) {
             return { reason: "queue-full", retryAfterMs };
         }
