--- a/src/control/datagrams.ts
+++ b/src/control/datagrams.ts
@@ -24,6 +24,9 @@
     readonly metrics: Metrics;
 };
 
+/** Kept for answers to pings: a daemon that is busy must not look dead. */
+const ANSWER_SHARE = 0.4;
+
 const SPENT_FOR = {
     beat: "beat",
     ping: "ping",
@@ -41,10 +44,13 @@
 export class Datagrams {
     readonly #socket: Socket;
     readonly #bucket: TokenBucket;
+    readonly #answers: TokenBucket;
 
     constructor(private readonly options: DatagramOptions, private readonly receive: (message: Message) => void) {
         const half = options.bytesPerSecond * DATAGRAM_SHARE / 2;
-        this.#bucket = new TokenBucket(half, half, options.clock());
+        const answers = half * ANSWER_SHARE;
+        this.#bucket = new TokenBucket(half - answers, half - answers, options.clock());
+        this.#answers = new TokenBucket(answers, answers, options.clock());
         this.#socket = createSocket("udp4");
         this.#socket.on("message", data => this.#take(data));
         this.#socket.on("error", () => {});
@@ -65,7 +71,8 @@
     send(to: Address, message: Message): boolean {
         const body = pack(message);
         const bytes = body.length + SEAL_BYTES + HEADER_BYTES;
-        if (body.length > MAX_BYTES || !this.#bucket.spend(bytes, this.options.clock())) {
+        const bucket = message.type === "pong" ? this.#answers : this.#bucket;
+        if (body.length > MAX_BYTES || !bucket.spend(bytes, this.options.clock())) {
             return false;
         }
         const { ip, port } = splitAddress(to);
--- a/src/control/pinger.ts
+++ b/src/control/pinger.ts
@@ -7,7 +7,11 @@
 
 const TICK_MS = 50;
 const SILENT_MS = 150;
-const PATIENCE_MS = 250;
+/** An answer that takes no longer than this many times what is usual there is no silence. */
+const USUAL_TIMES = 1.5;
+/** Datagrams are lost now and then: so many pings in a row must go unanswered. */
+const MAX_UNANSWERED = 2;
+const PATIENCE_MS = 150;
 /** A gate that has not been asked yet is, a few of them a second. */
 const ASK_EVERY_MS = 100;
 
@@ -55,21 +59,34 @@
     }
 
     #look(neighbour: Neighbour, now: number): void {
-        const { gate } = neighbour.settings;
         if (neighbour.pingedAt !== undefined) {
             if (now - neighbour.pingedAt > PATIENCE_MS) {
-                neighbour.pingedAt = undefined;
-                neighbour.silentSince = neighbour.own > 0 ? now : undefined;
-                if (this.#answered.has(gate)) {
-                    neighbour.suspect(now, this.#hasOther(neighbour, now));
-                }
+                this.#missed(neighbour, now);
             }
             return;
         }
-        if (
-            this.#hasReason(neighbour, now)
-            && this.parts.send(gate, { type: "ping", from: this.parts.self, sentAt: now })
-        ) {
+        if (this.#hasReason(neighbour, now)) {
+            this.#ping(neighbour, now);
+        }
+    }
+
+    #missed(neighbour: Neighbour, now: number): void {
+        const { gate } = neighbour.settings;
+        neighbour.pingedAt = undefined;
+        neighbour.unanswered += 1;
+        if (neighbour.unanswered < MAX_UNANSWERED && this.#answered.has(gate)) {
+            this.#ping(neighbour, now);
+            return;
+        }
+        neighbour.unanswered = 0;
+        neighbour.silentSince = neighbour.own > 0 ? now : undefined;
+        if (this.#answered.has(gate)) {
+            neighbour.suspect(now, this.#hasOther(neighbour, now));
+        }
+    }
+
+    #ping(neighbour: Neighbour, now: number): void {
+        if (this.parts.send(neighbour.settings.gate, { type: "ping", from: this.parts.self, sentAt: now })) {
             neighbour.pingedAt = now;
         }
     }
@@ -82,8 +99,9 @@
 
     /** A gate is asked when it owes an answer and is silent, when it is suspected, and once to know that it can answer. */
     #hasReason(neighbour: Neighbour, now: number): boolean {
-        const { silentSince, suspicion, heardAt, settings } = neighbour;
-        if (suspicion.suspected || (silentSince !== undefined && now - silentSince > SILENT_MS)) {
+        const { silentSince, suspicion, heardAt, settings, report } = neighbour;
+        const patienceMs = Math.max(SILENT_MS, USUAL_TIMES * (report?.serviceMs ?? 0));
+        if (suspicion.suspected || (silentSince !== undefined && now - silentSince > patienceMs)) {
             return true;
         }
         const due = heardAt > 0 && !this.#answered.has(settings.gate) && now - this.#askedAt > ASK_EVERY_MS;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -58,6 +58,7 @@
         const { lingerMs, limitMs } = this.parts.settings.stop;
         logger.belief("The daemon stops.", { host: this.parts.settings.host, inFlight: this.#inFlight() });
         this.parts.operator.unready();
+        this.parts.sharing.stop();
         void this.parts.roster?.go();
         this.parts.gates.setLeaving("stopping", true);
         this.#tellLeaving();
@@ -93,7 +94,6 @@
         this.parts.membership.stop();
         this.parts.roster?.stop();
         this.readiness.close();
-        this.parts.sharing.stop();
         this.parts.health.stop();
         this.parts.datagrams.close();
         void this.parts.surroundings.store.close();
--- a/src/gate/ticket.ts
+++ b/src/gate/ticket.ts
@@ -46,6 +46,10 @@
         return this.call.head.choices;
     }
 
+    get nearChoices(): number {
+        return this.call.head.nearChoices;
+    }
+
     /** False for a request that was handed back once already: it is not handed on again. */
     get movable(): boolean {
         return this.call.head.offer === undefined;
--- a/src/hop/callhead.ts
+++ b/src/hop/callhead.ts
@@ -29,6 +29,8 @@
     gateTime: z.number().optional(),
     /** How many other upstreams the sender could still try. */
     choices: z.int().min(0).default(0),
+    /** Those of them in the sender's own data hall. */
+    nearChoices: z.int().min(0).default(0),
     /** An offer of a slot that the sender was told to use. */
     offer: z.string().max(64).optional(),
     /** Where the sender hears load reports, IP:PORT. */
--- a/src/hop/headfields.ts
+++ b/src/hop/headfields.ts
@@ -12,6 +12,7 @@
     "revision",
     "from",
     "choices",
+    "nearChoices",
     "incarnation",
     "gateTime",
     "depth",
--- a/src/hop/wire.test.ts
+++ b/src/hop/wire.test.ts
@@ -19,6 +19,7 @@
     depth: 0,
     revision: 4,
     choices: 2,
+    nearChoices: 1,
     from: "10.0.0.1:7620",
 } as CallHead;
 
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -30,8 +30,9 @@
 type AttemptParts = {
     readonly ingress: IngressParts;
     readonly plan: Plan;
-    /** Other upstreams that the request could still go to. */
+    /** Other upstreams that the request could still go to, and those of them in this data hall. */
     readonly choices: number;
+    readonly nearChoices: number;
     readonly out: Outgoing;
     /** Aborts when the caller has left or the time is up. */
     readonly left: Cancel;
@@ -52,7 +53,7 @@
         offer: string | undefined,
         private readonly parts: AttemptParts,
     ) {
-        const { ingress, plan, choices } = parts;
+        const { ingress, plan, choices, nearChoices } = parts;
         this.#head = {
             id: ingress.newId() as RequestId,
             upstream: neighbour.upstream,
@@ -65,6 +66,7 @@
             depth: plan.depth,
             revision: ingress.revision(),
             choices,
+            nearChoices,
             offer,
             from: ingress.from,
         };
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -166,11 +166,12 @@
 
     #attempt(neighbour: Neighbour, offer: string | undefined): Attempt {
         this.#record.begin(neighbour);
-        const choices = this.#record.mayMove ? this.#untried() : 0;
+        const untried = this.#record.mayMove ? this.#untried() : [];
         const attempt: Attempt = new Attempt(neighbour, offer, {
             ingress: this.parts,
             plan: this.plan,
-            choices,
+            choices: untried.length,
+            nearChoices: untried.filter(other => other.near).length,
             out: this.out,
             left: this.#left,
             deadlinePassed: () => this.#deadlinePassed,
@@ -181,10 +182,10 @@
     }
 
     /** Fit upstreams that have not been tried. */
-    #untried(): number {
+    #untried(): Neighbour[] {
         const now = this.parts.clock();
         const all = this.parts.neighbours.ofService(this.plan.service.name);
-        return all.filter(other => !this.#record.tried.has(other) && other.unfit(now) === undefined).length;
+        return all.filter(other => !this.#record.tried.has(other) && other.unfit(now) === undefined);
     }
 
     #claim(attempt: Attempt): boolean {
--- a/src/ingress/neighbour.ts
+++ b/src/ingress/neighbour.ts
@@ -31,6 +31,8 @@
     heardAt = 0;
     silentSince: number | undefined;
     pingedAt: number | undefined;
+    /** Pings in a row that were not answered. */
+    unanswered = 0;
     readonly suspicion = new Suspicion();
     readonly #waiting = new Set<Cancel>();
     #leavingUntil = 0;
@@ -82,6 +84,7 @@
         this.heardAt = now;
         this.silentSince = this.own > 0 ? now : undefined;
         this.pingedAt = undefined;
+        this.unanswered = 0;
         this.suspicion.clear();
     }
 
--- a/src/policy/admission.test.ts
+++ b/src/policy/admission.test.ts
@@ -13,6 +13,7 @@
     deadline,
     maxWaitMs: 1000,
     choices: 0,
+    nearChoices: 0,
 });
 
 const admission = (slots: number): Admission<Waiting> => new Admission(new FixedLimit(slots), new RuleTimes());
@@ -89,7 +90,7 @@
     const gate = admission(2);
     gate.arrive(item(), 0);
     gate.arrive(item(), 0);
-    const verdict = gate.arrive({ ...item(), choices: 1 }, 0);
+    const verdict = gate.arrive({ ...item(), choices: 1, nearChoices: 1 }, 0);
     assert.equal(verdict.type === "refuse" && verdict.refusal.reason, "busy");
     assert.equal(gate.arrive(item(), 0).type, "wait");
 });
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -10,8 +10,12 @@
 
 /** The queue holds so many requests for each slot at the most. */
 const QUEUE_PER_SLOT = 16;
-/** A request that can go elsewhere does so when it would wait longer than this share of a usual service time. */
-const MOVE_SHARE = 0.25;
+/**
+ * A request that can go elsewhere does so when it would wait longer than this share of a usual service time: sooner
+ * within the data hall than out of it.
+ */
+const NEAR_SHARE = 0.25;
+const FAR_SHARE = 0.5;
 /** A caller that comes back just when the queue should have ended mostly finds that it has not. */
 const COME_BACK_SHARE = 0.5;
 const RUN: Verdict = { type: "run" };
@@ -135,7 +139,7 @@
 
     /** How long an arrival waits for its turn, by what is ahead of it. */
     #waitMs(item: Item): number {
-        return (this.#queue.ahead(item.priority) + 1) * this.times.all.fastMs / this.limit.current();
+        return (this.#queue.ahead(item) + 1) * this.times.all.fastMs / this.limit.current();
     }
 
     #refusal(item: Item, now: number): Refusal | undefined {
@@ -149,7 +153,8 @@
         if (waitMs > Math.min(item.maxWaitMs, item.deadline - now - this.times.usualMs(item.rule))) {
             return { reason: "wait-too-long", retryAfterMs };
         }
-        if (item.choices > 0 && waitMs > slowMs * MOVE_SHARE) {
+        const share = item.nearChoices > 0 ? NEAR_SHARE : FAR_SHARE;
+        if (item.choices > 0 && waitMs > slowMs * share) {
             return { reason: "busy", retryAfterMs };
         }
         return undefined;
--- a/src/policy/waiting.ts
+++ b/src/policy/waiting.ts
@@ -12,4 +12,6 @@
     readonly rule?: RuleName;
     /** How many other upstreams the request could still go to. */
     readonly choices: number;
+    /** Those of them in the ingress's own data hall. */
+    readonly nearChoices: number;
 };
--- a/src/policy/waitqueue.ts
+++ b/src/policy/waitqueue.ts
@@ -21,10 +21,12 @@
         return this.#classes.length;
     }
 
-    /** How many wait that are as urgent or more so. */
-    ahead(priority: Priority): number {
-        const classes = ORDER.slice(0, ORDER.indexOf(priority) + 1);
-        return classes.reduce((sum, name) => sum + this.#classes.waiting(name), 0);
+    /** How many would go before an arrival: all that are more urgent, and of its class those whose time is up sooner. */
+    ahead(item: Item): number {
+        const classes = ORDER.slice(0, ORDER.indexOf(item.priority));
+        const urgent = classes.reduce((sum, name) => sum + this.#classes.waiting(name), 0);
+        const own = this.#tenants.get(item.priority)!.items();
+        return urgent + own.filter(other => !sooner(item, other)).length;
     }
 
     push(item: Item): void {
