--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -69,6 +69,7 @@
         const left = await waitIdle(() => this.#inFlight(), limitMs, hurry);
         if (left > 0) {
             logger.trouble("Requests were cut off by the stop.", "the time for a stop is up", { left });
+            console.error(`winglock:daemon ${left} requests were cut off by the stop.`);
         }
         this.parts.ingress.destroy();
         await ingressClosed;
--- a/src/gate/upstreamconnection.ts
+++ b/src/gate/upstreamconnection.ts
@@ -2,6 +2,7 @@
 import { Transform, type TransformCallback } from "node:stream";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Address } from "../ids/address.js";
+import { isFramed } from "./isframed.js";
 
 /** Shorter than servers usually keep an idle connection, so that they seldom close one that is just taken. */
 const KEEP_ALIVE_MS = 2000;
@@ -10,9 +11,6 @@
 const MAX_KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 1000;
 
-const isFramed = (headers: Dispatcher.ResponseData["headers"]): boolean =>
-    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-
 /** Reconnects by itself after its end; knows whether the last end was a reset. */
 export class UpstreamConnection {
     readonly #client: Client;
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -8,6 +8,7 @@
 import type { Ledger } from "../ledger/ledger.js";
 import type { Clock } from "../time/clock.js";
 import type { Contexts } from "./contexts.js";
+import { isFramed } from "./isframed.js";
 import type { Ticket } from "./ticket.js";
 import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
@@ -26,7 +27,11 @@
 const OVERTIME_MS = 250;
 
 /** An answer without its note, and what the note must say. */
-type RunAnswer = Omit<GateAnswer, "note"> & { readonly leaving: boolean; readonly retriedBelow: boolean; };
+type RunAnswer = Omit<GateAnswer, "note"> & {
+    readonly leaving: boolean;
+    readonly retriedBelow: boolean;
+    readonly unframed: boolean;
+};
 
 /** Holds a slot until the answer's body has ended or, for a streamed answer, until its head. */
 export class UpstreamRun {
@@ -69,6 +74,7 @@
                 body: streamed ? answer.body : this.#watch(answer.body),
                 leaving: parts.vocabulary.isLeaving(answer.headers),
                 retriedBelow: this.#context.retriedBelow,
+                unframed: !isFramed(answer.headers),
             };
         }
         catch (err) {
--- a/src/hop/answernote.ts
+++ b/src/hop/answernote.ts
@@ -19,6 +19,8 @@
     /** Where a request that is handed back should go, and the offer it holds there. */
     goTo: UpstreamName.optional(),
     offer: z.string().max(64).optional(),
+    /** The upstream's answer has no length: it ends with its connection, and must go on so. */
+    unframed: z.boolean().optional(),
     /** A call that the upstream made for this request failed and was retried there. */
     retriedBelow: z.boolean().optional(),
 });
--- a/src/hop/notefields.ts
+++ b/src/hop/notefields.ts
@@ -14,4 +14,5 @@
     "goTo",
     "offer",
     "retriedBelow",
+    "unframed",
 ];
--- a/src/ingress/deliver.ts
+++ b/src/ingress/deliver.ts
@@ -20,6 +20,12 @@
     return kept;
 };
 
+/** What the upstream did not frame must not look more complete to the caller than it did here. */
+const endWithConnection = (res: ServerResponse): void => {
+    res.shouldKeepAlive = false;
+    res.removeHeader("transfer-encoding");
+};
+
 const streamOn = async (res: ServerResponse, answer: GateAnswer): Promise<void> => {
     passBody(answer.body, res);
     await once(res, "close");
@@ -53,7 +59,10 @@
         chunks.forEach(chunk => res.write(chunk));
         return streamOn(res, answer);
     }
-    if (!bare) {
+    if (!bare && answer.note?.unframed) {
+        endWithConnection(res);
+    }
+    else if (!bare) {
         headers["content-length"] = String(size);
     }
     res.writeHead(answer.status, headers);
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -98,8 +98,9 @@
         this.#running -= 1;
         if (serviceMs !== undefined) {
             const { rule, pace = 1 } = ended;
-            this.times.observe(rule, serviceMs);
-            this.limit.observe(running, serviceMs / pace / this.times.usualMs(rule));
+            const pacedMs = serviceMs / pace;
+            this.times.observe(rule, serviceMs, pacedMs);
+            this.limit.observe(running, pacedMs / this.times.longMs(rule));
         }
     }
 
--- a/src/policy/ruletimes.ts
+++ b/src/policy/ruletimes.ts
@@ -1,13 +1,16 @@
 /** How long the requests of each rule take at one upstream. */
 import type { RuleName } from "../ids/rulename.js";
+import { LongMean } from "./longmean.js";
 import { ServiceTimes } from "./servicetimes.js";
 
 const MAX_RULES = 256;
 
+type RuleTime = { readonly times: ServiceTimes; readonly long: LongMean; };
+
 /** Bounded: the rule that was seen first is forgotten first. */
 export class RuleTimes {
     readonly #all = new ServiceTimes();
-    readonly #byRule = new Map<RuleName, ServiceTimes>();
+    readonly #byRule = new Map<RuleName, RuleTime>();
 
     /** All rules together. */
     get all(): ServiceTimes {
@@ -16,17 +19,25 @@
 
     /** What is usual for the rule, or else for all; in milliseconds. */
     usualMs(rule: RuleName | undefined): number {
-        return (rule === undefined ? undefined : this.#byRule.get(rule)?.slowMs) ?? this.#all.slowMs;
+        return (rule === undefined ? undefined : this.#byRule.get(rule)?.times.slowMs) ?? this.#all.slowMs;
+    }
+
+    /** The same over a long time, so that a spell of slowness does not become the measure; in milliseconds. */
+    longMs(rule: RuleName | undefined): number {
+        return (rule === undefined ? undefined : this.#byRule.get(rule)?.long.value) ?? this.#all.slowMs;
     }
 
-    observe(rule: RuleName | undefined, serviceMs: number): void {
+    /** Takes in a time, and the same as it would have been at the upstream's usual pace. */
+    observe(rule: RuleName | undefined, serviceMs: number, pacedMs: number): void {
         this.#all.observe(serviceMs);
         if (rule !== undefined) {
-            this.#timesOf(rule).observe(serviceMs);
+            const time = this.#timeOf(rule);
+            time.times.observe(serviceMs);
+            time.long.observe(pacedMs);
         }
     }
 
-    #timesOf(rule: RuleName): ServiceTimes {
+    #timeOf(rule: RuleName): RuleTime {
         const known = this.#byRule.get(rule);
         if (known !== undefined) {
             return known;
@@ -34,8 +45,8 @@
         if (this.#byRule.size >= MAX_RULES) {
             this.#byRule.delete(this.#byRule.keys().next().value!);
         }
-        const times = new ServiceTimes();
-        this.#byRule.set(rule, times);
-        return times;
+        const time = { times: new ServiceTimes(), long: new LongMean() };
+        this.#byRule.set(rule, time);
+        return time;
     }
 }
--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -68,6 +68,9 @@
                     setTimeout(() => req.socket.resetAndDestroy(), 20);
                 });
                 return;
+            case "unframed-end":
+                req.socket.end(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-signature: s\r\n\r\n{"id":`);
+                return;
             case "none":
             case "foreign":
                 res.writeHead(200, { "content-type": "application/json" }).end(body);
--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -5,6 +5,6 @@
     state: "ready" | "draining" | "left";
     workMs: number;
     pace: number;
-    fault: "none" | "foreign" | "lost" | "short" | "unframed-reset";
+    fault: "none" | "foreign" | "lost" | "short" | "unframed-reset" | "unframed-end";
     silent: boolean;
 };
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -112,6 +112,18 @@
     });
 });
 
+test("platform: an answer that ends with its connection goes on so, and looks no more complete than it was", async () => {
+    await withPlatform(async mesh => {
+        await Promise.all(["pages-1", "pages-2"].map(name => mesh.strikeInstance(name, { fault: "unframed-end" })));
+        for (const name of ["pages-1", "fees-1"]) {
+            const { status, headers } = await mesh.send(name, "GET", "/pages/1", `unframed-${name}`);
+            assert.equal(status, 200);
+            assert.equal(headers["content-length"] ?? headers["transfer-encoding"], undefined);
+            assert.equal(headers["connection"], "close");
+        }
+    });
+});
+
 test("platform: a slow instance is passed by while another is quick", async () => {
     await withPlatform(async mesh => {
         await mesh.strikeInstance("pages-1", { pace: 400 });
