winglock why tells a request's story from logs; settings are read again at SIGHUP and every 5 s

Cause: SIGHUP ended the daemon, and the platform sends it when settings change. Its test failed first (the daemon was gone). A file that can't be used changes nothing and is logged.

--- /dev/null
+++ b/src/cli/readstory.ts
@@ -0,0 +1,21 @@
+/** Picks the lines of one request out of logs. */
+import { StoryLine } from "./storyline.js";
+
+const parseLine = (line: string): unknown => {
+    try {
+        return JSON.parse(line.slice(line.indexOf("{"))) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/** In the order of their times; what stands before the JSON of a line, such as a host's name, is passed over. */
+export function readStory(text: string, id: string): StoryLine[] {
+    return text.split("\n")
+        .filter(line => line.includes(id))
+        .map(line => StoryLine.safeParse(parseLine(line)).data)
+        .filter(line => line?.id === id)
+        .map(line => line!)
+        .sort((one, other) => one.time - other.time);
+}
--- /dev/null
+++ b/src/cli/whycommand.ts
@@ -0,0 +1,39 @@
+/** `winglock why`. */
+import { command, flag, positional, restPositionals, string } from "cmd-ts";
+import { readFileSync } from "node:fs";
+import { CliError } from "./clierror.js";
+import { exitCode } from "./exitcode.js";
+import { output } from "./output.js";
+import { readStory } from "./readstory.js";
+import { tellStory } from "./tellstory.js";
+
+const STANDARD_INPUT = 0;
+
+const read = (file: string | number): string => {
+    try {
+        return readFileSync(file, "utf8");
+    }
+    catch (err) {
+        throw new CliError(exitCode.invalid, `the log can't be read: ${(err as Error).message}`);
+    }
+};
+
+/** Asks no daemon: the logs of all hosts tell what became of a request. */
+export const whyCommand = command({
+    name: "why",
+    description: "Tells the story of one request from the daemons' logs, files or standard input."
+        + " Example: cat logs/* | winglock why 9c41d07be2a35f68",
+    args: {
+        id: positional({ type: string, displayName: "id", description: "The request's id." }),
+        files: restPositionals({ type: string, displayName: "file" }),
+        json: flag({ long: "json", description: "One line of JSON." }),
+    },
+    handler: ({ id, files, json }) => {
+        const sources: readonly (string | number)[] = files.length === 0 ? [STANDARD_INPUT] : files;
+        const lines = readStory(sources.map(read).join("\n"), id);
+        if (lines.length === 0) {
+            throw new CliError(exitCode.notFound, `no line of these logs has the id ${id}`);
+        }
+        output(json, lines, tellStory(lines));
+    },
+});
--- a/src/cli/winglock.ts
+++ b/src/cli/winglock.ts
@@ -15,6 +15,7 @@
 import { statusCommand } from "./statuscommand.js";
 import { UpstreamNoun } from "./upstreamnoun.js";
 import { watchCommand } from "./watchcommand.js";
+import { whyCommand } from "./whycommand.js";
 
 const app = subcommands({
     name: "winglock",
@@ -33,6 +34,7 @@
         watch: watchCommand,
         explain: explainCommand,
         resolve: resolveCommand,
+        why: whyCommand,
     },
 });
 
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from "../metrics/metrics.js";
 import { Daemon } from "./daemon.js";
 import { Settings } from "./settings.js";
+import { SettingsFile } from "./settingsfile.js";
 import type { Surroundings } from "./surroundings.js";
 
 const EXIT_FAILED = 1;
@@ -40,6 +41,11 @@
     STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
 };
 
+const reloadOnSignal = (settings: SettingsFile): void => {
+    process.on("SIGHUP", () => settings.reload());
+    settings.start();
+};
+
 /** Reads the settings, starts, and stops by plan at the first signal, at once at the second. */
 export async function serve(
     file: string,
@@ -49,6 +55,7 @@
     logSink.configure(settings.log.level, settings.log.linesPerSecond);
     const daemon = new Daemon(settings, surroundings);
     stopOnSignal(daemon);
+    reloadOnSignal(new SettingsFile(file, settings));
     try {
         await daemon.start();
     }
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -124,6 +124,24 @@
     });
 });
 
+test("platform: changed settings are read at a signal, bad ones change nothing, and no request is lost", async () => {
+    await withPlatform(async mesh => {
+        const daemon = mesh.daemons.get("pages-1")!;
+        mesh.changeSettings("pages-1", { log: { level: "info", linesPerSecond: 400 }, seeds: ["127.0.0.1:9"] });
+        daemon.signal("SIGHUP");
+        await eventually(
+            "it says so",
+            async () => mesh.log.some(line => line.includes("read again") && line.includes("\"inForce\":[\"log\"]")),
+            2000,
+        );
+        mesh.changeSettings("pages-1", { peer: "nowhere" });
+        daemon.signal("SIGHUP");
+        await eventually("it says so", async () => mesh.log.some(line => line.includes("those in force stay")), 2000);
+        assert.equal(daemon.running, true);
+        assert.equal(await serves(mesh, "/pages/1"), true);
+    });
+});
+
 test("platform: a slow instance is passed by while another is quick", async () => {
     await withPlatform(async mesh => {
         await mesh.strikeInstance("pages-1", { pace: 400 });
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -125,7 +125,12 @@
         rmSync(this.#folder, { recursive: true, force: true });
     }
 
-    #settings({ name, ip, service, hall }: Host): string {
+    /** Writes other settings for a host's daemon; it reads them when it is told to, or at its next start. */
+    changeSettings(name: string, more: object): void {
+        this.#settings(this.host(name), more);
+    }
+
+    #settings({ name, ip, service, hall }: Host, more: object = {}): string {
         const file = join(this.#folder, `${name}.json`);
         const settings = {
             host: name,
@@ -142,6 +147,7 @@
             control: { healthPerSecond: 0 },
             policy: { profile: "frugal", relief: false, limit: "learned", retryBurst: 5 },
             stop: { lingerMs: 300, limitMs: 2000 },
+            ...more,
         };
         writeFileSync(file, JSON.stringify(settings));
         return file;
