A daemon that has just started asks its upstream who it is, and publishes no record without one for 2 s

Cause: after all daemons were killed, requests failed for 4 s: each waited for its instance's next announcement, and its empty record took the instance from the others' rosters.

--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -203,14 +203,25 @@
     }
 
     #makeRoster(storeWatcher: StoreWatcher, send: (to: Address, message: Message) => boolean): RosterParts | undefined {
-        const { registry } = this.surroundings;
+        const { registry, vocabulary } = this.surroundings;
         if (registry === undefined) {
             return undefined;
         }
         const { self, settings, keeper, puller, peer } = this;
         const onChange = (): void => this.#followUpstreams();
         const parts = { self, incarnation: this.#incarnation, settings, keeper, puller, peer };
-        return new RosterParts({ ...parts, registry, storeWatcher, clock, random, send, onChange });
+        const measuring = this.#measuring;
+        return new RosterParts({
+            ...parts,
+            registry,
+            vocabulary,
+            measuring,
+            storeWatcher,
+            clock,
+            random,
+            send,
+            onChange,
+        });
     }
 
     #makeOperatorFace(): OperatorFace {
--- a/src/daemon/rosterparts.ts
+++ b/src/daemon/rosterparts.ts
@@ -4,6 +4,7 @@
 import type { Message } from "../control/message.js";
 import type { Puller } from "../control/puller.js";
 import type { StoreWatcher } from "../control/storewatcher.js";
+import type { Vocabulary } from "../hop/vocabulary.js";
 import type { Address } from "../ids/address.js";
 import type { Incarnation } from "../ids/incarnation.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
@@ -12,6 +13,7 @@
 import { Announced } from "../roster/announced.js";
 import type { Announcement } from "../roster/announcement.js";
 import { AnnouncementServer } from "../roster/announcementserver.js";
+import { Discovery } from "../roster/discovery.js";
 import { Gossip } from "../roster/gossip.js";
 import type { Member } from "../roster/member.js";
 import { Registrar } from "../roster/registrar.js";
@@ -20,9 +22,14 @@
 import { Roster } from "../roster/roster.js";
 import { upstreamsOf } from "../roster/upstreamsof.js";
 import type { Clock } from "../time/clock.js";
+import { sleep } from "../time/sleep.js";
+import type { Measuring } from "./measuring.js";
 import type { Settings } from "./settings.js";
 
 const SWEEP_EVERY_MS = 1000;
+/** For so long after a start the upstream is looked for, and no record without one is published. */
+const DISCOVER_FOR_MS = 2000;
+const DISCOVER_EVERY_MS = 200;
 
 /** What these parts need of the rest of the daemon. */
 type RosterNeeds = {
@@ -30,6 +37,8 @@
     readonly incarnation: Incarnation;
     readonly settings: Settings;
     readonly registry: Registry;
+    readonly vocabulary: Vocabulary;
+    readonly measuring: Measuring;
     readonly storeWatcher: StoreWatcher;
     readonly keeper: Keeper;
     readonly puller: Puller;
@@ -112,7 +121,7 @@
         if (announce !== undefined) {
             await this.#announcements.listen(announce);
         }
-        this.#registrar.start();
+        void this.#discover().then(() => this.#registrar.start());
         this.#watcher.start();
         this.needs.storeWatcher.set(true);
         this.gossip.start();
@@ -136,6 +145,25 @@
         this.#announcements.close();
     }
 
+    /** Resolves when an upstream is known, or none was found for a while. */
+    async #discover(): Promise<void> {
+        const { settings, vocabulary, measuring, clock } = this.needs;
+        const { upstream: address, callerService: service } = settings;
+        if (address === undefined || service === undefined) {
+            return;
+        }
+        const discovery = new Discovery({ address, service, vocabulary, path: () => measuring.healthPath(service) });
+        const until = clock() + DISCOVER_FOR_MS;
+        while (this.#announced.upstreams.length === 0 && !this.#going && clock() < until) {
+            const found = await discovery.find();
+            if (found !== undefined && this.#announced.upstreams.length === 0) {
+                this.#hear(found.name, found.announcement);
+                return;
+            }
+            await sleep(DISCOVER_EVERY_MS);
+        }
+    }
+
     #hear(name: UpstreamName, announcement: Announcement): void {
         if (this.#announced.hear(name, announcement, this.needs.clock())) {
             this.#changed();
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -70,6 +70,8 @@
     operator: Address,
     /** Where the upstreams beside this daemon announce themselves, when they do. */
     announce: Address.optional(),
+    /** Where the upstream beside this daemon serves: asked at a start, before it announces itself. */
+    upstream: Address.optional(),
     /** Where it is asked whether to send callers here, besides the operators' listener. */
     readiness: Address.optional(),
     /** The service on this host, in whose name requests that begin here go out. */
--- a/src/hop/ownvocabulary.ts
+++ b/src/hop/ownvocabulary.ts
@@ -45,6 +45,11 @@
         return readLoad(headers[headerName.load]);
     }
 
+    upstreamName(headers: HttpHeaders): string | undefined {
+        const name = headers[headerName.upstream];
+        return typeof name === "string" ? name : undefined;
+    }
+
     /** Whole seconds (RFC 9110, 10.2.3). */
     retryAfter(ms: number): string {
         return String(Math.max(1, Math.ceil(ms / MS_PER_SECOND)));
--- a/src/hop/vocabulary.ts
+++ b/src/hop/vocabulary.ts
@@ -31,6 +31,8 @@
     abstract isLeaving(headers: HttpHeaders): boolean;
     /** What the upstream says of its load; undefined when it says nothing that can be read. */
     abstract load(headers: HttpHeaders): UpstreamLoad | undefined;
+    /** The name that an upstream gives itself on its health endpoint; undefined when it gives none. */
+    abstract upstreamName(headers: HttpHeaders): string | undefined;
     /** The value of `retry-after`. */
     abstract retryAfter(ms: number): string;
 }
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -22,7 +22,7 @@
 /** What the caller was told; `left` means that it did not wait. */
 type Ending = "served" | "not-run" | "unknown" | "left";
 
-const RETRY_SOON_MS = 1000;
+const RETRY_SOON_MS = 250;
 const NO_UPSTREAM: AttemptResult = {
     outcome: "not-run",
     reason: "no-upstream",
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -24,7 +24,7 @@
 
 /** Calls between services may be nested so deep. */
 const MAX_DEPTH = 8;
-const RETRY_SOON_MS = 1000;
+const RETRY_SOON_MS = 250;
 
 /** Bounds on what callers send; sizes in bytes, times in milliseconds. */
 type IngressLimits = {
--- /dev/null
+++ b/src/roster/discovery.ts
@@ -0,0 +1,50 @@
+/**
+ * Finds the upstream beside a daemon that has just started.
+ *
+ * An upstream announces itself every second or two; a daemon that was restarted need not wait for that, since the
+ * upstream's health endpoint tells its name and slots at once.
+ */
+import { request } from "undici";
+import type { Vocabulary } from "../hop/vocabulary.js";
+import type { Address } from "../ids/address.js";
+import type { ServiceName } from "../ids/servicename.js";
+import { UpstreamName } from "../ids/upstreamname.js";
+import type { Announcement } from "./announcement.js";
+
+const TIMEOUT_MS = 250;
+const OK = 200;
+/** Older than anything that the upstream says itself. */
+const BEFORE_ALL = -1;
+
+/** Where the upstream is, what it serves, and where it tells its health. */
+type DiscoveryParts = {
+    readonly address: Address;
+    readonly service: ServiceName;
+    readonly vocabulary: Vocabulary;
+    readonly path: () => string;
+};
+
+/** An upstream that is not well, or is leaving, is not found. */
+export class Discovery {
+    constructor(private readonly parts: DiscoveryParts) {}
+
+    /** Asks once; undefined when no upstream answers that takes work. */
+    async find(): Promise<{ readonly name: UpstreamName; readonly announcement: Announcement; } | undefined> {
+        const { address, service, vocabulary, path } = this.parts;
+        try {
+            const signal = AbortSignal.timeout(TIMEOUT_MS);
+            const { statusCode, headers, body } = await request(`http://${address}${path()}`, { signal });
+            await body.dump();
+            const name = UpstreamName.safeParse(vocabulary.upstreamName(headers)).data;
+            const slots = vocabulary.load(headers)?.slots;
+            if (statusCode !== OK || name === undefined || slots === undefined || slots < 1) {
+                return undefined;
+            }
+            const announcement = { service, address, slots, state: "ready", coldMs: 0, sequence: BEFORE_ALL } as const;
+            return { name, announcement };
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -142,6 +142,19 @@
     });
 });
 
+test("platform: a daemon that is started anew finds its instance before that announces itself", async () => {
+    await withPlatform(async mesh => {
+        await Promise.all(["pages-1", "pages-2"].map(name => mesh.strikeInstance(name, { silent: true })));
+        await Promise.all(["pages-1", "pages-2"].map(name => mesh.daemons.get(name)!.end("SIGKILL")));
+        await Promise.all(["pages-1", "pages-2"].map(name => mesh.startDaemon(name).ready()));
+        await eventually("it serves", () => serves(mesh, "/pages/1"), 1500);
+        await mesh.strikeInstance("pages-1", { silent: false, state: "left" });
+        await pause(100);
+        const told = await mesh.send("pages-1", "GET", "/pages/1", "after-leave");
+        assert.equal(told.headers["server-signature"], "of-i-pages-2");
+    });
+});
+
 test("platform: a slow instance is passed by while another is quick", async () => {
     await withPlatform(async mesh => {
         await mesh.strikeInstance("pages-1", { pace: 400 });
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -139,6 +139,7 @@
             ingress: `${ip}:7104`,
             peer: `${ip}:7100`,
             operator: `${ip}:7105`,
+            upstream: `${ip}:7200`,
             announce: `${ip}:7106`,
             readiness: `${ip}:7102`,
             callerService: service,
