--- a/src/control/puller.ts
+++ b/src/control/puller.ts
@@ -5,10 +5,13 @@
 import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { PeerClient } from "../peer/peerclient.js";
+import { sleep } from "../time/sleep.js";
 import type { Keeper } from "./keeper.js";
 
 const logger = log("config");
 
+const SOON_MS = 250;
+
 /** One pull at a time; what is asked for meanwhile shares it. */
 export class Puller {
     #pulling: Promise<void> | undefined;
@@ -28,6 +31,13 @@
         await this.#pulling;
     }
 
+    /** The same, but a request waits for it: resolves after a quarter of a second at the latest. */
+    async pullSoon(revision: number, from: Address | undefined): Promise<void> {
+        if (revision > this.keeper.revision && from !== undefined) {
+            await Promise.race([this.pull(revision, from), sleep(SOON_MS)]);
+        }
+    }
+
     async #ask(from: Address): Promise<void> {
         try {
             const update = await this.peer.update(from, this.keeper.revision);
--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -43,7 +43,6 @@
 import type { Surroundings } from "./surroundings.js";
 
 const INCARNATION_BYTES = 9;
-const CATCH_UP_MS = 250;
 const RETRY_PAUSE_MS = 100;
 const random = (): number => Math.random();
 
@@ -151,7 +150,7 @@
             identity: this.#identity,
             service: this.#makePeerFace(),
             gate: name => this.gates.find(name),
-            catchUp: (revision, from) => this.#catchUp(revision, from),
+            catchUp: (revision, from) => this.puller.pullSoon(revision, from as Address | undefined),
             find: (method, host, path) => rulings.find(method, host, path),
             isStale: (head, ruling) => rulings.isStale(head, ruling),
             heardFrom: sender => this.sharing.reporter.heardFrom(sender as Address),
@@ -173,7 +172,7 @@
             newId: () => `${this.#incarnation}.${this.#requests++}`,
             revision: () => this.keeper.revision,
             from: self,
-            catchUp: (revision, from) => this.#catchUp(revision, from),
+            catchUp: (revision, from) => this.puller.pullSoon(revision, from as Address | undefined),
             replan: (out, plan) => rulings.replan(out, plan),
         });
         this.operator = new OperatorServer(this.#makeOperatorFace(), this.metrics, () => this.keeper.revision > 0);
@@ -208,20 +207,10 @@
             return undefined;
         }
         const { self, settings, keeper, puller, peer } = this;
+        const own = { incarnation: this.#incarnation, measuring: this.#measuring };
+        const shared = { self, settings, keeper, puller, peer, ...own };
         const onChange = (): void => this.#followUpstreams();
-        const parts = { self, incarnation: this.#incarnation, settings, keeper, puller, peer };
-        const measuring = this.#measuring;
-        return new RosterParts({
-            ...parts,
-            registry,
-            vocabulary,
-            measuring,
-            storeWatcher,
-            clock,
-            random,
-            send,
-            onChange,
-        });
+        return new RosterParts({ ...shared, registry, vocabulary, storeWatcher, clock, random, send, onChange });
     }
 
     #makeOperatorFace(): OperatorFace {
@@ -235,12 +224,6 @@
         });
     }
 
-    async #catchUp(revision: number, from: string | undefined): Promise<void> {
-        if (revision > this.keeper.revision && from !== undefined) {
-            await Promise.race([this.puller.pull(revision, from as Address), sleep(CATCH_UP_MS)]);
-        }
-    }
-
     /** The upstreams of the document, and those that have announced themselves. */
     get #upstreams(): readonly Upstream[] {
         return [...this.keeper.document.upstreams, ...this.roster?.upstreams ?? []];
