--- /dev/null
+++ b/test/boundary.test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { test } from "node:test";
+
+const ROOT = new URL("../../", import.meta.url).pathname;
+const PLATFORM_NAMES =
+    /attempt-id|deadline-ms|server-signature|server-load|not-executed|caller-service|expected-instance|instance-id|kv-(?:key|range|watch|txn|lease|keep)|op\/config|virtualHosts|WINGLOCK_BOOT/i;
+const TIMERS = /setTimeout|setInterval|\bsleep\(|Math\.random|performance\.now|Date\.now/;
+
+const sources = (folder: string): string[] =>
+    readdirSync(ROOT + folder, { recursive: true, encoding: "utf8" })
+        .filter(file => file.endsWith(".ts") && !file.endsWith(".test.ts"))
+        .map(file => `${folder}/${file}`);
+
+const matching = (folder: string, pattern: RegExp): string[] =>
+    sources(folder).filter(file => pattern.test(readFileSync(ROOT + file, "utf8")));
+
+test("boundary: the product knows none of the platform's names and imports nothing of it", () => {
+    assert.ok(sources("src").length > 100);
+    assert.deepEqual(matching("src", PLATFORM_NAMES), []);
+    assert.deepEqual(matching("src", /from "[^"]*\/platform\//), []);
+});
+
+test("boundary: the platform's folder keeps no time, draws nothing and so decides nothing by them", () => {
+    assert.ok(sources("platform").length > 5);
+    assert.deepEqual(matching("platform", TIMERS), []);
+});
