--- a/test/crash.test.ts
+++ b/test/crash.test.ts
@@ -22,7 +22,7 @@
                     mesh.startStore().ready(),
                 ]);
             }
-        }, { seconds: 6, ingresses: () => mesh.hosts.filter(host => host !== gate).map(host => host.ingress) });
+        }, { seconds: 9, ingresses: () => mesh.hosts.filter(host => host !== gate).map(host => host.ingress) });
         assert.equal(counts.cut, 0, "no caller of a living daemon is cut off");
         const late = told.filter(item => item.at > Math.max(...told.map(other => other.at)) - 500);
         assert.ok(late.every(item => item.word === "answered"), "all is well again at the end");
