--- a/src/gate/gatelog.ts
+++ b/src/gate/gatelog.ts
@@ -33,9 +33,7 @@
     }
 
     #idOf(ticket: Ticket): string {
-        const { requestId, callersGiveIds } = this.vocabulary;
-        const given = callersGiveIds ? ticket.call.headers[requestId] : undefined;
-        return typeof given === "string" ? given : ticket.call.head.id;
+        return this.vocabulary.idOf(ticket.call.headers, ticket.call.head.id);
     }
 
     #state({ running, waiting, limit, serviceMs, pace }: LoadReport): object {
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -44,7 +44,8 @@
 
     constructor(private readonly ticket: Ticket, private readonly parts: RunParts) {
         this.#startedAt = parts.clock();
-        this.#requestId = this.#idOf();
+        const { headers, head } = ticket.call;
+        this.#requestId = parts.vocabulary.idOf(headers, head.id);
         this.#context = parts.contexts.open(this.#requestId, ticket.deadline, ticket.call.head.depth);
         this.#overtime = setTimeout(() => this.#cancel.abort(), ticket.deadline - this.#startedAt + OVERTIME_MS);
     }
@@ -112,13 +113,6 @@
         };
     }
 
-    #idOf(): string {
-        const { callersGiveIds, requestId } = this.parts.vocabulary;
-        const { call } = this.ticket;
-        const given = callersGiveIds ? call.headers[requestId] : undefined;
-        return typeof given === "string" ? given : call.head.id;
-    }
-
     #end(served: boolean): void {
         if (!this.#open) {
             return;
--- a/src/hop/vocabulary.ts
+++ b/src/hop/vocabulary.ts
@@ -21,6 +21,12 @@
     /** To callers: `not-run` or `unknown`. */
     abstract readonly outcome: string;
 
+    /** The id by which callers and upstreams know a request: the caller's own where callers give one, else `own`. */
+    idOf(headers: HttpHeaders, own: string): string {
+        const given = this.callersGiveIds ? headers[this.requestId] : undefined;
+        return typeof given === "string" ? given : own;
+    }
+
     /** Why the upstream has certainly not run the request, undefined when it may have. */
     abstract notRun(status: number, headers: HttpHeaders): "shed" | "leaving" | "misdirected" | undefined;
     /** True when the answer is the upstream's own to the request with this id. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -155,9 +155,7 @@
     }
 
     #idOf(req: IncomingMessage): string {
-        const { vocabulary, newId } = this.parts;
-        const given = vocabulary.callersGiveIds ? req.headers[vocabulary.requestId] : undefined;
-        return typeof given === "string" ? given : newId();
+        return this.parts.vocabulary.idOf(req.headers, this.parts.newId());
     }
 
     #plan(req: IncomingMessage, res: ServerResponse, path: string, now: number): Plan | undefined {
