Only the hop next to a slow upstream hedges: a hedge at each hop multiplied a chain

Cause: with a chain of six, one slow hop makes each hop above it overdue, and each sent its own hedge: in the log of a failed run 19 hedges for 83 requests, at levels 2 to 5. Ruled out: retries (retriedBelow was honoured throughout, 446 failures passed on), false silence (no suspicion in the log), redirects (5, all free). A failed test keeps the daemons' log lines, which showed it.

--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -14,6 +14,7 @@
 import { takeRunNumber } from "./runnumber.js";
 
 const script = (path: string): string => new URL(`../${path}`, import.meta.url).pathname;
+const KEPT_LOG_LINES = 100_000;
 const PEER_KEY = "demo-key-of-no-secrecy";
 
 /** `settings` is laid over every daemon's; `direct` and `directPeers` leave the proxy out. */
@@ -31,6 +32,8 @@
 /** Starts, faults and stops its processes, and only those. */
 export class Mesh {
     readonly record = new RunRecord();
+    /** The daemons' newest log lines. */
+    readonly log: string[] = [];
     readonly daemons = new Map<string, Child>();
     readonly upstreams = new Map<string, Child>();
     readonly hosts: readonly HostPlan[];
@@ -112,13 +115,20 @@
     startDaemon(host: HostPlan): Child {
         const file = join(this.#folder, `${host.name}.json`);
         writeFileSync(file, JSON.stringify(this.#settings(host)));
-        const child = new Child(script("bin/winglockd.mjs"), ["--settings", file], () => {}, {
+        const child = new Child(script("bin/winglockd.mjs"), ["--settings", file], line => this.#keep(line), {
             nodeFlags: this.options.daemonFlags,
         });
         this.daemons.set(host.name, child);
         return child;
     }
 
+    #keep(line: string): void {
+        this.log.push(line);
+        if (this.log.length > KEPT_LOG_LINES) {
+            this.log.splice(0, KEPT_LOG_LINES / 2);
+        }
+    }
+
     /** Lays the faults on the proxy, in place of those before. */
     async setFaults(faults: readonly object[]): Promise<void> {
         await control(this.proxyControl, faults);
--- a/src/gate/contexts.ts
+++ b/src/gate/contexts.ts
@@ -3,12 +3,13 @@
 
 const TOKEN_BYTES = 12;
 
-/** `deadline` is on the daemon's clock; `retriedBelow` is set when a call made for the request has failed. */
+/** `deadline` is on the daemon's clock; `calls` is set by the first call made for it, `retriedBelow` when one has failed. */
 type Context = {
     readonly token: string;
     readonly requestId: string;
     readonly deadline: number;
     readonly depth: number;
+    calls: boolean;
     retriedBelow: boolean;
 };
 
@@ -20,7 +21,7 @@
     /** `requestId` is the id by which the upstream knows the request. */
     open(requestId: string, deadline: number, depth: number): Context {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
-        const context = { token, requestId, deadline, depth, retriedBelow: false };
+        const context = { token, requestId, deadline, depth, calls: false, retriedBelow: false };
         this.#open.set(token, context);
         this.#byRequest.set(requestId, context);
         return context;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -218,13 +218,13 @@
         const run = new UpstreamRun(ticket, { ...this.parts, client: this.#client, ended });
         this.#runs.add(run);
         try {
-            const { leaving, retriedBelow, unframed, ...answer } = await run.send();
+            const { leaving, calls, retriedBelow, unframed, ...answer } = await run.send();
             if (leaving) {
                 this.leave(UPSTREAM_REASON);
             }
             const tookMs = clock() - ticket.arrivedAt;
             this.#log.answered(ticket, answer.status, startedAt - ticket.arrivedAt, tookMs, this.report());
-            return { ...answer, note: this.note({ tookMs, retriedBelow, unframed }) };
+            return { ...answer, note: this.note({ tookMs, calls, retriedBelow, unframed }) };
         }
         catch (err) {
             throw this.#turn(err);
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -29,6 +29,7 @@
 /** An answer without its note, and what the note must say. */
 type RunAnswer = Omit<GateAnswer, "note"> & {
     readonly leaving: boolean;
+    readonly calls: boolean;
     readonly retriedBelow: boolean;
     readonly unframed: boolean;
 };
@@ -74,6 +75,7 @@
                 headers: cleanHeaders(answer.headers),
                 body: streamed ? answer.body : this.#watch(answer.body),
                 leaving: parts.vocabulary.isLeaving(answer.headers),
+                calls: this.#context.calls,
                 retriedBelow: this.#context.retriedBelow,
                 unframed: !isFramed(answer.headers),
             };
--- a/src/hop/answernote.ts
+++ b/src/hop/answernote.ts
@@ -21,6 +21,8 @@
     offer: z.string().max(64).optional(),
     /** The upstream's answer has no length: it ends with its connection, and must go on so. */
     unframed: z.boolean().optional(),
+    /** The upstream made calls of its own for this request. */
+    calls: z.boolean().optional(),
     /** A call that the upstream made for this request failed and was retried there. */
     retriedBelow: z.boolean().optional(),
 });
--- a/src/hop/notefields.ts
+++ b/src/hop/notefields.ts
@@ -15,4 +15,5 @@
     "offer",
     "retriedBelow",
     "unframed",
+    "calls",
 ];
--- a/src/hop/writenote.ts
+++ b/src/hop/writenote.ts
@@ -23,6 +23,7 @@
         tookMs: optional(tookMs),
         retryAfterMs: optional(retryAfterMs),
         retriedBelow: note.retriedBelow === true ? true : undefined,
+        calls: note.calls === true ? true : undefined,
         unframed: note.unframed === true ? true : undefined,
         report: report === undefined ? undefined : writeReport(report),
     };
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -128,7 +128,7 @@
         if (answer.status >= FAILED_STATUS) {
             return this.#failed(answer);
         }
-        ingress.retries(plan.service.name).hedging.observe(now - sentAt);
+        ingress.retries(plan.service.name).hedging.observe(now - sentAt, answer.note?.calls === true);
         if (!this.parts.claim()) {
             answer.body.destroy();
             return { outcome: "unknown", reason: "overtaken", redirected: false, retriedBelow: false };
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -175,6 +175,9 @@
         }
         const { vocabulary } = this.parts;
         const parent = this.#parentOf(req);
+        if (parent !== undefined) {
+            parent.calls = true;
+        }
         const depth = parent === undefined ? 0 : parent.depth + 1;
         if (depth > MAX_DEPTH) {
             this.#refuse(res, "too-deep", `depth ${depth}`);
--- a/test/withmesh.ts
+++ b/test/withmesh.ts
@@ -1,5 +1,6 @@
 /** Runs a test body against a mesh of real processes. */
 import { Mesh } from "../demo/mesh.js";
+import { keepLog } from "./keeplog.js";
 import { smallMesh } from "./smallmesh.js";
 
 /** Starts the small mesh, runs the body, and stops every process whatever came of it. */
@@ -12,6 +13,10 @@
     try {
         await body(mesh);
     }
+    catch (err) {
+        keepLog(mesh.log);
+        throw err;
+    }
     finally {
         await mesh.stop();
     }
--- a/test/withplatform.ts
+++ b/test/withplatform.ts
@@ -1,5 +1,6 @@
 /** Runs a test body against daemons as on the users' platform. */
 import { eventually } from "./eventually.js";
+import { keepLog } from "./keeplog.js";
 import { PlatformMesh } from "./platformmesh.js";
 
 /** Waits until each daemon serves both services, runs the body, and stops every process whatever came of it. */
@@ -17,6 +18,10 @@
         }
         await body(mesh);
     }
+    catch (err) {
+        keepLog(mesh.log);
+        throw err;
+    }
     finally {
         await mesh.stop();
     }
