--- a/src/gate/pacewatch.ts
+++ b/src/gate/pacewatch.ts
@@ -18,7 +18,7 @@
 /** Questions at the same time share one. */
 export class PaceWatch {
     readonly #pace = new Pace(BELIEVE_MS);
-    #asking: Promise<void> | undefined;
+    #asking: Promise<boolean> | undefined;
 
     constructor(private readonly parts: PaceWatchParts) {}
 
@@ -34,19 +34,27 @@
     /** True when the upstream is slow at this moment, by a word that is fresh. */
     async isSlow(): Promise<boolean> {
         const { clock, mayAsk } = this.parts;
-        if (this.#pace.isStale(clock()) && (this.#asking !== undefined || mayAsk())) {
-            this.#asking ??= this.#ask();
-            await this.#asking;
+        const now = clock();
+        if (!this.#pace.isStale(now)) {
+            return this.#pace.isSlow(now);
         }
-        return this.#pace.isSlow(clock());
+        if (this.#asking === undefined && !mayAsk()) {
+            return false;
+        }
+        this.#asking ??= this.#ask();
+        return await this.#asking;
     }
 
-    async #ask(): Promise<void> {
+    /** Resolves with whether the answer says slow; by the time it was heard, so that a stall here ages no answer. */
+    async #ask(): Promise<boolean> {
+        const askedAt = this.parts.clock();
         try {
             await this.parts.ask();
+            return this.#pace.isSlowSince(askedAt);
         }
         catch (err) {
             logger.trouble("The upstream said nothing of its pace.", err);
+            return false;
         }
         finally {
             this.#asking = undefined;
--- a/src/policy/pace.ts
+++ b/src/policy/pace.ts
@@ -29,6 +29,11 @@
         return this.#known && now - this.#at > this.believeMs;
     }
 
+    /** True when the upstream is slow by a word not older than `at`. */
+    isSlowSince(at: number): boolean {
+        return this.#at >= at && this.#pace >= SLOW;
+    }
+
     /** True when the upstream is slow by a word that is still believed. */
     isSlow(now: number): boolean {
         return this.#known && !this.isStale(now) && this.#pace >= SLOW;
