A stopping daemon reads what has reached it before it closes its listener

Cause (stop, one caller cut beside load; seen again with its log: no request was lost inside, the caller's connection was): the end of the linger is a timer, and timers run before sockets are read. After a stall of the process the listener closed with connections in its queue, which the kernel resets, and with unread requests on connections that looked idle. Ruled out: tries lost between daemons (none in the log).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -65,14 +65,13 @@
         this.parts.ingress.wind();
         this.parts.peerServer.wind();
         await sleep(lingerMs, hurry);
-        const ingressClosed = this.parts.ingress.close();
+        await this.parts.ingress.close();
         const left = await waitIdle(() => this.#inFlight(), limitMs, hurry);
         if (left > 0) {
             logger.trouble("Requests were cut off by the stop.", "the time for a stop is up", { left });
             console.error(`winglock:daemon ${left} requests were cut off by the stop.`);
         }
         this.parts.ingress.destroy();
-        await ingressClosed;
         await this.#closePeers(hurry);
         this.#endControl();
     }
--- /dev/null
+++ b/src/ingress/closeserver.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test } from "node:test";
+import { closeServer } from "./closeserver.js";
+
+const REQUEST = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+
+const textOf = async (socket: Socket): Promise<string> => {
+    let text = "";
+    socket.on("data", chunk => text += chunk);
+    await once(socket, "close").catch(err => text += String(err));
+    return text;
+};
+
+/** A server that answers at once, and a connection to it on which one answer has been read. */
+const served = async () => {
+    const server = createServer((_req, res) => res.end("ok")).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    socket.write(REQUEST);
+    await once(socket, "data");
+    return { server, port, socket };
+};
+
+test("close: a request that lies unread on an idle connection is served", async () => {
+    const { server, socket } = await served();
+    const text = textOf(socket);
+    socket.write(REQUEST);
+    await closeServer(server);
+    server.closeAllConnections();
+    assert.match(await text, /200 OK/);
+});
+
+test("close: a connection that waits to be accepted is served", async () => {
+    const { server, port, socket } = await served();
+    const late = connect(port, "127.0.0.1");
+    late.write(REQUEST);
+    const text = textOf(late);
+    await closeServer(server);
+    server.closeAllConnections();
+    assert.match(await text, /200 OK/);
+    socket.destroy();
+});
+
+test("close: no connection is taken afterwards", async () => {
+    const { server, port } = await served();
+    await closeServer(server);
+    const late = connect(port, "127.0.0.1");
+    const [err] = await once(late, "error") as [NodeJS.ErrnoException];
+    assert.equal(err.code, "ECONNREFUSED");
+});
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -10,6 +10,7 @@
 import { log } from "../log/log.js";
 import { listen } from "../time/listen.js";
 import { BodyError } from "./bodyerror.js";
+import { closeServer } from "./closeserver.js";
 import { Exchange } from "./exchange.js";
 import { headBytes } from "./headbytes.js";
 import type { IngressParts } from "./ingressparts.js";
@@ -85,12 +86,9 @@
         this.#stopping = true;
     }
 
-    /** Takes no more connections, ends idle ones, and resolves when the rest have ended. */
+    /** Takes no more connections, ends idle ones, and resolves when no new request can come. */
     close(): Promise<void> {
-        return new Promise(resolve => {
-            this.#server.close(() => resolve());
-            this.#server.closeIdleConnections();
-        });
+        return closeServer(this.#server);
     }
 
     /** Cuts what is left. */
