The gate of a stopping daemon serves through the linger

Now it leaves after the linger, tells the peers, waits for what runs (which may call others through this ingress), and only then closes the ingress. Test: 'the instance beside a stopping daemon serves on until callers are elsewhere', red before, green after; stop, crash, session and platform tests green (21).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,8 @@
 
 /** How long peers may still ask what became of requests that they sent. */
 const PEER_GRACE_MS = 500;
+/** Until the peers have heard that the gates here take no more work. */
+const SPREAD_MS = 100;
 
 /** `start` and `stop` are called once each. */
 export class Daemon {
@@ -58,15 +60,14 @@
         const { lingerMs, limitMs } = this.parts.settings.stop;
         logger.belief("The daemon stops.", { host: this.parts.settings.host, inFlight: this.#inFlight() });
         this.parts.operator.unready();
-        this.parts.sharing.stop();
-        void this.parts.roster?.go();
-        this.parts.gates.setLeaving("stopping", true);
-        this.#tellLeaving();
         this.parts.ingress.wind();
-        this.parts.peerServer.wind();
         await sleep(lingerMs, hurry);
+        const endAt = processClock() + limitMs;
+        this.#leave();
+        await sleep(SPREAD_MS, hurry);
+        await waitIdle(() => this.parts.gates.busy(), endAt - processClock(), hurry);
         await this.parts.ingress.close();
-        const left = await waitIdle(() => this.#inFlight(), limitMs, hurry);
+        const left = await waitIdle(() => this.#inFlight(), endAt - processClock(), hurry);
         if (left > 0) {
             logger.trouble("Requests were cut off by the stop.", "the time for a stop is up", { left });
             console.error(`winglock:daemon ${left} requests were cut off by the stop.`);
@@ -76,6 +77,18 @@
         this.#endControl();
     }
 
+    /**
+     * Takes no more work for the upstreams here, and says so. While callers are still on their way elsewhere the gates
+     * serve on: the upstreams are well. What runs there may call others through this ingress until it has ended.
+     */
+    #leave(): void {
+        this.parts.sharing.stop();
+        void this.parts.roster?.go();
+        this.parts.gates.setLeaving("stopping", true);
+        this.#tellLeaving();
+        this.parts.peerServer.wind();
+    }
+
     /** While it lasts, a peer that sent into a closing connection can still ask what became of the request. */
     async #closePeers(hurry: AbortSignal): Promise<void> {
         this.parts.peerServer.closeIdle();
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -4,6 +4,7 @@
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
 import type { PlatformMesh } from "./platformmesh.js";
+import type { PlatformTold } from "./platformtold.js";
 import { withPlatform } from "./withplatform.js";
 
 const added = { name: "added", host: "site.example", pathPrefix: "/added/", kind: "repeatable", service: "pages" };
@@ -17,6 +18,8 @@
     return told.every(item => item.status === 200);
 };
 
+const isFromFirst = (told: PlatformTold): boolean => told.headers["server-signature"] === "of-i-pages-1";
+
 test("platform: a request keeps its id and path, and carries the service of its host", async () => {
     await withPlatform(async mesh => {
         const told = await mesh.send("fees-1", "GET", "/pages/a?b=c", "id-1");
@@ -166,3 +169,20 @@
         assert.deepEqual(told.map(item => item.headers["server-signature"]), Array(3).fill("of-i-pages-2"));
     });
 });
+
+test("platform: the instance beside a stopping daemon serves on until callers are elsewhere", async () => {
+    await withPlatform(async mesh => {
+        await mesh.strikeInstance("pages-2", { state: "left" });
+        const sendAll = (prefix: string): Promise<PlatformTold[]> =>
+            Promise.all(
+                Array.from({ length: 5 }, (_, at) => mesh.send("fees-1", "GET", "/pages/1", `${prefix}-${at}`)),
+            );
+        await eventually("the other instance is gone", async () => (await sendAll("gone")).every(isFromFirst));
+        const ended = mesh.daemons.get("pages-1")!.end("SIGTERM");
+        await pause(500);
+        const told = await sendAll("late");
+        assert.deepEqual(told.map(item => item.status), Array(5).fill(200));
+        assert.equal(await mesh.isReady("pages-1"), false);
+        assert.equal(await ended, 0);
+    });
+});
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -147,7 +147,7 @@
             peerKey: "a-key-for-tests-only",
             control: { healthPerSecond: 0 },
             policy: { profile: "frugal", relief: false, limit: "learned", retryBurst: 5 },
-            stop: { lingerMs: 300, limitMs: 2000 },
+            stop: { lingerMs: 1000, limitMs: 2000 },
             ...more,
         };
         writeFileSync(file, JSON.stringify(settings));
