A gate that does not know the upstream is left alone for 100 ms

Ruled out: the store (read at once), the configuration (in force 10 ms after the start). attempt.test.ts: red before (the gate was asked again at once), green after.

--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -166,6 +166,9 @@
         if (reason === "leaving") {
             neighbour.leaves(now);
         }
+        if (reason === "no-such-upstream") {
+            neighbour.isAbsent(now);
+        }
         if (outcome === "broken") {
             return await this.#settle();
         }
--- a/src/ingress/neighbour.ts
+++ b/src/ingress/neighbour.ts
@@ -15,6 +15,8 @@
 const PENALTY_DECAY = 0.7;
 /** How long a gate that said it is leaving is left alone before it is asked again. */
 const LEAVING_MS = 2000;
+/** How long an upstream that its gate does not know (yet) is left alone. */
+const ABSENT_MS = 100;
 /** How long a gate whose daemon stops is left alone: longer than its idle connections last. */
 const STOPPING_MS = 5000;
 
@@ -129,6 +131,11 @@
         this.#leavingUntil = Math.max(this.#leavingUntil, now + LEAVING_MS);
     }
 
+    /** Takes in that the gate knows no such upstream: it has just started, or the upstream has gone. */
+    isAbsent(now: number): void {
+        this.#leavingUntil = Math.max(this.#leavingUntil, now + ABSENT_MS);
+    }
+
     /** Takes in that the gate's daemon is about to stop. */
     stops(now: number): void {
         this.#leavingUntil = now + STOPPING_MS;
