Log lines are handed on in batches, and a reader that stands still keeps no daemon from ending

Cause: the last lines were written by a blocking call; with a pipe that nobody reads the process never ended (the new test: killed after 10 s before, ended by itself after). Ruled out: ending the pino destination with a time limit, since a thread that is stuck in a write is waited for at the exit.

--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -33,10 +33,7 @@
             return;
         }
         stopping = true;
-        void daemon.stop(hurry.signal).finally(() => {
-            logSink.flush();
-            process.exit(0);
-        });
+        void daemon.stop(hurry.signal).finally(() => logSink.end()).finally(() => process.exit(0));
     };
     STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
 };
--- a/src/log/logsink.ts
+++ b/src/log/logsink.ts
@@ -1,20 +1,19 @@
 /** Where all log lines of a process go: standard output, by pino, bounded and never waited for. */
 import { performance } from "node:perf_hooks";
-import { destination, type Logger, pino } from "pino";
+import { type Logger, pino } from "pino";
 import { LineBudget } from "./linebudget.js";
 import type { LineKind } from "./linekind.js";
 import type { LogLevel } from "./loglevel.js";
+import { Output } from "./output.js";
 import type { Part } from "./part.js";
 
-const STANDARD_OUTPUT = 1;
-/** A reader that is slower than this many bytes behind loses lines. */
-const MAX_WAITING_BYTES = 1024 * 1024;
 const DEFAULT_LINES_PER_SECOND = 500;
 const SAY_LEFT_OUT_EVERY_MS = 1000;
+const END_MS = 300;
 
 /** Made once for a process. */
 class LogSink {
-    readonly #output = destination({ dest: STANDARD_OUTPUT, sync: false, maxLength: MAX_WAITING_BYTES });
+    readonly #output = new Output(() => this.#budget.leaveOut("decision"));
     readonly #logger: Logger = pino(
         { base: null, messageKey: "message", formatters: { level: toLevel } },
         this.#output,
@@ -22,11 +21,6 @@
     #budget = new LineBudget(DEFAULT_LINES_PER_SECOND, performance.now());
     #saidAt = 0;
 
-    constructor() {
-        this.#output.on("drop", () => this.#budget.leaveOut("decision"));
-        this.#output.on("error", () => {});
-    }
-
     /** Sets what is written. */
     configure(level: LogLevel, linesPerSecond: number): void {
         this.#logger.level = level;
@@ -45,14 +39,9 @@
         this.#sayLeftOut(now);
     }
 
-    /** Writes what waits, at the end of a process. */
-    flush(): void {
-        try {
-            this.#output.flushSync();
-        }
-        catch {
-            // Whoever read has gone.
-        }
+    /** Writes what waits, at the end of a process; a reader that stands still is not waited for. */
+    end(): Promise<void> {
+        return this.#output.end(END_MS);
     }
 
     #sayLeftOut(now: number): void {
--- /dev/null
+++ b/test/logwriter.ts
@@ -0,0 +1,22 @@
+/** A process that logs far more than anyone reads; run by `logreader.test.ts`. */
+import { logSink } from "../src/log/logsink.js";
+
+const TICK_MS = 10;
+const LINES_A_TICK = 200;
+const RUN_MS = 1500;
+const LINES_PER_SECOND = 1_000_000;
+
+logSink.configure("info", LINES_PER_SECOND);
+const startedAt = performance.now();
+let lines = 0;
+const timer = setInterval(() => {
+    for (let line = 0; line < LINES_A_TICK; line++) {
+        logSink.write("info", "decision", "daemon", "A line.", { text: "x".repeat(200) });
+        lines += 1;
+    }
+    if (performance.now() - startedAt > RUN_MS) {
+        clearInterval(timer);
+        console.error(`wrote ${lines}`);
+        void logSink.end().finally(() => process.exit(0));
+    }
+}, TICK_MS);
