--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -55,7 +55,7 @@
         });
     }
 
-    /** Stops by plan: no new work, peers told, what runs is finished; after the time limit the rest is cut. */
+    /** Stops by plan: callers sent elsewhere, peers told, what runs is finished; after the time limit the rest is cut. */
     async stop(hurry: AbortSignal): Promise<void> {
         const { lingerMs, limitMs } = this.parts.settings.stop;
         logger.belief("The daemon stops.", { host: this.parts.settings.host, inFlight: this.#inFlight() });
