--- a/src/control/storewatcher.ts
+++ b/src/control/storewatcher.ts
@@ -1,6 +1,7 @@
 /** Watches the store while it is this daemon's turn. */
 import { log } from "../log/log.js";
 import type { Store } from "../store/store.js";
+import { Backoff } from "../time/backoff.js";
 import type { Clock } from "../time/clock.js";
 import { sleep } from "../time/sleep.js";
 import { decodeDocument } from "./decodedocument.js";
@@ -8,9 +9,6 @@
 
 const logger = log("config");
 
-const FIRST_PAUSE_MS = 250;
-const LONGEST_PAUSE_MS = 2000;
-
 /** A loop of waiting watches; each answer confirms the revision. */
 export class StoreWatcher {
     #stop: AbortController | undefined;
@@ -42,18 +40,17 @@
 
     async #run(signal: AbortSignal): Promise<void> {
         logger.belief("This daemon watches the store.");
-        let pauseMs = FIRST_PAUSE_MS;
+        const backoff = new Backoff();
         while (!signal.aborted) {
             this.#current = new AbortController();
             try {
                 await this.#watchOnce(AbortSignal.any([signal, this.#current.signal]));
-                pauseMs = FIRST_PAUSE_MS;
+                backoff.reset();
             }
             catch (err) {
                 if (!signal.aborted) {
                     logger.trouble("The watch of the configuration failed.", err, { revision: this.keeper.revision });
-                    await sleep(pauseMs, signal);
-                    pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+                    await sleep(backoff.next(), signal);
                 }
             }
         }
--- a/src/roster/registrar.ts
+++ b/src/roster/registrar.ts
@@ -1,6 +1,7 @@
 /** Keeps this daemon's record in the registry. */
 import { log } from "../log/log.js";
 import { StoreError } from "../store/storeerror.js";
+import { Backoff } from "../time/backoff.js";
 import { sleep } from "../time/sleep.js";
 import type { Member } from "./member.js";
 import type { Registry } from "./registry.js";
@@ -8,8 +9,6 @@
 const logger = log("roster");
 
 const RENEW_EVERY_MS = 2000;
-const FIRST_PAUSE_MS = 250;
-const LONGEST_PAUSE_MS = 2000;
 
 /** What the registrar needs; `onTrouble` hears that the store has failed, `onSuccess` that it has answered. */
 type RegistrarParts = {
@@ -50,11 +49,11 @@
     }
 
     async #run(): Promise<void> {
-        let pauseMs = FIRST_PAUSE_MS;
+        const backoff = new Backoff();
         while (!this.#stopped.signal.aborted) {
             try {
                 await this.#step();
-                pauseMs = FIRST_PAUSE_MS;
+                backoff.reset();
                 this.parts.onSuccess();
                 await this.#pause(RENEW_EVERY_MS);
             }
@@ -64,8 +63,7 @@
                 }
                 logger.trouble("The record could not be kept.", err);
                 this.parts.onTrouble();
-                await sleep(pauseMs, this.#stopped.signal);
-                pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+                await sleep(backoff.next(), this.#stopped.signal);
             }
         }
     }
--- a/src/roster/registrywatcher.ts
+++ b/src/roster/registrywatcher.ts
@@ -2,6 +2,7 @@
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
 import { HistoryError } from "../store/historyerror.js";
+import { Backoff } from "../time/backoff.js";
 import type { Clock } from "../time/clock.js";
 import { sleep } from "../time/sleep.js";
 import type { Registry } from "./registry.js";
@@ -10,8 +11,6 @@
 
 const logger = log("roster");
 
-const FIRST_PAUSE_MS = 250;
-const LONGEST_PAUSE_MS = 2000;
 /** Changes often come many at once, and each watch is a call that costs. */
 const GATHER_MS = 250;
 
@@ -47,12 +46,12 @@
     }
 
     async #run(): Promise<void> {
-        let pauseMs = FIRST_PAUSE_MS;
+        const backoff = new Backoff();
         while (!this.#stopped.signal.aborted) {
             this.#current = new AbortController();
             try {
                 await this.#step(this.#current.signal);
-                pauseMs = FIRST_PAUSE_MS;
+                backoff.reset();
                 await sleep(GATHER_MS, this.#stopped.signal);
             }
             catch (err) {
@@ -61,8 +60,7 @@
                     continue;
                 }
                 logger.trouble("The records could not be followed.", err);
-                await sleep(pauseMs, this.#stopped.signal);
-                pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+                await sleep(backoff.next(), this.#stopped.signal);
             }
         }
     }
