One connection to a store for winglock's own and the platform's

HttpStore and KvClient each had the pool, the counting of bytes, the error of a call without an answer and the statuses that prove a refusal. Time-outs, numbers of connections and header fields are as they were.

--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -1,9 +1,8 @@
 /** The platform's key-value service over HTTP; docs/DESIGN.md describes the calls. */
-import { Pool } from "undici";
 import { z } from "zod";
-import { isConnectError } from "../hop/connecterror.js";
 import type { Address } from "../ids/address.js";
 import { Store } from "./store.js";
+import { StoreConnection } from "./storeconnection.js";
 import type { Stored } from "./stored.js";
 import { StoredHost } from "./storedhost.js";
 import { StoreError } from "./storeerror.js";
@@ -11,6 +10,7 @@
 const KEY_PATH = "/v1/kv/winglock";
 const HOSTS_PATH = "/v1/hosts";
 const CALL_TIMEOUT_MS = 1500;
+const CONNECTIONS = 4;
 const WATCH_MS = 5000;
 const OK = 200;
 const NO_CONTENT = 204;
@@ -20,19 +20,15 @@
 const StoredValue = z.object({ value: z.string(), version: z.int().min(0) });
 const NOTHING: Stored = { value: "", version: 0 };
 
-type Reply = { readonly status: number; readonly text: string; };
+type Reply = Awaited<ReturnType<StoreConnection["send"]>>;
 
 /** `counted` hears of each call and its bytes. */
 export class HttpStore extends Store {
-    readonly #pool: Pool;
+    readonly #connection: StoreConnection;
 
-    constructor(address: Address, localIp: string, private readonly counted: (bytes: number) => void) {
+    constructor(address: Address, localIp: string, counted: (bytes: number) => void) {
         super();
-        this.#pool = new Pool(`http://${address}`, {
-            connections: 4,
-            localAddress: localIp,
-            connect: { timeout: 500 },
-        });
+        this.#connection = new StoreConnection({ address, localIp, connections: CONNECTIONS, counted });
     }
 
     async read(): Promise<Stored> {
@@ -64,7 +60,7 @@
     }
 
     close(): Promise<void> {
-        return this.#pool.destroy();
+        return this.#connection.close();
     }
 
     #parse<Schema extends z.ZodType>(reply: Reply, schema: Schema): z.infer<Schema> {
@@ -76,27 +72,18 @@
         return result.data;
     }
 
-    /** Only a refusal for rate (429) or outage (503) proves that the call was not taken in. */
     #expect(reply: Reply): void {
         if (reply.status !== OK) {
-            throw new StoreError(reply.status !== 429 && reply.status !== 503, `the store answered ${reply.status}`);
+            throw this.#connection.refused(reply.status);
         }
     }
 
-    async #call(
+    #call(
         method: "GET" | "PUT",
         path: string,
         body?: string,
         signal: AbortSignal = AbortSignal.timeout(CALL_TIMEOUT_MS),
     ): Promise<Reply> {
-        try {
-            const { statusCode, body: got } = await this.#pool.request({ method, path, body, signal });
-            const text = await got.text();
-            this.counted(text.length + (body?.length ?? 0));
-            return { status: statusCode, text };
-        }
-        catch (err) {
-            throw new StoreError(!isConnectError(err), "the store did not answer", { cause: err });
-        }
+        return this.#connection.send({ method, path, body, signal });
     }
 }
