--- a/src/hop/ownvocabulary.ts
+++ b/src/hop/ownvocabulary.ts
@@ -1,8 +1,6 @@
 /** Winglock's own names, for callers and upstreams that know winglock. */
 import { headerName } from "./headername.js";
 import type { HttpHeaders } from "./httpheaders.js";
-import { readLoad } from "./readload.js";
-import type { UpstreamLoad } from "./upstreamload.js";
 import { Vocabulary } from "./vocabulary.js";
 
 const SHED_STATUS = 503;
@@ -17,6 +15,8 @@
     readonly upstream = headerName.upstream;
     readonly callerService = headerName.caller;
     readonly context = headerName.context;
+    readonly upstreamLoad = headerName.load;
+    readonly ownName = headerName.upstream;
     readonly outcome = headerName.outcome;
 
     notRun(status: number, headers: HttpHeaders): "shed" | "leaving" | undefined {
@@ -41,15 +41,6 @@
         return headers[headerName.leaving] !== undefined;
     }
 
-    load(headers: HttpHeaders): UpstreamLoad | undefined {
-        return readLoad(headers[headerName.load]);
-    }
-
-    upstreamName(headers: HttpHeaders): string | undefined {
-        const name = headers[headerName.upstream];
-        return typeof name === "string" ? name : undefined;
-    }
-
     /** Whole seconds (RFC 9110, 10.2.3). */
     retryAfter(ms: number): string {
         return String(Math.max(1, Math.ceil(ms / MS_PER_SECOND)));
--- a/src/hop/vocabulary.ts
+++ b/src/hop/vocabulary.ts
@@ -1,5 +1,6 @@
 /** How callers and upstreams spell what concerns winglock: names of header fields, and how their values are read. */
 import type { HttpHeaders } from "./httpheaders.js";
+import { readLoad } from "./readload.js";
 import type { UpstreamLoad } from "./upstreamload.js";
 
 /** Names are in lower case; what an upstream says is proof only where a method here says so. */
@@ -18,6 +19,10 @@
     abstract readonly callerService: string;
     /** To upstreams, and back from them on their own calls: ties a call to its request. */
     abstract readonly context: string;
+    /** From upstreams: what they say of their load. */
+    abstract readonly upstreamLoad: string;
+    /** From upstreams, on their health endpoints: their own names. */
+    abstract readonly ownName: string;
     /** To callers: `not-run` or `unknown`. */
     abstract readonly outcome: string;
 
@@ -27,6 +32,17 @@
         return typeof given === "string" ? given : own;
     }
 
+    /** What the upstream says of its load; undefined when it says nothing that can be read. */
+    load(headers: HttpHeaders): UpstreamLoad | undefined {
+        return readLoad(headers[this.upstreamLoad]);
+    }
+
+    /** The name that an upstream gives itself; undefined when it gives none. */
+    upstreamName(headers: HttpHeaders): string | undefined {
+        const name = headers[this.ownName];
+        return typeof name === "string" ? name : undefined;
+    }
+
     /** Why the upstream has certainly not run the request, undefined when it may have. */
     abstract notRun(status: number, headers: HttpHeaders): "shed" | "leaving" | "misdirected" | undefined;
     /** True when the answer is the upstream's own to the request with this id. */
@@ -35,10 +51,6 @@
     abstract parentOf(headers: HttpHeaders): string | undefined;
     /** True when the upstream says that it is about to stop. */
     abstract isLeaving(headers: HttpHeaders): boolean;
-    /** What the upstream says of its load; undefined when it says nothing that can be read. */
-    abstract load(headers: HttpHeaders): UpstreamLoad | undefined;
-    /** The name that an upstream gives itself on its health endpoint; undefined when it gives none. */
-    abstract upstreamName(headers: HttpHeaders): string | undefined;
     /** The value of `retry-after`. */
     abstract retryAfter(ms: number): string;
 }
