--- a/test/withmesh.ts
+++ b/test/withmesh.ts
@@ -1,6 +1,6 @@
 /** Runs a test body against a mesh of real processes. */
 import { Mesh } from "../demo/mesh.js";
-import { keepLog } from "./keeplog.js";
+import { runWith } from "./runwith.js";
 import { smallMesh } from "./smallmesh.js";
 
 /** Starts the small mesh, runs the body, and stops every process whatever came of it. */
@@ -9,15 +9,5 @@
     options: Parameters<typeof Mesh.start>[1] = {},
     spec = smallMesh,
 ): Promise<void> {
-    const mesh = await Mesh.start(spec, options);
-    try {
-        await body(mesh);
-    }
-    catch (err) {
-        keepLog(mesh.log);
-        throw err;
-    }
-    finally {
-        await mesh.stop();
-    }
+    await runWith(await Mesh.start(spec, options), body);
 }
