--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -174,7 +174,7 @@
 
     /** The note of an answer, or of a refusal. */
     note(more: Partial<AnswerNote> = {}): AnswerNote {
-        return { ...this.parts.identity.note(this.parts.clock()), report: this.report(), ...more };
+        return { ...this.parts.identity.note(this.parts.clock()), report: more.report ?? this.report(), ...more };
     }
 
     #meanAgeMs(): number {
@@ -223,8 +223,9 @@
                 this.leave(UPSTREAM_REASON);
             }
             const tookMs = clock() - ticket.arrivedAt;
-            this.#log.answered(ticket, answer.status, startedAt - ticket.arrivedAt, tookMs, this.report());
-            return { ...answer, note: this.note({ tookMs, calls, retriedBelow, unframed }) };
+            const report = this.report();
+            this.#log.answered(ticket, answer.status, startedAt - ticket.arrivedAt, tookMs, report);
+            return { ...answer, note: this.note({ tookMs, calls, retriedBelow, unframed, report }) };
         }
         catch (err) {
             throw this.#turn(err);
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -227,8 +227,11 @@
 
     /** Tells the hop above that this one has retried already, so that a chain of calls does not multiply. */
     #noteFailure(req: IncomingMessage, outcome: string, status: number): void {
+        if (outcome === "served" && status < 500) {
+            return;
+        }
         const parent = this.#parentOf(req);
-        if (parent !== undefined && (outcome !== "served" || status >= 500)) {
+        if (parent !== undefined) {
             parent.retriedBelow = true;
         }
     }
