--- a/src/daemon/assembly.ts
+++ b/src/daemon/assembly.ts
@@ -143,6 +143,8 @@
             gates,
             this.metrics,
         );
+        const catchUp = (revision: number, from: string | undefined): Promise<void> =>
+            this.puller.pullSoon(revision, from as Address | undefined);
         const rulings = new Rulings(this.keeper, clock);
         this.peerServer = new PeerServer({
             key,
@@ -150,7 +152,7 @@
             identity: this.#identity,
             service: this.#makePeerFace(),
             gate: name => this.gates.find(name),
-            catchUp: (revision, from) => this.puller.pullSoon(revision, from as Address | undefined),
+            catchUp,
             find: (method, host, path) => rulings.find(method, host, path),
             isStale: (head, ruling) => rulings.isStale(head, ruling),
             heardFrom: sender => this.sharing.reporter.heardFrom(sender as Address),
@@ -172,7 +174,7 @@
             newId: () => `${this.#incarnation}.${this.#requests++}`,
             revision: () => this.keeper.revision,
             from: self,
-            catchUp: (revision, from) => this.puller.pullSoon(revision, from as Address | undefined),
+            catchUp,
             replan: (out, plan) => rulings.replan(out, plan),
         });
         this.operator = new OperatorServer(this.#makeOperatorFace(), this.metrics, () => this.keeper.revision > 0);
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -16,6 +16,7 @@
 import { selectFit } from "./selectfit.js";
 import { sendProblem } from "./sendproblem.js";
 import { TryRecord } from "./tryrecord.js";
+import { untriedFit } from "./untriedfit.js";
 
 const logger = log("ingress");
 
@@ -183,9 +184,8 @@
 
     /** Fit upstreams that have not been tried. */
     #untried(): Neighbour[] {
-        const now = this.parts.clock();
         const all = this.parts.neighbours.ofService(this.plan.service.name);
-        return all.filter(other => !this.#record.tried.has(other) && other.unfit(now) === undefined);
+        return untriedFit(all, this.#record.tried, this.parts.clock());
     }
 
     #claim(attempt: Attempt): boolean {
--- a/src/ingress/neighbour.ts
+++ b/src/ingress/neighbour.ts
@@ -128,17 +128,17 @@
 
     /** Takes in that the gate refused since it takes no new work. */
     leaves(now: number): void {
-        this.#leavingUntil = Math.max(this.#leavingUntil, now + LEAVING_MS);
+        this.#leaveAlone(now + LEAVING_MS);
     }
 
     /** Takes in that the gate knows no such upstream: it has just started, or the upstream has gone. */
     isAbsent(now: number): void {
-        this.#leavingUntil = Math.max(this.#leavingUntil, now + ABSENT_MS);
+        this.#leaveAlone(now + ABSENT_MS);
     }
 
     /** Takes in that the gate's daemon is about to stop. */
     stops(now: number): void {
-        this.#leavingUntil = now + STOPPING_MS;
+        this.#leaveAlone(now + STOPPING_MS);
     }
 
     /** Takes in that the gate can't be reached or has fallen silent; repeatable tries there may be given up. */
@@ -149,4 +149,8 @@
             this.#waiting.clear();
         }
     }
+
+    #leaveAlone(until: number): void {
+        this.#leavingUntil = Math.max(this.#leavingUntil, until);
+    }
 }
