Daemons start from a code cache, and their bundle leaves out what they never use

The first log line says whether the cache was used. trpc's calls go through undici's request, not its fetch.

--- /dev/null
+++ b/build/leaveout.js
@@ -0,0 +1,64 @@
+/**
+ * Parts of libraries that the daemons never use, but whose load costs a start dear: they bring in HTTP/2, TLS, child
+ * processes, workers and native add-ons. An esbuild plugin that puts the parts that are used in their place.
+ */
+
+/** What stands for a module, by the name it is asked for and the folder of whoever asks. */
+const REPLACED = [
+    {
+        name: /^undici$/,
+        code: `
+            const Dispatcher = require("./node_modules/undici/lib/dispatcher/dispatcher.js");
+            Object.assign(Dispatcher.prototype, require("./node_modules/undici/lib/api/index.js"));
+            exports.Agent = require("./node_modules/undici/lib/dispatcher/agent.js");
+            exports.Client = require("./node_modules/undici/lib/dispatcher/client.js");
+            exports.Pool = require("./node_modules/undici/lib/dispatcher/pool.js");
+            exports.buildConnector = require("./node_modules/undici/lib/core/connect.js");`,
+    },
+    {
+        name: /^prom-client$/,
+        code: `
+            exports.Registry = require("./node_modules/prom-client/lib/registry.js");
+            exports.Counter = require("./node_modules/prom-client/lib/counter.js");
+            exports.Gauge = require("./node_modules/prom-client/lib/gauge.js");
+            exports.Histogram = require("./node_modules/prom-client/lib/histogram.js");`,
+    },
+    {
+        name: /^(node:)?assert$/,
+        from: /undici/,
+        code: `
+            module.exports = (value, message) => {
+                if (!value) {
+                    throw message instanceof Error ? message : new Error(message ?? "assertion failed");
+                }
+            };`,
+    },
+    { name: /^(\.\/sonic-boom|sonic-boom|thread-stream)$/, from: /pino/, code: "module.exports = class {};" },
+    { name: /^worker_threads$/, from: /pino/, code: "exports.isMainThread = true;" },
+    { name: /^\.\/transport$/, from: /pino/, code: "module.exports = () => {};" },
+    { name: /^node:http2$/, from: /undici/, code: "exports.constants = {};" },
+    { name: /^msgpackr$/, code: "module.exports = require(\"./node_modules/msgpackr/index.js\");" },
+    { name: /locales\/index\.js$/, from: /zod/, code: "export {};" },
+];
+
+const NAMESPACE = "left-out";
+
+/** The plugin. */
+export const leaveOut = {
+    name: NAMESPACE,
+    setup(build) {
+        REPLACED.forEach(({ name, from = /./ }, index) => {
+            build.onResolve(
+                { filter: name },
+                ({ importer, namespace }) =>
+                    from.test(importer) && namespace !== NAMESPACE
+                        ? { path: String(index), namespace: NAMESPACE }
+                        : undefined,
+            );
+        });
+        build.onLoad({ filter: /./, namespace: NAMESPACE }, ({ path }) => ({
+            contents: REPLACED[Number(path)].code,
+            resolveDir: new URL("..", import.meta.url).pathname,
+        }));
+    },
+};
--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -115,7 +115,7 @@
     startDaemon(host: HostPlan): Child {
         const file = join(this.#folder, `${host.name}.json`);
         writeFileSync(file, JSON.stringify(this.#settings(host)));
-        const child = new Child(script("bin/winglockd.mjs"), ["--settings", file], line => this.#keep(line), {
+        const child = new Child(script("bin/winglockd.cjs"), ["--settings", file], line => this.#keep(line), {
             nodeFlags: this.options.daemonFlags,
         });
         this.daemons.set(host.name, child);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -41,5 +41,6 @@
             "max-lines": ["error", { max: 250 }],
         },
     },
+    { files: ["build/*.cjs"], rules: { "@typescript-eslint/no-require-imports": "off" } },
     pureCore,
 );
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -52,6 +52,7 @@
             ingress: settings.ingress,
             operator: settings.operator,
             revision: keeper.revision,
+            codeCache: process.env["WINGLOCK_CODE_CACHE"],
         });
     }
 
--- a/src/daemon/winglockd.ts
+++ b/src/daemon/winglockd.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** The daemon's binary: `winglockd --settings FILE.json`. */
 import { command, option, run, string } from "cmd-ts";
 import { ownSurroundings } from "./ownsurroundings.js";
@@ -11,4 +10,4 @@
     handler: ({ settings }) => serve(settings, ownSurroundings),
 });
 
-await run(app, process.argv.slice(2));
+void run(app, process.argv.slice(2));
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,6 +1,6 @@
 /** Calls a peer; every call is bounded in time. */
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
-import { Agent, fetch } from "undici";
+import { Agent } from "undici";
 import { z } from "zod";
 import { parse } from "../config/parse.js";
 import type { Update } from "../config/update.js";
@@ -18,9 +18,14 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Short, since a caller waits for the word. */
 const REVOKE_TIMEOUT_MS = 300;
+const FAILED_STATUS = 300;
 
 type Client = TRPCClient<typeof peerRouter>;
 
+/** What trpc asks of a fetch, and all that it reads of the answer. */
+type CallOptions = Pick<RequestInit, "body" | "headers" | "method" | "signal">;
+type CallAnswer = { readonly ok: boolean; readonly status: number; readonly json: () => Promise<unknown>; };
+
 /** One client for all peers. */
 export class PeerClient {
     readonly #agent: Agent;
@@ -70,6 +75,22 @@
         return { signal: AbortSignal.timeout(timeoutMs) };
     }
 
+    async #fetch(url: URL, { body, headers, method, signal }: CallOptions): Promise<CallAnswer> {
+        const answer = await this.#agent.request({
+            origin: url.origin,
+            path: url.pathname + url.search,
+            method: method as "GET",
+            headers: headers as Record<string, string>,
+            body: body as string | undefined,
+            signal,
+        });
+        return {
+            ok: answer.statusCode < FAILED_STATUS,
+            status: answer.statusCode,
+            json: () => answer.body.json(),
+        };
+    }
+
     #client(address: Address): Client {
         const known = this.#clients.get(address);
         if (known !== undefined) {
@@ -79,7 +100,7 @@
             links: [httpLink({
                 url: `http://${address}/trpc`,
                 headers: { [headerName.key]: this.options.key },
-                fetch: (url, init) => fetch(url as string, { ...(init as object), dispatcher: this.#agent }) as never,
+                fetch: (url, init) => this.#fetch(new URL(String(url)), init as CallOptions),
             })],
         });
         this.#clients.set(address, client);
--- a/src/roster/discovery.ts
+++ b/src/roster/discovery.ts
@@ -4,7 +4,7 @@
  * An upstream announces itself every second or two; a daemon that was restarted need not wait for that, since the
  * upstream's health endpoint tells its name and slots at once.
  */
-import { request } from "undici";
+import { Client } from "undici";
 import type { Vocabulary } from "../hop/vocabulary.js";
 import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
@@ -31,9 +31,10 @@
     /** Asks once; undefined when no upstream answers that takes work. */
     async find(): Promise<{ readonly name: UpstreamName; readonly announcement: Announcement; } | undefined> {
         const { address, service, vocabulary, path } = this.parts;
+        const client = new Client(`http://${address}`);
         try {
             const signal = AbortSignal.timeout(TIMEOUT_MS);
-            const { statusCode, headers, body } = await request(`http://${address}${path()}`, { signal });
+            const { statusCode, headers, body } = await client.request({ method: "GET", path: path(), signal });
             await body.dump();
             const name = UpstreamName.safeParse(vocabulary.upstreamName(headers)).data;
             const slots = vocabulary.load(headers)?.slots;
@@ -46,5 +47,8 @@
         catch {
             return undefined;
         }
+        finally {
+            void client.destroy();
+        }
     }
 }
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -89,7 +89,7 @@
 });
 
 test("input: settings that are wrong are named, and the exit code says so", async () => {
-    const script = new URL("../bin/winglockd.mjs", import.meta.url).pathname;
+    const script = new URL("../bin/winglockd.cjs", import.meta.url).pathname;
     const good = {
         host: "h",
         hall: "a",
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -59,7 +59,7 @@
     }
 
     startDaemon(name: string): Child {
-        const child = new Child(script("platform/bin/winglockd.mjs"), [], line => this.log.push(line), {
+        const child = new Child(script("platform/bin/winglockd.cjs"), [], line => this.log.push(line), {
             env: { WINGLOCK_BOOT: this.#settings(this.host(name)) },
         });
         this.daemons.set(name, child);
--- /dev/null
+++ b/test/start.test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { cpSync, existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { Child } from "../demo/child.js";
+import { takeRunNumber } from "../demo/runnumber.js";
+
+const BINARY = new URL("../bin", import.meta.url).pathname;
+
+/** Starts a daemon until it is up, ends it, and returns what its first line says of the code cache. */
+const startOnce = async (folder: string, nodeFlags: string[], env: NodeJS.ProcessEnv = {}): Promise<string> => {
+    const lines: string[] = [];
+    const args = ["--settings", join(folder, "settings.json")];
+    const child = new Child(join(folder, "winglockd.cjs"), args, line => lines.push(line), { nodeFlags, env });
+    await child.ready();
+    assert.equal(await child.end("SIGTERM"), 0);
+    const up = lines.find(line => line.includes("The daemon is up."))!;
+    return (JSON.parse(up) as { codeCache: string; }).codeCache;
+};
+
+test("start: a code cache is used by the same flags, and turned down by others", async () => {
+    const { run, lock } = await takeRunNumber();
+    const folder = mkdtempSync(join(tmpdir(), "winglock-start-"));
+    try {
+        cpSync(BINARY, folder, { recursive: true });
+        const settings = {
+            host: "h",
+            hall: "a",
+            region: "r",
+            ingress: `127.${run}.1.1:7104`,
+            peer: `127.${run}.1.1:7100`,
+            operator: `127.${run}.1.1:7105`,
+            store: `127.${run}.1.1:7300`,
+            peerKey: "a-key-for-tests-only",
+            stop: { lingerMs: 1, limitMs: 100 },
+        };
+        writeFileSync(join(folder, "settings.json"), JSON.stringify(settings));
+        const flags = ["--max-semi-space-size=4"];
+        assert.equal(await startOnce(folder, flags, { WINGLOCK_WRITE_CODE_CACHE: "1" }), "none");
+        assert.ok(existsSync(join(folder, "winglockd.cache")));
+        assert.equal(await startOnce(folder, flags), "used");
+        assert.equal(await startOnce(folder, ["--max-semi-space-size=8"]), "rejected");
+        writeFileSync(join(folder, "winglockd.cache"), "no cache at all");
+        assert.equal(await startOnce(folder, flags), "rejected");
+    }
+    finally {
+        rmSync(folder, { recursive: true, force: true });
+        lock.close();
+    }
+});
