Requests between daemons go in frames of their own

Ruled out: many requests on one connection, since a lost packet would hold all of them up where links lose packets.

src/link: a frame is a kind, a length and a payload; a request a connection at a time, as before; short bodies ride with their heads; calling off ends the connection. A body that had broken off before it was read made its reader wait for ever (found by the new test, could not happen before): collect and passBody look first.

--- a/src/hop/gateanswer.ts
+++ b/src/hop/gateanswer.ts
@@ -3,10 +3,10 @@
 import type { AnswerNote } from "./answernote.js";
 import type { HttpHeaders } from "./httpheaders.js";
 
-/** The body errors when the upstream's answer breaks off. */
+/** The body is at hand, or a stream that errors when the upstream's answer breaks off. */
 export type GateAnswer = {
     readonly status: number;
     readonly headers: HttpHeaders;
-    readonly body: Readable;
+    readonly body: Buffer | Readable;
     readonly note: AnswerNote | undefined;
 };
--- /dev/null
+++ b/src/hop/headcodec.ts
@@ -0,0 +1,24 @@
+/** A CallHead on the wire. */
+import { AnswerMode } from "../config/answermode.js";
+import { Kind } from "../config/kind.js";
+import { Priority } from "../config/priority.js";
+import { RecordCodec } from "./recordcodec.js";
+
+export const headCodec = new RecordCodec([
+    { name: "id" },
+    { name: "upstream" },
+    { name: "kind", form: Kind.options },
+    { name: "priority", form: Priority.options },
+    { name: "remainingMs", form: "time" },
+    { name: "maxWaitMs", form: "time" },
+    { name: "revision" },
+    { name: "from" },
+    { name: "choices" },
+    { name: "nearChoices" },
+    { name: "incarnation" },
+    { name: "gateTime", form: "time" },
+    { name: "depth", usual: 0 },
+    { name: "tenant", usual: "none" },
+    { name: "answer", form: AnswerMode.options, usual: "whole" },
+    { name: "offer" },
+]);
--- a/src/hop/headername.ts
+++ b/src/hop/headername.ts
@@ -4,10 +4,6 @@
 export const headerName = {
     /** On every peer call: the key that daemons share. */
     key: "winglock-key",
-    /** On a peer hop: the CallHead, as JSON. */
-    call: "winglock-call",
-    /** On a peer answer: the AnswerNote, as JSON. */
-    note: "winglock-note",
     /** To callers on refusals, and from upstreams that shed: `not-run` or `unknown`. */
     outcome: "winglock-outcome",
     /** To upstreams, and back from them on calls that they make to their own daemon. */
--- a/src/hop/passbody.ts
+++ b/src/hop/passbody.ts
@@ -4,6 +4,10 @@
 
 /** Copies the body to the response; when either breaks off, the other does, so that no part is taken for the whole. */
 export function passBody(body: Readable, res: ServerResponse): void {
+    if (body.destroyed) {
+        res.destroy();
+        return;
+    }
     body.on("error", () => res.destroy());
     body.on("close", () => {
         if (!body.readableEnded) {
--- a/src/hop/readhead.ts
+++ b/src/hop/readhead.ts
@@ -1,9 +1,8 @@
 /** Reads what goes with a request from ingress to gate. */
 import { CallHead } from "./callhead.js";
-import { headFields } from "./headfields.js";
-import { readList } from "./readlist.js";
+import { headCodec } from "./headcodec.js";
 
 /** Returns undefined for what is no head. */
-export function readHead(text: string | string[] | undefined): CallHead | undefined {
-    return CallHead.safeParse(readList(text, headFields)).data;
+export function readHead(list: unknown): CallHead | undefined {
+    return CallHead.safeParse(headCodec.read(list)).data;
 }
--- a/src/hop/readnote.ts
+++ b/src/hop/readnote.ts
@@ -1,15 +1,8 @@
 /** Reads a gate's note. */
 import { AnswerNote } from "./answernote.js";
-import { noteFields } from "./notefields.js";
-import { readList } from "./readlist.js";
-import { reportFields } from "./reportfields.js";
+import { noteCodec } from "./notecodec.js";
 
 /** Returns undefined for what is no note. */
-export function readNote(text: string | string[] | undefined): AnswerNote | undefined {
-    const note = readList(text, noteFields) as { report?: string; } | undefined;
-    if (note === undefined) {
-        return undefined;
-    }
-    const report = readList(note.report, reportFields);
-    return AnswerNote.safeParse({ ...note, report }).data;
+export function readNote(list: unknown): AnswerNote | undefined {
+    return AnswerNote.safeParse(noteCodec.read(list)).data;
 }
--- a/src/hop/remotehop.ts
+++ b/src/hop/remotehop.ts
@@ -1,30 +1,24 @@
-/** The way to the gate of another host: HTTP/1.1, one request a connection at a time, no retries. */
-import { Pool } from "undici";
+/** The way to the gate of another host: one request a connection at a time, no retries. */
 import type { Address } from "../ids/address.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
+import { LinkError } from "../link/linkerror.js";
+import { LinkPool } from "../link/linkpool.js";
 import type { PeerClient } from "../peer/peerclient.js";
 import type { PeerOptions } from "../peer/peeroptions.js";
 import type { CallHead } from "./callhead.js";
-import { cleanHeaders } from "./cleanheaders.js";
-import { isConnectError } from "./connecterror.js";
 import type { GateAnswer } from "./gateanswer.js";
 import type { GateCall } from "./gatecall.js";
 import { GateClock } from "./gateclock.js";
 import { guardBody } from "./guardbody.js";
-import { headerName } from "./headername.js";
 import { Hop } from "./hop.js";
 import { HopError } from "./hoperror.js";
-import { readNote } from "./readnote.js";
-import { writeHead } from "./writehead.js";
 
-const MAX_CONNECTIONS = 256;
-const KEEP_ALIVE_MS = 4000;
-const CONNECT_TIMEOUT_MS = 500;
+const NO_BODY = Buffer.alloc(0);
 
 /** Owns the connections to one gate. */
 export class RemoteHop extends Hop {
     readonly clock = new GateClock();
-    readonly #pool: Pool;
+    readonly #pool: LinkPool;
 
     constructor(
         readonly address: Address,
@@ -32,32 +26,19 @@
         private readonly options: PeerOptions,
     ) {
         super();
-        this.#pool = new Pool(`http://${address}`, {
-            connections: MAX_CONNECTIONS,
-            pipelining: 1,
-            keepAliveTimeout: KEEP_ALIVE_MS,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            localAddress: options.localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
-        });
+        this.#pool = new LinkPool(address, options);
     }
 
     async send(call: GateCall): Promise<GateAnswer> {
         if (call.head.kind === "once" && this.clock.incarnation === undefined) {
             await this.greet();
         }
-        const head = this.#stamp(call.head);
-        const { statusCode, headers, body } = await this.#request(call, head);
-        const note = readNote(headers[headerName.note]);
-        if (note !== undefined) {
-            this.clock.observe(note.incarnation, note.gateTime, this.options.clock());
+        const { status, headers, body = NO_BODY, note } = await this.#request(call);
+        this.clock.observe(note.incarnation, note.gateTime, this.options.clock());
+        if (note.outcome !== undefined) {
+            throw new HopError(note.outcome, note.reason ?? "no-reason", note);
         }
-        if (note === undefined || note.outcome !== undefined) {
-            body.resume();
-            throw new HopError(note?.outcome ?? "unknown", note?.reason ?? "not-a-gate", note);
-        }
-        return { status: statusCode, headers: cleanHeaders(headers), body, note };
+        return { status, headers, body: Buffer.isBuffer(body) ? body : guardBody(body), note };
     }
 
     async revoke(head: CallHead): Promise<RevokeResult> {
@@ -79,39 +60,26 @@
         }
     }
 
-    close(): Promise<void> {
-        return this.#pool.close();
+    async close(): Promise<void> {
+        this.#pool.close();
     }
 
-    /** The head as sent: with the gate's life and clock, so that the gate can tell how long it was on its way. */
-    #stamp(head: CallHead): CallHead {
+    /** The head is stamped when it is sent: with the gate's life and clock, so that the gate can tell its delay. */
+    #stamp(head: CallHead): void {
         const stamped = head as { incarnation?: CallHead["incarnation"]; gateTime?: number; };
         stamped.incarnation = this.clock.incarnation;
         stamped.gateTime = this.clock.reckon(this.options.clock());
-        return head;
     }
 
-    async #request(call: GateCall, head: CallHead): Promise<Awaited<ReturnType<Pool["request"]>>> {
+    async #request(call: GateCall): Promise<Awaited<ReturnType<Awaited<ReturnType<LinkPool["take"]>>["send"]>>> {
         try {
-            const answer = await this.#pool.request({
-                method: call.method as "GET",
-                path: call.path,
-                headers: {
-                    ...call.headers,
-                    [headerName.call]: writeHead(head),
-                    [headerName.key]: this.options.key,
-                },
-                body: call.body,
-                signal: call.cancel,
-            });
-            guardBody(answer.body);
-            return answer;
+            const connection = await this.#pool.take();
+            this.#stamp(call.head);
+            return await connection.send(call);
         }
         catch (err) {
-            const unsent = isConnectError(err);
-            throw new HopError(unsent ? "not-run" : "broken", unsent ? "unreachable" : "peer-broke", undefined, {
-                cause: err,
-            });
+            const { unsent, reason } = err instanceof LinkError ? err : new LinkError("peer-broke", false);
+            throw new HopError(unsent ? "not-run" : "broken", reason, undefined, { cause: err });
         }
     }
 }
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -1,4 +1,5 @@
 /** One try of a request at one upstream. */
+import { abandonBody } from "../hop/abandonbody.js";
 import type { CallHead } from "../hop/callhead.js";
 import { Cancel } from "../hop/cancel.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
@@ -130,7 +131,7 @@
         }
         ingress.retries(plan.service.name).hedging.observe(now - sentAt, answer.note?.calls === true);
         if (!this.parts.claim()) {
-            answer.body.destroy();
+            abandonBody(answer.body);
             return { outcome: "unknown", reason: "overtaken", redirected: false, retriedBelow: false };
         }
         await deliver(answer);
@@ -141,7 +142,6 @@
 
     #failed(answer: GateAnswer): AttemptResult {
         this.neighbour.failed(this.parts.ingress.clock());
-        answer.body.on("error", () => {});
         const retriedBelow = answer.note?.retriedBelow === true;
         return { outcome: "failed", reason: `status-${answer.status}`, answer, redirected: false, retriedBelow };
     }
--- a/src/ingress/collect.ts
+++ b/src/ingress/collect.ts
@@ -1,11 +1,17 @@
 /** Receives an answer's body whole, up to a bound. */
-import type { Readable } from "node:stream";
+import { Readable } from "node:stream";
 
 /** Either the whole body, or what has come of a body that passes the bound; the stream goes on after that. */
 type Collected = { readonly whole: boolean; readonly chunks: Buffer[]; readonly size: number; };
 
 /** Rejects when the body breaks off before its end or its bound. */
-export function collect(body: Readable, bound: number): Promise<Collected> {
+export function collect(body: Buffer | Readable, bound: number): Promise<Collected> {
+    if (!(body instanceof Readable)) {
+        return Promise.resolve({ whole: true, chunks: [body], size: body.length });
+    }
+    if (body.destroyed) {
+        return Promise.reject(body.errored ?? new Error("the body closed before it was read"));
+    }
     return new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let size = 0;
--- a/src/ingress/deliver.ts
+++ b/src/ingress/deliver.ts
@@ -1,6 +1,8 @@
 /** Sends an upstream's answer to the caller: whole, or as it comes. */
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { Readable } from "node:stream";
+import { abandonBody } from "../hop/abandonbody.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { HttpHeaders } from "../hop/httpheaders.js";
 import { passBody } from "../hop/passbody.js";
@@ -26,8 +28,13 @@
     res.removeHeader("transfer-encoding");
 };
 
-const streamOn = async (res: ServerResponse, answer: GateAnswer): Promise<void> => {
-    passBody(answer.body, res);
+const streamOn = async (res: ServerResponse, body: Buffer | Readable): Promise<void> => {
+    if (body instanceof Readable) {
+        passBody(body, res);
+    }
+    else {
+        res.end(body);
+    }
     await once(res, "close");
 };
 
@@ -47,17 +54,17 @@
     if (!whole && !bare) {
         res.writeHead(answer.status, headers);
         res.flushHeaders();
-        return streamOn(res, answer);
+        return streamOn(res, answer.body);
     }
     const { whole: complete, chunks, size } = await collect(answer.body, bare ? Infinity : bound);
     if (res.destroyed) {
-        answer.body.destroy();
+        abandonBody(answer.body);
         return;
     }
     if (!complete) {
         res.writeHead(answer.status, headers);
         chunks.forEach(chunk => res.write(chunk));
-        return streamOn(res, answer);
+        return streamOn(res, answer.body);
     }
     if (!bare && answer.note?.unframed) {
         endWithConnection(res);
--- a/src/ingress/exchange.ts
+++ b/src/ingress/exchange.ts
@@ -1,6 +1,7 @@
 /** One caller's request, from its plan to its answer. */
 import type { ServerResponse } from "node:http";
 import { Cancel } from "../hop/cancel.js";
+import { dropBody } from "../hop/dropbody.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import { log } from "../log/log.js";
 import { Attempt } from "./attempt.js";
@@ -122,7 +123,7 @@
         const beside = second.run();
         const [one, two] = await Promise.all([this.#overtake(running, second), this.#overtake(beside, first)]);
         const picked = pickResult(one, two);
-        (picked === one ? two : one).answer?.body.resume();
+        dropBody((picked === one ? two : one).answer?.body);
         return picked;
     }
 
@@ -196,7 +197,7 @@
     /** Lets the last answer go, and gets a newer rule when the gate has one. */
     async #prepare(result: AttemptResult, neighbour: Neighbour): Promise<void> {
         this.parts.metrics.retried(this.plan.service.name, result.reason);
-        result.answer?.body.resume();
+        dropBody(result.answer?.body);
         if (result.reason === "stale-rule") {
             this.#record.tried.delete(neighbour);
             await this.parts.catchUp(result.revision ?? 0, neighbour.settings.gate);
--- /dev/null
+++ b/src/link/link.test.ts
@@ -0,0 +1,209 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { Readable } from "node:stream";
+import { test } from "node:test";
+import { Cancel } from "../hop/cancel.js";
+import type { GateCall } from "../hop/gatecall.js";
+import type { Address } from "../ids/address.js";
+import { collect } from "../ingress/collect.js";
+import { FrameReader } from "./framereader.js";
+import { frameType } from "./frametype.js";
+import { LinkPool } from "./linkpool.js";
+import { LinkSession } from "./linksession.js";
+import type { ServedAnswer } from "./servedanswer.js";
+import type { ServedCall } from "./servedcall.js";
+import { writeFrame } from "./writeframe.js";
+
+const KEY = "a-key-for-tests-only";
+const note = { incarnation: "abcdefghijkl", gateTime: 1, revision: 2 } as ServedAnswer["note"];
+
+type Serve = (call: ServedCall, cancel: Cancel) => Promise<ServedAnswer>;
+type Ends = { readonly pool: LinkPool; readonly sockets: Socket[]; winding: boolean; };
+
+/** Runs a body between a pool and a listener of its own. */
+const between = async (serve: Serve, body: (ends: Ends) => Promise<void>): Promise<void> => {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        new LinkSession(socket, {
+            key: Buffer.from(KEY),
+            serve,
+            refuseBad: () => ({ note, status: 0, headers: {}, body: undefined }),
+            winding: () => ends.winding,
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
+    const ends: Ends = { pool: new LinkPool(address, { localIp: "127.0.0.1", key: KEY }), sockets, winding: false };
+    try {
+        await body(ends);
+    }
+    finally {
+        ends.pool.close();
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    }
+};
+
+const call = (more: Partial<GateCall> = {}): GateCall => ({
+    head: {
+        id: "abcdefghijkl.1",
+        upstream: "i-1",
+        kind: "repeatable",
+        priority: "normal",
+        tenant: "none",
+        answer: "whole",
+        remainingMs: 900,
+        maxWaitMs: 100,
+        depth: 0,
+        revision: 4,
+        choices: 0,
+        nearChoices: 0,
+    } as GateCall["head"],
+    rule: undefined,
+    method: "POST",
+    path: "/a/b?c=d",
+    headers: { "host": "h", "set-cookie": ["one", "two"] },
+    body: undefined,
+    cancel: new Cancel(),
+    ...more,
+});
+
+const textOf = async (body: Buffer | Readable | undefined): Promise<string> =>
+    Buffer.concat((await collect(body ?? Buffer.alloc(0), Infinity)).chunks).toString();
+
+const echo: Serve = async ({ method, path, headers, body }) => ({
+    note,
+    status: 200,
+    headers,
+    body: Buffer.from(`${method} ${path} ${await textOf(body)}`),
+});
+
+const send = async (pool: LinkPool, what: GateCall): Promise<Awaited<ReturnType<LinkConnectionSend>>> =>
+    await (await pool.take()).send(what);
+type LinkConnectionSend = Awaited<ReturnType<LinkPool["take"]>>["send"];
+
+test("link: a request and its answer come over as they were, one after the other on one connection", async () => {
+    await between(echo, async ({ pool, sockets }) => {
+        for (const body of [undefined, Buffer.from("x"), Buffer.alloc(100_000, "y")]) {
+            const answer = await send(pool, call({ body }));
+            assert.equal(await textOf(answer.body), `POST /a/b?c=d ${body?.toString() ?? ""}`);
+            assert.deepEqual(answer.headers, { "host": "h", "set-cookie": ["one", "two"] });
+            assert.equal(answer.status, 200);
+            assert.deepEqual(answer.note, note);
+        }
+        assert.equal(sockets.length, 1);
+    });
+});
+
+test("link: bodies that are not at hand are streamed both ways", async () => {
+    const parts = Array.from({ length: 40 }, (_, at) => Buffer.alloc(20_000, 65 + at % 26));
+    const whole = Buffer.concat(parts).toString();
+    const serve: Serve = async ({ body }) => ({
+        note,
+        status: 200,
+        headers: {},
+        body: Readable.from([await textOf(body)], { objectMode: false }),
+    });
+    await between(serve, async ({ pool }) => {
+        const answer = await send(pool, call({ body: Readable.from(parts, { objectMode: false }) }));
+        assert.equal(await textOf(answer.body), whole);
+    });
+});
+
+test("link: requests at the same time have connections of their own, and the answers are not mixed up", async () => {
+    const serve: Serve = async ({ path }) => {
+        await new Promise(resolve => setTimeout(resolve, path.length % 7 * 3));
+        return { note, status: 200, headers: {}, body: Buffer.from(path) };
+    };
+    await between(serve, async ({ pool }) => {
+        const paths = Array.from({ length: 50 }, (_, at) => `/${"p".repeat(at)}`);
+        const told = await Promise.all(paths.map(async path => await textOf((await send(pool, call({ path }))).body)));
+        assert.deepEqual(told, paths);
+    });
+});
+
+test("link: a body that breaks off is broken at the other end, and the connection serves on", async () => {
+    const serve: Serve = async ({ path }) => ({
+        note,
+        status: 200,
+        headers: {},
+        body: path === "/ok"
+            ? Buffer.from("ok")
+            : new Readable({
+                read() {
+                    this.push("begun");
+                    this.destroy(new Error("broke"));
+                },
+            }).on("error", () => {}),
+    });
+    await between(serve, async ({ pool, sockets }) => {
+        const { body } = await send(pool, call());
+        await assert.rejects(textOf(body));
+        assert.equal(await textOf((await send(pool, call({ path: "/ok" }))).body), "ok");
+        assert.equal(sockets.length, 1);
+    });
+});
+
+test("link: a connection that is cut is an error of its request, which may have run", async () => {
+    await between(() => new Promise(() => {}), async ({ pool, sockets }) => {
+        const sent = send(pool, call());
+        setTimeout(() => sockets[0]!.resetAndDestroy(), 30);
+        await assert.rejects(sent, { reason: "peer-broke", unsent: false });
+    });
+});
+
+test("link: nobody there proves that nothing was sent", async () => {
+    const pool = new LinkPool("127.0.0.1:1" as Address, { localIp: "127.0.0.1", key: KEY });
+    await assert.rejects(pool.take(), { reason: "unreachable", unsent: true });
+});
+
+test("link: calling a request off reaches the server, one called off before is not sent", async () => {
+    let leftAt: number | undefined;
+    const serve: Serve = (_call, cancel) => new Promise(() => cancel.onAbort(() => leftAt = performance.now()));
+    await between(serve, async ({ pool }) => {
+        const cancel = new Cancel();
+        const sent = send(pool, call({ cancel }));
+        setTimeout(() => cancel.abort(), 20);
+        await assert.rejects(sent);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        assert.ok(leftAt !== undefined);
+        await assert.rejects(send(pool, call({ cancel })), { reason: "called-off", unsent: true });
+    });
+});
+
+test("link: a server that winds up ends the connection after the answer", async () => {
+    await between(echo, async ends => {
+        await send(ends.pool, call());
+        ends.winding = true;
+        const { last } = await send(ends.pool, call());
+        assert.equal(last, true);
+        ends.winding = false;
+        assert.equal((await send(ends.pool, call())).last, false);
+        assert.equal(ends.sockets.length, 2);
+    });
+});
+
+test("link: a wrong key, and bytes that are no frame, end the connection", async () => {
+    await between(echo, async ({ pool }) => {
+        const other = new LinkPool(pool.address, { localIp: "127.0.0.1", key: "another-key-for-tests" });
+        await assert.rejects(send(other, call()), { reason: "peer-broke" });
+        other.close();
+    });
+    assert.throws(() => new FrameReader().read(Buffer.from("GET / HTTP/1.1")));
+    assert.throws(() => new FrameReader().read(Buffer.from([frameType.data, 255, 255, 255, 255])));
+});
+
+test("link: frames are found however the bytes are cut", () => {
+    const bytes = Buffer.concat([1, 2, 3].map(at => writeFrame(frameType.data, Buffer.alloc(at * 5, at))));
+    for (let step = 1; step < bytes.length; step++) {
+        const reader = new FrameReader();
+        const lengths: number[] = [];
+        for (let at = 0; at < bytes.length; at += step) {
+            reader.read(bytes.subarray(at, at + step)).forEach(frame => lengths.push(frame.payload.length));
+        }
+        assert.deepEqual(lengths, [5, 10, 15]);
+    }
+});
--- /dev/null
+++ b/src/link/linkpool.ts
@@ -0,0 +1,85 @@
+/** The connections to one peer. */
+import { connect } from "node:net";
+import type { Address } from "../ids/address.js";
+import { splitAddress } from "../ids/splitaddress.js";
+import { frameType } from "./frametype.js";
+import { LinkConnection } from "./linkconnection.js";
+import { LinkError } from "./linkerror.js";
+import { writeFrame } from "./writeframe.js";
+
+const MAX_CONNECTIONS = 256;
+const CONNECT_TIMEOUT_MS = 500;
+/** Shorter than the peer keeps an idle connection. */
+const KEEP_IDLE_MS = 4000;
+
+/** `localIp` is the address that connections go out from; `key` is shared by all daemons. */
+type PoolOptions = { readonly localIp: string; readonly key: string; };
+
+/** The one that was used last is used first, so that those not needed end. */
+export class LinkPool {
+    readonly #idle: LinkConnection[] = [];
+    readonly #all = new Set<LinkConnection>();
+    #closed = false;
+
+    constructor(readonly address: Address, private readonly options: PoolOptions) {}
+
+    /** A connection that carries nothing; rejects with a LinkError. */
+    async take(): Promise<LinkConnection> {
+        for (let idle = this.#idle.pop(); idle !== undefined; idle = this.#idle.pop()) {
+            if (idle.open) {
+                return idle;
+            }
+        }
+        if (this.#all.size >= MAX_CONNECTIONS) {
+            throw new LinkError("too-many-connections", true);
+        }
+        return await this.#open();
+    }
+
+    /** Ends idle connections, and each of the others after what it carries. */
+    close(): void {
+        this.#closed = true;
+        this.#idle.splice(0).forEach(connection => connection.destroy());
+    }
+
+    #open(): Promise<LinkConnection> {
+        const { ip, port } = splitAddress(this.address);
+        const { localIp, key } = this.options;
+        return new Promise((resolve, reject) => {
+            const socket = connect({ host: ip, port, localAddress: localIp, noDelay: true });
+            const fail = (err: Error): void => reject(new LinkError("unreachable", true, { cause: err }));
+            const timer = setTimeout(() => {
+                socket.destroy();
+                reject(new LinkError("unreachable", true));
+            }, CONNECT_TIMEOUT_MS);
+            socket.once("error", fail);
+            socket.once("close", () => clearTimeout(timer));
+            socket.once("connect", () => {
+                clearTimeout(timer);
+                socket.removeListener("error", fail);
+                socket.write(writeFrame(frameType.greeting, Buffer.from(key)));
+                const connection = new LinkConnection(socket, freed => this.#give(freed));
+                this.#all.add(connection);
+                socket.once("close", () => this.#all.delete(connection));
+                socket.setTimeout(KEEP_IDLE_MS, () => this.#endIfIdle(connection));
+                resolve(connection);
+            });
+        });
+    }
+
+    #give(connection: LinkConnection): void {
+        if (this.#closed) {
+            connection.destroy();
+            return;
+        }
+        this.#idle.push(connection);
+    }
+
+    #endIfIdle(connection: LinkConnection): void {
+        const at = this.#idle.indexOf(connection);
+        if (at >= 0) {
+            this.#idle.splice(at, 1);
+            connection.destroy();
+        }
+    }
+}
--- /dev/null
+++ b/src/link/linksession.ts
@@ -0,0 +1,165 @@
+/** The serving end of one connection from a peer, which carries one request at a time. */
+import { timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import { Readable } from "node:stream";
+import { Cancel } from "../hop/cancel.js";
+import type { Frame } from "./frame.js";
+import { FrameReader } from "./framereader.js";
+import { frameType } from "./frametype.js";
+import { gatherBody } from "./gatherbody.js";
+import { LinkError } from "./linkerror.js";
+import { packAnswer } from "./packanswer.js";
+import { sendBody } from "./sendbody.js";
+import type { ServedAnswer } from "./servedanswer.js";
+import type { ServedCall } from "./servedcall.js";
+import { unpackCall } from "./unpackcall.js";
+import type { WireAnswer } from "./wireanswer.js";
+import type { WireCall } from "./wirecall.js";
+import { writeFrame } from "./writeframe.js";
+
+const NOTHING = Buffer.alloc(0);
+
+/** What a session needs of its listener; `serve` never rejects. */
+type SessionParts = {
+    readonly key: Buffer;
+    readonly serve: (call: ServedCall, cancel: Cancel) => Promise<ServedAnswer>;
+    /** The refusal of a call that can't be read. */
+    readonly refuseBad: () => ServedAnswer;
+    /** True when each answer is to be its connection's last. */
+    readonly winding: () => boolean;
+};
+
+/** Ends the connection for whatever is not of the protocol. */
+export class LinkSession {
+    readonly #reader = new FrameReader();
+    #greeted = false;
+    #serving: Cancel | undefined;
+    #body: Readable | undefined;
+
+    constructor(private readonly socket: Socket, private readonly parts: SessionParts) {
+        socket.setNoDelay(true);
+        socket.on("data", (chunk: Buffer) => this.read(chunk));
+        socket.on("error", () => {});
+        socket.on("end", () => socket.destroy());
+        socket.on("close", () => this.#left());
+    }
+
+    get busy(): boolean {
+        return this.#serving !== undefined;
+    }
+
+    /** Takes in bytes that have been read from the socket. */
+    read(chunk: Buffer): void {
+        try {
+            this.#reader.read(chunk).forEach(frame => this.#take(frame));
+        }
+        catch {
+            this.destroy();
+        }
+    }
+
+    /** Ends the connection if it carries nothing. */
+    endIfIdle(): void {
+        if (!this.busy) {
+            this.socket.end();
+        }
+    }
+
+    destroy(): void {
+        this.socket.destroy();
+    }
+
+    #take({ type, payload }: Frame): void {
+        if (!this.#greeted) {
+            this.#greeted = type === frameType.greeting && this.#isKey(payload);
+            return this.#greeted ? undefined : this.destroy();
+        }
+        switch (type) {
+            case frameType.call:
+                return this.#takeCall(unpackCall(payload));
+            case frameType.data:
+                if (this.#body?.push(payload) === false) {
+                    this.socket.pause();
+                }
+                return;
+            case frameType.end:
+                this.#body?.push(null);
+                this.#body = undefined;
+                return;
+            case frameType.broken:
+                this.#body?.destroy(new LinkError("broken-body", false));
+                this.#body = undefined;
+                return;
+            default:
+                this.destroy();
+        }
+    }
+
+    #isKey(given: Buffer): boolean {
+        const { key } = this.parts;
+        return given.length === key.length && timingSafeEqual(given, key);
+    }
+
+    #takeCall(call: WireCall | undefined): void {
+        if (this.busy) {
+            this.destroy();
+            return;
+        }
+        if (call === undefined) {
+            void this.#answer(this.parts.refuseBad(), true);
+            return;
+        }
+        const cancel = this.#serving = new Cancel();
+        const body = call.body === "follows" ? this.#makeBody() : call.body;
+        void this.parts.serve({ ...call, body }, cancel).then(answer =>
+            this.#answer(answer, call.head.answer === "whole")
+        );
+    }
+
+    #makeBody(): Readable {
+        const body = new Readable({ read: () => this.socket.resume() });
+        body.on("error", () => {});
+        return this.#body = body;
+    }
+
+    async #answer({ body, ...answer }: ServedAnswer, whole: boolean): Promise<void> {
+        const gathered = whole && body instanceof Readable ? await gatherBody(body) : body;
+        const last = this.parts.winding();
+        if (this.socket.destroyed) {
+            return;
+        }
+        if (gathered instanceof Readable) {
+            this.#write({ ...answer, last, body: "follows" });
+            sendBody(gathered, this.socket, () => this.#done(last));
+            return;
+        }
+        if (gathered === "broken") {
+            this.#write({ ...answer, last, body: "follows" });
+            this.socket.write(writeFrame(frameType.broken, NOTHING));
+            this.#done(last);
+            return;
+        }
+        this.#write({ ...answer, last, body: gathered });
+        this.#done(last);
+    }
+
+    #write(answer: WireAnswer): void {
+        this.socket.write(writeFrame(frameType.answer, packAnswer(answer)));
+    }
+
+    /** A request whose body is still coming when it has its answer leaves the connection useless. */
+    #done(last: boolean): void {
+        this.#serving = undefined;
+        this.#body?.on("data", () => {});
+        if (last) {
+            this.socket.end();
+        }
+    }
+
+    #left(): void {
+        this.#body?.destroy(new LinkError("peer-broke", false));
+        this.#body = undefined;
+        this.#serving?.abort();
+        this.#serving = undefined;
+    }
+}
--- /dev/null
+++ b/src/link/packanswer.ts
@@ -0,0 +1,11 @@
+/** Writes an answer as the payload of a frame. */
+import { pack } from "msgpackr";
+import { noteCodec } from "../hop/notecodec.js";
+import type { WireAnswer } from "./wireanswer.js";
+import { writeHeaders } from "./writeheaders.js";
+
+export function packAnswer({ note, status, headers, last, body }: WireAnswer): Buffer {
+    const follows = body === "follows";
+    const list = [noteCodec.write(note), status, writeHeaders(headers), last, follows];
+    return pack(body === undefined || follows ? list : [...list, body]);
+}
--- /dev/null
+++ b/src/link/packcall.ts
@@ -0,0 +1,12 @@
+/** Writes a request as the payload of a frame. */
+import { pack } from "msgpackr";
+import type { GateCall } from "../hop/gatecall.js";
+import { headCodec } from "../hop/headcodec.js";
+import type { WireBody } from "./wirebody.js";
+import { writeHeaders } from "./writeheaders.js";
+
+export function packCall({ head, method, path, headers }: GateCall, body: WireBody): Buffer {
+    const follows = body === "follows";
+    const list = [headCodec.write(head), method, path, writeHeaders(headers), follows];
+    return pack(body === undefined || follows ? list : [...list, body]);
+}
--- /dev/null
+++ b/src/link/sendbody.ts
@@ -0,0 +1,34 @@
+/** Sends a body in frames. */
+import type { Socket } from "node:net";
+import type { Readable } from "node:stream";
+import { frameType } from "./frametype.js";
+import { writeFrame } from "./writeframe.js";
+
+const NOTHING = Buffer.alloc(0);
+
+/** Waits for the socket as it fills up; `onEnd` is called once, when all is sent or the body has broken off. */
+export function sendBody(body: Readable, socket: Socket, onEnd: () => void): void {
+    let ended = false;
+    const resume = (): void => void body.resume();
+    const end = (type: typeof frameType.end | typeof frameType.broken): void => {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        socket.removeListener("drain", resume);
+        if (!socket.destroyed) {
+            socket.write(writeFrame(type, NOTHING));
+        }
+        onEnd();
+    };
+    socket.on("drain", resume);
+    body.on("data", (chunk: Buffer) => {
+        if (!socket.destroyed && !socket.write(writeFrame(frameType.data, chunk))) {
+            body.pause();
+        }
+    });
+    body.on("end", () => end(frameType.end));
+    body.on("error", () => end(frameType.broken));
+    body.on("close", () => end(frameType.broken));
+    socket.once("close", () => body.destroy());
+}
--- /dev/null
+++ b/src/link/servedanswer.ts
@@ -0,0 +1,5 @@
+/** What a peer's request comes to: an answer with its body, or a refusal by its note. */
+import type { Readable } from "node:stream";
+import type { WireAnswer } from "./wireanswer.js";
+
+export type ServedAnswer = Omit<WireAnswer, "body" | "last"> & { readonly body: Buffer | Readable | undefined; };
--- /dev/null
+++ b/src/link/splitprotocol.ts
@@ -0,0 +1,25 @@
+/** Tells the two protocols of a listener apart by the first byte. */
+import type { Socket } from "node:net";
+import { frameType } from "./frametype.js";
+
+/** A connection that says nothing for so long is ended. */
+const SILENT_MS = 10_000;
+
+/** Calls one of the two when the first bytes have come; HTTP finds them unread. */
+export function splitProtocol(socket: Socket, onHttp: () => void, onLink: (first: Buffer) => void): void {
+    const onError = (): void => {};
+    socket.on("error", onError);
+    socket.setTimeout(SILENT_MS, () => socket.destroy());
+    socket.once("data", (first: Buffer) => {
+        socket.removeListener("error", onError);
+        socket.setTimeout(0).removeAllListeners("timeout");
+        if (first[0] === frameType.greeting) {
+            onLink(first);
+            return;
+        }
+        socket.pause();
+        onHttp();
+        socket.unshift(first);
+        socket.resume();
+    });
+}
--- /dev/null
+++ b/src/link/wireanswer.ts
@@ -0,0 +1,13 @@
+/** An answer, or a refusal, as a peer sent it. */
+import type { AnswerNote } from "../hop/answernote.js";
+import type { HttpHeaders } from "../hop/httpheaders.js";
+import type { WireBody } from "./wirebody.js";
+
+/** `last` says that the connection takes no more requests. */
+export type WireAnswer = {
+    readonly note: AnswerNote;
+    readonly status: number;
+    readonly headers: HttpHeaders;
+    readonly last: boolean;
+    readonly body: WireBody;
+};
--- /dev/null
+++ b/src/link/wirecall.ts
@@ -0,0 +1,12 @@
+/** A request as a peer sent it. */
+import type { CallHead } from "../hop/callhead.js";
+import type { HttpHeaders } from "../hop/httpheaders.js";
+import type { WireBody } from "./wirebody.js";
+
+export type WireCall = {
+    readonly head: CallHead;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HttpHeaders;
+    readonly body: WireBody;
+};
