--- /dev/null
+++ b/src/link/framedbody.ts
@@ -0,0 +1,50 @@
+/** A body that comes in frames. */
+import type { Socket } from "node:net";
+import { Readable } from "node:stream";
+import type { Frame } from "./frame.js";
+import { frameType } from "./frametype.js";
+import { LinkError } from "./linkerror.js";
+
+/** The socket waits while nobody reads; `onLeft` is called when the reader leaves before the end. */
+export class FramedBody {
+    readonly stream: Readable;
+    #ended = false;
+
+    constructor(private readonly socket: Socket, onLeft: () => void) {
+        this.stream = new Readable({
+            read: () => socket.resume(),
+            destroy: (err, callback) => {
+                if (!this.#ended) {
+                    onLeft();
+                }
+                callback(err);
+            },
+        });
+        this.stream.on("error", () => {});
+    }
+
+    /** Takes in a frame; true when the body has ended with it. */
+    take({ type, payload }: Frame): boolean {
+        if (type === frameType.data) {
+            if (!this.stream.push(payload)) {
+                this.socket.pause();
+            }
+            return false;
+        }
+        if (type === frameType.end) {
+            this.#ended = true;
+            this.stream.push(null);
+        }
+        else {
+            this.breakOff("broken-body");
+        }
+        this.socket.resume();
+        return true;
+    }
+
+    /** Fails the reader. */
+    breakOff(reason: string): void {
+        this.#ended = true;
+        this.stream.destroy(new LinkError(reason, false));
+    }
+}
--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -3,8 +3,10 @@
 import { Readable } from "node:stream";
 import type { GateCall } from "../hop/gatecall.js";
 import type { Frame } from "./frame.js";
+import { FramedBody } from "./framedbody.js";
 import { FrameReader } from "./framereader.js";
 import { frameType } from "./frametype.js";
+import { isBodyFrame } from "./isbodyframe.js";
 import { LinkError } from "./linkerror.js";
 import { packCall } from "./packcall.js";
 import { sendBody } from "./sendbody.js";
@@ -21,7 +23,7 @@
 export class LinkConnection {
     readonly #reader = new FrameReader();
     #waiting: Waiting | undefined;
-    #body: Readable | undefined;
+    #body: FramedBody | undefined;
     #last = false;
     #sending = false;
     #forget: () => void = () => {};
@@ -73,26 +75,17 @@
         }
     }
 
-    #take({ type, payload }: Frame): void {
-        switch (type) {
-            case frameType.answer:
-                return this.#takeAnswer(unpackAnswer(payload));
-            case frameType.data:
-                if (this.#body?.push(payload) === false) {
-                    this.socket.pause();
-                }
-                return;
-            case frameType.end:
-                this.#body?.push(null);
-                return this.#done();
-            case frameType.broken: {
-                const body = this.#body;
-                this.#done();
-                body?.destroy(new LinkError("broken-body", false));
-                return;
-            }
-            default:
-                this.destroy();
+    #take(frame: Frame): void {
+        if (frame.type === frameType.answer) {
+            this.#takeAnswer(unpackAnswer(frame.payload));
+            return;
+        }
+        if (!isBodyFrame(frame)) {
+            this.destroy();
+            return;
+        }
+        if (this.#body?.take(frame)) {
+            this.#done();
         }
     }
 
@@ -105,33 +98,18 @@
         this.#waiting = undefined;
         this.#last = answer.last;
         if (answer.body === "follows") {
-            this.#body = this.#makeBody();
-            waiting.resolve({ ...answer, body: this.#body });
+            this.#body = new FramedBody(this.socket, () => this.destroy());
+            waiting.resolve({ ...answer, body: this.#body.stream });
             return;
         }
         this.#done();
         waiting.resolve({ ...answer, body: answer.body });
     }
 
-    /** A body that is left before its end takes the connection with it. */
-    #makeBody(): Readable {
-        const body: Readable = new Readable({
-            read: () => this.socket.resume(),
-            destroy: (err, callback) => {
-                if (this.#body === body && !body.readableEnded) {
-                    this.destroy();
-                }
-                callback(err);
-            },
-        });
-        return body.on("error", () => {});
-    }
-
     #done(): void {
         this.#forget();
         this.#forget = () => {};
         this.#body = undefined;
-        this.socket.resume();
         if (this.#last || this.#sending) {
             this.destroy();
             return;
@@ -143,7 +121,7 @@
         this.#forget();
         this.#waiting?.reject(new LinkError("peer-broke", false));
         this.#waiting = undefined;
-        this.#body?.destroy(new LinkError("peer-broke", false));
+        this.#body?.breakOff("peer-broke");
         this.#body = undefined;
     }
 }
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -4,10 +4,11 @@
 import { Readable } from "node:stream";
 import { Cancel } from "../hop/cancel.js";
 import type { Frame } from "./frame.js";
+import { FramedBody } from "./framedbody.js";
 import { FrameReader } from "./framereader.js";
 import { frameType } from "./frametype.js";
 import { gatherBody } from "./gatherbody.js";
-import { LinkError } from "./linkerror.js";
+import { isBodyFrame } from "./isbodyframe.js";
 import { packAnswer } from "./packanswer.js";
 import { sendBody } from "./sendbody.js";
 import type { ServedAnswer } from "./servedanswer.js";
@@ -34,7 +35,7 @@
     readonly #reader = new FrameReader();
     #greeted = false;
     #serving: Cancel | undefined;
-    #body: Readable | undefined;
+    #body: FramedBody | undefined;
 
     constructor(private readonly socket: Socket, private readonly parts: SessionParts) {
         socket.setNoDelay(true);
@@ -69,29 +70,28 @@
         this.socket.destroy();
     }
 
-    #take({ type, payload }: Frame): void {
+    #take(frame: Frame): void {
         if (!this.#greeted) {
-            this.#greeted = type === frameType.greeting && this.#isKey(payload);
-            return this.#greeted ? undefined : this.destroy();
+            this.#greet(frame);
+            return;
+        }
+        if (frame.type === frameType.call) {
+            this.#takeCall(unpackCall(frame.payload));
+            return;
+        }
+        if (!isBodyFrame(frame)) {
+            this.destroy();
+            return;
         }
-        switch (type) {
-            case frameType.call:
-                return this.#takeCall(unpackCall(payload));
-            case frameType.data:
-                if (this.#body?.push(payload) === false) {
-                    this.socket.pause();
-                }
-                return;
-            case frameType.end:
-                this.#body?.push(null);
-                this.#body = undefined;
-                return;
-            case frameType.broken:
-                this.#body?.destroy(new LinkError("broken-body", false));
-                this.#body = undefined;
-                return;
-            default:
-                this.destroy();
+        if (this.#body?.take(frame)) {
+            this.#body = undefined;
+        }
+    }
+
+    #greet({ type, payload }: Frame): void {
+        this.#greeted = type === frameType.greeting && this.#isKey(payload);
+        if (!this.#greeted) {
+            this.destroy();
         }
     }
 
@@ -110,16 +110,15 @@
             return;
         }
         const cancel = this.#serving = new Cancel();
-        const body = call.body === "follows" ? this.#makeBody() : call.body;
+        const body = call.body === "follows" ? this.#openBody() : call.body;
         void this.parts.serve({ ...call, body }, cancel).then(answer =>
             this.#answer(answer, call.head.answer === "whole")
         );
     }
 
-    #makeBody(): Readable {
-        const body = new Readable({ read: () => this.socket.resume() });
-        body.on("error", () => {});
-        return this.#body = body;
+    #openBody(): Readable {
+        this.#body = new FramedBody(this.socket, () => {});
+        return this.#body.stream;
     }
 
     async #answer({ body, ...answer }: ServedAnswer, whole: boolean): Promise<void> {
@@ -150,14 +149,14 @@
     /** A request whose body is still coming when it has its answer leaves the connection useless. */
     #done(last: boolean): void {
         this.#serving = undefined;
-        this.#body?.on("data", () => {});
+        this.#body?.stream.resume();
         if (last) {
             this.socket.end();
         }
     }
 
     #left(): void {
-        this.#body?.destroy(new LinkError("peer-broke", false));
+        this.#body?.breakOff("peer-broke");
         this.#body = undefined;
         this.#serving?.abort();
         this.#serving = undefined;
