A body that had broken off before it was sent on is told as broken

Cause: whoever attached to a body after its close had been told waited for an end that never came: its session stayed busy, and the caller heard nothing until its deadline. Test first: link: a body that had broken off before it was read (hung before).

--- a/src/link/gatherbody.ts
+++ b/src/link/gatherbody.ts
@@ -19,6 +19,9 @@
 
 /** Resolves with the whole body, with a stream of all of it when it is long, or with `broken` when it broke off. */
 export function gatherBody(body: Readable): Promise<Buffer | Readable | "broken"> {
+    if (body.destroyed) {
+        return Promise.resolve("broken");
+    }
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
--- a/src/link/link.test.ts
+++ b/src/link/link.test.ts
@@ -147,6 +147,19 @@
     });
 });
 
+test("link: a body that had broken off before it was read is broken at the other end too", async () => {
+    for (const answer of ["whole", "streamed"] as const) {
+        const body = new Readable({ read() {} }).on("error", () => {});
+        body.destroy(new Error("broke"));
+        await new Promise(resolve => body.on("close", resolve));
+        await between(async () => ({ note, status: 200, headers: {}, body }), async ({ pool }) => {
+            const { head } = call();
+            const sent = await send(pool, call({ head: { ...head, answer } }));
+            await assert.rejects(textOf(sent.body), answer);
+        });
+    }
+});
+
 test("link: a connection that is cut is an error of its request, which may have run", async () => {
     await between(() => new Promise(() => {}), async ({ pool, sockets }) => {
         const sent = send(pool, call());
--- a/src/link/sendbody.ts
+++ b/src/link/sendbody.ts
@@ -21,6 +21,10 @@
         }
         onEnd();
     };
+    if (body.destroyed) {
+        end(frameType.broken);
+        return;
+    }
     socket.on("drain", resume);
     body.on("data", (chunk: Buffer) => {
         if (!socket.destroyed && !socket.write(writeFrame(frameType.data, chunk))) {
