--- a/demo/faultkinds.ts
+++ b/demo/faultkinds.ts
@@ -26,18 +26,31 @@
         await control(upstream, good);
     });
 
+/** Two streams of faults may pick the same host: it is restarted by one of them at a time. */
+const restarting = new Set<HostPlan>();
+
+const restart = async (mesh: Mesh, host: HostPlan, signal: NodeJS.Signals, downMs: number): Promise<void> => {
+    if (restarting.has(host)) {
+        return;
+    }
+    restarting.add(host);
+    try {
+        await mesh.daemons.get(host.name)!.end(signal);
+        await wait(downMs);
+        await mesh.startDaemon(host).ready();
+    }
+    finally {
+        restarting.delete(host);
+    }
+};
+
 /** Names as they stand in the soak's last line. */
 export const faultKinds: readonly FaultKind[] = [
     makeKind("daemonKilled", async (mesh, random) => {
-        const host = pick(mesh, random);
-        await mesh.daemons.get(host.name)!.end("SIGKILL");
-        await wait(lastMs(random));
-        await mesh.startDaemon(host).ready();
+        await restart(mesh, pick(mesh, random), "SIGKILL", lastMs(random));
     }),
     makeKind("daemonStopped", async (mesh, random) => {
-        const host = pick(mesh, random);
-        await mesh.daemons.get(host.name)!.end("SIGTERM");
-        await mesh.startDaemon(host).ready();
+        await restart(mesh, pick(mesh, random), "SIGTERM", 0);
     }),
     makeKind("daemonPaused", async (mesh, random) => {
         const daemon = mesh.daemons.get(pick(mesh, random).name)!;
