--- a/src/hop/headcodec.ts
+++ b/src/hop/headcodec.ts
@@ -4,6 +4,7 @@
 import { Priority } from "../config/priority.js";
 import { RecordCodec } from "./recordcodec.js";
 
+/** As callhead.ts describes it. */
 export const headCodec = new RecordCodec([
     { name: "id" },
     { name: "upstream" },
--- a/src/link/packanswer.ts
+++ b/src/link/packanswer.ts
@@ -4,6 +4,7 @@
 import type { WireAnswer } from "./wireanswer.js";
 import { writeHeaders } from "./writeheaders.js";
 
+/** A list of the note, the status, the fields, whether the connection ends, whether a body follows, and the body. */
 export function packAnswer({ note, status, headers, last, body }: WireAnswer): Buffer {
     const follows = body === "follows";
     const list = [noteCodec.write(note), status, writeHeaders(headers), last, follows];
--- a/src/link/packcall.ts
+++ b/src/link/packcall.ts
@@ -5,6 +5,7 @@
 import type { WireBody } from "./wirebody.js";
 import { writeHeaders } from "./writeheaders.js";
 
+/** A list of the head, the method, the path, the fields, whether a body follows, and the body if it is at hand. */
 export function packCall({ head, method, path, headers }: GateCall, body: WireBody): Buffer {
     const follows = body === "follows";
     const list = [headCodec.write(head), method, path, writeHeaders(headers), follows];
--- a/src/link/servedanswer.ts
+++ b/src/link/servedanswer.ts
@@ -2,4 +2,5 @@
 import type { Readable } from "node:stream";
 import type { WireAnswer } from "./wireanswer.js";
 
+/** The body is at hand or a stream; whether the connection ends is the listener's to say. */
 export type ServedAnswer = Omit<WireAnswer, "body" | "last"> & { readonly body: Buffer | Readable | undefined; };
--- a/src/link/writeframe.ts
+++ b/src/link/writeframe.ts
@@ -3,6 +3,7 @@
 
 const HEAD_BYTES = 5;
 
+/** A copy of the payload with its head before it. */
 export function writeFrame(type: Frame["type"], payload: Buffer): Buffer {
     const frame = Buffer.allocUnsafe(HEAD_BYTES + payload.length);
     frame[0] = type;
