A streamed body leaves no listener on its connection

Cause: sendBody attached to the socket's close for each body and never let go, so a kept connection gathered one listener, and the body it held, for each streamed request or answer. Found by reading the diff. Test first: link: streamed bodies leave nothing behind (red before).

--- a/src/link/link.test.ts
+++ b/src/link/link.test.ts
@@ -113,6 +113,20 @@
     });
 });
 
+test("link: streamed bodies leave nothing behind on the connection they shared", async () => {
+    const serve: Serve = async () => ({ note, status: 200, headers: {}, body: Readable.from([Buffer.from("x")]) });
+    await between(serve, async ({ pool, sockets }) => {
+        const streamed = { ...call().head, answer: "streamed" as const };
+        const listeners: number[] = [];
+        for (let round = 0; round < 5; round++) {
+            assert.equal(await textOf((await send(pool, call({ head: streamed }))).body), "x");
+            listeners.push(sockets[0]!.listenerCount("close") + sockets[0]!.listenerCount("drain"));
+        }
+        assert.equal(sockets.length, 1);
+        assert.equal(listeners.at(-1), listeners[0]);
+    });
+});
+
 test("link: requests at the same time have connections of their own, and the answers are not mixed up", async () => {
     const serve: Serve = async ({ path }) => {
         await new Promise(resolve => setTimeout(resolve, path.length % 7 * 3));
--- a/src/link/sendbody.ts
+++ b/src/link/sendbody.ts
@@ -10,12 +10,13 @@
 export function sendBody(body: Readable, socket: Socket, onEnd: () => void): void {
     let ended = false;
     const resume = (): void => void body.resume();
+    const leave = (): void => void body.destroy();
     const end = (type: typeof frameType.end | typeof frameType.broken): void => {
         if (ended) {
             return;
         }
         ended = true;
-        socket.removeListener("drain", resume);
+        socket.removeListener("drain", resume).removeListener("close", leave);
         if (!socket.destroyed) {
             socket.write(writeFrame(type, NOTHING));
         }
@@ -34,5 +35,5 @@
     body.on("end", () => end(frameType.end));
     body.on("error", () => end(frameType.broken));
     body.on("close", () => end(frameType.broken));
-    socket.once("close", () => body.destroy());
+    socket.once("close", leave);
 }
