Sight: each arrival at an upstream says whether it is the first of its request

Cause: logs and metrics could not tell retries that arrive from those that a gate refuses, nor calls of repeated runs from others. A request's head says what the attempt is (first, retry, hedge, call), the note of a refusal whether the upstream was reached; winglock_upstream_arrivals_total counts by it, the lines of ingress and gate carry it. Nothing is decided by it yet. Wire: one field at the end of each record, left out where it is as usual; wire.test.ts has the new fields, nothing less.

--- a/demo/record.ts
+++ b/demo/record.ts
@@ -1,13 +1,26 @@
-/** The upstreams' own record of what they ran. */
+/** The upstreams' own record of what they received and ran. */
+
+/** `at` in milliseconds. */
+type Arrived = { readonly upstream: string; readonly id: string; readonly at: number; };
+
+/** Arrivals beyond the first of their request, and first ones in the same span. */
+type Beyond = { readonly beyond: number; readonly requests: number; };
+
+const countWithin = (arrivals: readonly Arrived[], from: number, windowMs: number): number =>
+    arrivals.filter(({ at }) => at >= from && at < from + windowMs).length;
 
 /** Counts runs by the id that the load gave its requests; the lines outlive the process that wrote them. */
 export class RunRecord {
     readonly #runs = new Map<string, number>();
     readonly #lastStart = new Map<string, number>();
     readonly #byUpstream = new Map<string, number[]>();
+    readonly #arrivals: Arrived[] = [];
 
     /** Records one line of a stand-in. */
     read(upstream: string, line: string, now: number): void {
+        if (line.startsWith("A ")) {
+            this.#arrivals.push({ upstream, id: line.slice(2), at: now });
+        }
         if (line.startsWith("R ")) {
             const id = line.slice(2);
             this.#runs.set(id, (this.#runs.get(id) ?? 0) + 1);
@@ -18,6 +31,18 @@
         }
     }
 
+    /** Arrivals beyond the first of each request, at one service's upstreams, in the worst span of `windowMs`. */
+    worstBeyondFirst(isOfService: (upstream: string) => boolean, windowMs: number): Beyond {
+        const arrivals = this.#arrivals.filter(({ upstream }) => isOfService(upstream));
+        const seen = new Set<string>();
+        const later = arrivals.filter(({ id }) => seen.has(id) || !seen.add(id));
+        const spans = later.map(({ at }) => ({
+            beyond: countWithin(later, at, windowMs),
+            requests: countWithin(arrivals, at, windowMs) - countWithin(later, at, windowMs),
+        }));
+        return spans.reduce((worst, span) => span.beyond > worst.beyond ? span : worst, { beyond: 0, requests: 0 });
+    }
+
     /** How often a request ran. */
     runs(id: string): number {
         return this.#runs.get(id) ?? 0;
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -5,6 +5,7 @@
 import { HealthCheck } from "../health/healthcheck.js";
 import { ProbeBudget } from "../health/probebudget.js";
 import { Ledger } from "../ledger/ledger.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { GateSet } from "./gateset.js";
@@ -35,6 +36,7 @@
             limit: policy.limit,
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
+            onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
         };
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
--- a/src/daemon/rulematcher.test.ts
+++ b/src/daemon/rulematcher.test.ts
@@ -25,7 +25,7 @@
     const target = { method: "GET", host: "h", path: "/" };
     for (const draw of [0.1, 0.9]) {
         const matched = matcher.find(target, draw)!;
-        const plan: Plan = { type: "plan", ...matched, draw, startedAt: 0, deadline: 1000, depth: 0 };
+        const plan: Plan = { type: "plan", ...matched, draw, startedAt: 0, deadline: 1000, depth: 0, arrival: "first" };
         const out = { method: "GET", path: "/", headers: { host: "h" } } as unknown as Outgoing;
         assert.equal(matcher.replan(out, plan).service.name, matched.service.name);
     }
--- a/src/gate/callcontexts.ts
+++ b/src/gate/callcontexts.ts
@@ -10,19 +10,23 @@
     readonly requestId: string;
     readonly deadline: number;
     readonly depth: number;
+    /** The run is not the first of its request, so that its calls are not either. */
+    readonly repeated: boolean;
     calls: boolean;
     retriedBelow: boolean;
 };
 
+type Run = Pick<CallContext, "deadline" | "depth" | "repeated">;
+
 /** The contexts of what runs, by token; a token can't be guessed, so a caller can't set its own depth or time. */
 export class CallContexts {
     readonly #byToken = new Map<string, CallContext>();
     readonly #byRequest = new Map<string, CallContext>();
 
     /** `requestId` is the id by which the upstream knows the request. */
-    open(requestId: string, deadline: number, depth: number): CallContext {
+    open(requestId: string, { deadline, depth, repeated }: Run): CallContext {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
-        const context = { token, requestId, deadline, depth, calls: false, retriedBelow: false };
+        const context = { token, requestId, deadline, depth, repeated, calls: false, retriedBelow: false };
         this.#byToken.set(token, context);
         this.#byRequest.set(requestId, context);
         return context;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -199,6 +199,7 @@
         this.#running.add(run);
         try {
             const { leaving, calls, retriedBelow, unframed, ...answer } = await run.send();
+            this.#recordArrival(request);
             if (leaving) {
                 this.close("upstream");
             }
@@ -208,11 +209,20 @@
             return { ...answer, note: this.note({ tookMs, calls, retriedBelow, unframed, report }) };
         }
         catch (err) {
-            throw this.#toHopError(err);
+            const arrived = !(err instanceof UpstreamError && err.reason === "unreachable");
+            if (arrived) {
+                this.#recordArrival(request);
+            }
+            throw this.#toHopError(err, arrived);
         }
     }
 
-    #toHopError(err: unknown): HopError {
+    #recordArrival({ call: { head } }: GateRequest): void {
+        this.parts.onArrival(this.upstream.service, head.arrival);
+    }
+
+    /** `arrived`: the upstream has received the request. */
+    #toHopError(err: unknown, arrived: boolean): HopError {
         const reason = err instanceof UpstreamError ? err.reason : "gate-error";
         if (reason === "gate-error") {
             logger.warn("A request failed at its gate.", err, { upstream: this.upstream.name });
@@ -220,6 +230,6 @@
         if (reason === "leaving" || reason === "misdirected") {
             this.close("upstream");
         }
-        return this.#refusals.make(reason);
+        return this.#refusals.make(reason, { arrived });
     }
 }
--- a/src/gate/gatelog.ts
+++ b/src/gate/gatelog.ts
@@ -15,6 +15,7 @@
         logger.decision(this.#idOf(request), "The upstream has answered.", {
             try: request.call.head.id,
             status,
+            arrival: request.call.head.arrival,
             waitedMs: Math.round(waitedMs),
             tookMs: Math.round(tookMs),
             ...this.#state(report),
@@ -22,12 +23,16 @@
     }
 
     refused(request: GateRequest, err: unknown, report: LoadReport): void {
-        const { outcome, reason } = err instanceof HopError ? err : { outcome: "unknown", reason: String(err) };
+        const { outcome, reason, note } = err instanceof HopError
+            ? err
+            : { outcome: "unknown", reason: String(err), note: undefined };
         logger.failure(this.#idOf(request), "The gate has no answer.", {
             try: request.call.head.id,
             outcome,
             reason,
             choices: request.choices,
+            arrival: request.call.head.arrival,
+            arrived: note?.arrived ?? false,
             ...this.#state(report),
         });
     }
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -3,13 +3,14 @@
 import type { ServiceName } from "../ids/servicename.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { LimitName } from "../policy/admission/limitname.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 import type { Clock } from "../time/clock.js";
 import type { CallContexts } from "./callcontexts.js";
 import type { GateIdentity } from "./gateidentity.js";
 
 /**
  * `localIp` is where connections go out from; `onChange` is called at each arrival and each end; `mayAsk` spends one
- * question from the budget of measuring.
+ * question from the budget of measuring; `onArrival` is called for each request that the upstream has received.
  */
 export type GateParts = {
     readonly clock: Clock;
@@ -21,5 +22,6 @@
     readonly localIp: string;
     readonly onChange: () => void;
     readonly mayAsk: () => boolean;
+    readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
     readonly healthPath: (service: ServiceName) => string;
 };
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -47,9 +47,11 @@
     constructor(private readonly request: GateRequest, private readonly parts: RunParts) {
         this.#startedAt = parts.clock();
         const { headers, head } = request.call;
+        const { deadline } = request;
         this.#requestId = parts.dialect.idOf(headers, head.id);
-        this.#context = parts.contexts.open(this.#requestId, request.deadline, request.call.head.depth);
-        this.#overtime = setTimeout(() => this.#cancel.abort(), request.deadline - this.#startedAt + OVERTIME_MS);
+        const run = { deadline, depth: head.depth, repeated: head.arrival !== "first" };
+        this.#context = parts.contexts.open(this.#requestId, run);
+        this.#overtime = setTimeout(() => this.#cancel.abort(), deadline - this.#startedAt + OVERTIME_MS);
     }
 
     /** How long it has run, in milliseconds. */
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -11,6 +11,7 @@
 import { httpStatus } from "../http/httpstatus.js";
 import type { RequestId } from "../ids/requestid.js";
 import { maxWait } from "../policy/admission/maxwait.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 import type { AttemptResult } from "../policy/retry/attemptresult.js";
 import type { Reason } from "../policy/retry/reason.js";
 import { reasons } from "../policy/retry/reasons.js";
@@ -48,7 +49,7 @@
 
     constructor(
         private readonly target: UpstreamView,
-        offer: string | undefined,
+        { offer, arrival }: { readonly offer: string | undefined; readonly arrival: Arrival; },
         private readonly parts: AttemptParts,
     ) {
         const { ingress, plan, choices, nearChoices } = parts;
@@ -70,6 +71,7 @@
             nearChoices,
             offer,
             from: ingress.from,
+            arrival,
         };
     }
 
@@ -155,8 +157,8 @@
             return await this.#settle();
         }
         target.recordRefusal(reasons[reason].upstream, now);
-        const { retryAfterMs, goTo, offer, revision } = note ?? {};
-        return { outcome, reason, retryAfterMs, goTo, offer, revision };
+        const { retryAfterMs, goTo, offer, revision, arrived } = note ?? {};
+        return { outcome, reason, arrived, retryAfterMs, goTo, offer, revision };
     }
 
     /** No answer came. A repeatable request needs none; the gate is asked to revoke one that may run once. */
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -1,21 +1,16 @@
 /**
  * Serves one caller's request, from its plan to its answer.
  *
- * Owns the answer to the caller, the request's deadline and the history of its attempts. Which upstream, whether another attempt
- * follows, and what the caller is told at the end are decided in src/policy; here they are carried out and logged.
+ * Owns the answer to the caller, the request's deadline and the choice of its upstreams. Which upstream, whether another attempt
+ * follows (requestretries.ts), and what the caller is told at the end are decided in src/policy; here they are carried out and logged.
  */
 import type { GateAnswer } from "../hop/gateanswer.js";
 import { Cancel } from "../http/cancel.js";
 import { dropBody } from "../http/dropbody.js";
 import { retrySoonMs } from "../policy/admission/retrysoon.js";
-import { AttemptHistory } from "../policy/retry/attempthistory.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 import type { AttemptResult } from "../policy/retry/attemptresult.js";
-import { decideHedge } from "../policy/retry/decidehedge.js";
-import { decideRetry } from "../policy/retry/decideretry.js";
-import { defaultAttempts } from "../policy/retry/defaultattempts.js";
 import { reasonWord } from "../policy/retry/reasonword.js";
-import type { Retries } from "../policy/retry/retries.js";
-import type { RetryDecision } from "../policy/retry/retrydecision.js";
 import { tellProblem } from "../policy/retry/tellproblem.js";
 import { Attempt } from "./attempt.js";
 import type { CallerAnswer } from "./calleranswer.js";
@@ -25,6 +20,7 @@
 import type { Outgoing } from "./outgoing.js";
 import type { Plan } from "./plan.js";
 import { RequestLog } from "./requestlog.js";
+import { RequestRetries } from "./requestretries.js";
 import { Targets } from "./targets.js";
 import type { Unserved } from "./unserved.js";
 import type { UpstreamView } from "./upstreamview.js";
@@ -36,10 +32,10 @@
 
 /** `run` is called once. */
 export class RequestHandler {
-    readonly #history = new AttemptHistory<UpstreamView>();
     /** Aborts when the caller has gone or the deadline has passed. */
     readonly #ended = new Cancel();
     readonly #log: RequestLog;
+    readonly #retries: RequestRetries;
     readonly #targets: Targets;
     #timer: NodeJS.Timeout | undefined;
     #claimed: Attempt | undefined;
@@ -52,12 +48,18 @@
         private readonly parts: IngressParts,
     ) {
         this.#log = new RequestLog(out.id);
-        this.#targets = new Targets(parts, this.#history.tried);
+        this.#retries = new RequestRetries({
+            ingress: parts,
+            plan: () => this.plan,
+            bodyKept: out.body.kept,
+            log: this.#log,
+        });
+        this.#targets = new Targets(parts, this.#retries.history.tried);
     }
 
     /** How many upstreams it was sent to, or tried to be. */
     get attempts(): number {
-        return this.#history.attempts;
+        return this.#retries.history.attempts;
     }
 
     /** Resolves with what the caller was told. */
@@ -91,12 +93,12 @@
             if (this.answer.isGone) {
                 return "left";
             }
-            this.#history.end(result);
-            if (!this.#decideRetry(result).again) {
+            this.#retries.history.end(result);
+            if (!this.#retries.decide(result).again) {
                 return await this.#conclude(result);
             }
             await this.#prepare(result, target);
-            if (this.plan.kind === "once" && this.#history.mayHaveRun) {
+            if (this.plan.kind === "once" && this.#retries.history.mayHaveRun) {
                 return await this.#conclude(result);
             }
             this.#claimed = undefined;
@@ -109,49 +111,36 @@
         if (this.answer.isGone) {
             return "left";
         }
-        this.#logDecision(last, { again: false, why: "no-upstream" });
+        this.#retries.logDecision(last, { again: false, why: "no-upstream" });
         return await this.#conclude(last);
     }
 
     #tryAt(target: UpstreamView, offer: string | undefined): Promise<Result> {
-        const first = this.#attempt(target, offer);
-        const afterMs = this.#hedgeAfterMs();
+        const arrival = this.#retries.history.mayHaveArrived ? "retry" : this.plan.arrival;
+        const first = this.#attempt(target, offer, arrival);
+        const afterMs = this.#retries.hedgeAfterMs();
         return runHedged(first, { afterMs, second: () => this.#hedge(target, afterMs!) });
     }
 
-    #hedgeAfterMs(): number | undefined {
-        const { kind, rule } = this.plan;
-        return decideHedge({
-            isEnabled: this.parts.hedge,
-            kind,
-            answer: rule.answer,
-            bodyKept: this.out.body.kept,
-            attempts: this.#history.counted,
-            maxAttempts: this.#maxAttempts(),
-            afterMs: this.#retries().hedging.afterMs,
-        });
-    }
-
     #hedge(overdue: UpstreamView, afterMs: number): Attempt | undefined {
-        const { clock, metrics } = this.parts;
-        const { budget } = this.#retries();
         if (this.#claimed !== undefined || this.#ended.aborted) {
             return undefined;
         }
-        overdue.recordOverdue(afterMs, clock());
+        overdue.recordOverdue(afterMs, this.parts.clock());
         const target = this.#targets.choose(this.plan.service.name, undefined);
-        if (target === undefined || this.#history.tried.has(target) || !budget.spendSurplus()) {
+        if (target === undefined || this.#retries.history.tried.has(target)) {
+            return undefined;
+        }
+        if (!this.#retries.payHedge(afterMs, overdue, target)) {
             return undefined;
         }
-        metrics.retried(this.plan.service.name, "hedge");
-        this.#log.hedged(afterMs, overdue, target, budget.left);
-        return this.#attempt(target, undefined);
+        return this.#attempt(target, undefined, "hedge");
     }
 
-    #attempt(target: UpstreamView, offer: string | undefined): Attempt {
-        this.#history.begin(target);
-        const untried = this.#history.mayMove ? this.#targets.untried(this.plan.service.name) : [];
-        const attempt: Attempt = new Attempt(target, offer, {
+    #attempt(target: UpstreamView, offer: string | undefined, arrival: Arrival): Attempt {
+        this.#retries.history.begin(target);
+        const untried = this.#retries.history.mayMove ? this.#targets.untried(this.plan.service.name) : [];
+        const attempt: Attempt = new Attempt(target, { offer, arrival }, {
             ingress: this.parts,
             plan: this.plan,
             choices: untried.length,
@@ -171,26 +160,6 @@
         return this.#claimed === attempt;
     }
 
-    #decideRetry(result: Unserved): RetryDecision {
-        const decision = decideRetry({
-            result,
-            kind: this.plan.kind,
-            attempts: this.#history.counted,
-            maxAttempts: this.#maxAttempts(),
-            moves: this.#history.moves,
-            remainingMs: this.#remainingMs(),
-            bodyKept: this.out.body.kept,
-        }, this.#retries().budget);
-        this.#logDecision(result, decision);
-        return decision;
-    }
-
-    #logDecision(result: Unserved, decision: RetryDecision): void {
-        const { attempts, moves } = this.#history;
-        const { left: budgetLeft } = this.#retries().budget;
-        this.#log.decided(result, decision, { attempts, moves, remainingMs: this.#remainingMs(), budgetLeft });
-    }
-
     /** Lets the last answer go, and gets a newer rule when the gate has one. */
     async #prepare(result: Unserved, target: UpstreamView): Promise<void> {
         this.parts.metrics.retried(this.plan.service.name, reasonWord(result));
@@ -199,7 +168,7 @@
             return;
         }
         if (result.reason === "stale-rule") {
-            this.#history.tried.delete(target);
+            this.#retries.history.tried.delete(target);
             await this.parts.catchUp(result.revision ?? 0, target.settings.gate);
             this.plan = this.parts.replan(this.out, this.plan);
         }
@@ -209,7 +178,7 @@
         if (result.outcome === "failed") {
             return await this.#pass(result.answer);
         }
-        const outcome = this.#history.mayHaveRun ? "unknown" : "not-run";
+        const outcome = this.#retries.history.mayHaveRun ? "unknown" : "not-run";
         const { reason: detail, retryAfterMs } = result;
         const problem = tellProblem(result.outcome, detail);
         this.answer.tell(problem, { outcome, detail, retryAfterMs });
@@ -236,14 +205,6 @@
         return this.answer.deliver(answer, this.plan);
     }
 
-    #retries(): Retries {
-        return this.parts.retries(this.plan.service.name);
-    }
-
-    #maxAttempts(): number {
-        return this.plan.rule.maxTries ?? defaultAttempts;
-    }
-
     #remainingMs(): number {
         return this.plan.deadline - this.parts.clock();
     }
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -1,5 +1,6 @@
 /** The ingress's log lines of one request; its gates write lines with the same id. */
 import { log } from "../log/log.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 import { reasonWord } from "../policy/retry/reasonword.js";
 import type { RetryDecision } from "../policy/retry/retrydecision.js";
 import type { Ending } from "./ending.js";
@@ -18,7 +19,12 @@
 };
 
 /** What an attempt is sent with. */
-type Placed = { readonly id: string; readonly choices: number; readonly remainingMs: number; };
+type Placed = {
+    readonly id: string;
+    readonly choices: number;
+    readonly remainingMs: number;
+    readonly arrival: Arrival;
+};
 
 /** What a request ended with. */
 type Ended = {
@@ -33,7 +39,7 @@
 export class RequestLog {
     constructor(private readonly id: string) {}
 
-    placed(target: UpstreamView, { id, choices, remainingMs }: Placed, now: number): void {
+    placed(target: UpstreamView, { id, choices, remainingMs, arrival }: Placed, now: number): void {
         const { upstream, near, outstanding, report, reportAt } = target;
         logger.decision(this.id, "The request is placed.", {
             try: id,
@@ -43,6 +49,7 @@
             report,
             reportAgeMs: report === undefined ? undefined : Math.round(now - reportAt),
             choices,
+            arrival,
             remainingMs: Math.round(remainingMs),
         });
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -3,6 +3,7 @@
 import type { Priority } from "../config/priority.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
+import type { Arrival } from "../policy/retry/arrival.js";
 
 /** Milliseconds. */
 const MS_PER_SECOND = 1000;
@@ -31,6 +32,13 @@
         labelNames: ["service", "reason"] as const,
         registers: [this.registry],
     });
+    readonly #arrivals = new Counter({
+        name: "winglock_upstream_arrivals_total",
+        help:
+            "Requests that the upstreams beside this daemon received: the first of its request, or what caused one more.",
+        labelNames: ["service", "arrival"] as const,
+        registers: [this.registry],
+    });
     readonly #messages = new Counter({
         name: "winglock_control_messages_total",
         help: "Messages and calls sent for control.",
@@ -70,6 +78,11 @@
         this.#retries.inc({ service, reason });
     }
 
+    /** Records that an upstream has received a request. */
+    arrived(service: ServiceName, arrival: Arrival): void {
+        this.#arrivals.inc({ service, arrival });
+    }
+
     /** Records what was sent for control. */
     spent(kind: Spending, bytes: number): void {
         this.#messages.inc({ kind });
--- a/src/policy/retry/attempthistory.ts
+++ b/src/policy/retry/attempthistory.ts
@@ -5,6 +5,7 @@
  */
 import type { AttemptResult } from "./attemptresult.js";
 import { maxMoves } from "./maxmoves.js";
+import { mayHaveArrived } from "./mayhavearrived.js";
 import { reasons } from "./reasons.js";
 
 /** One for each request. */
@@ -13,6 +14,7 @@
     #attempts = 0;
     #moves = 0;
     #mayHaveRun = false;
+    #mayHaveArrived = false;
 
     /** Attempts, moves among them. */
     get attempts(): number {
@@ -33,6 +35,11 @@
         return this.#mayHaveRun;
     }
 
+    /** An attempt may have reached an upstream, so that the next is not the first arrival. */
+    get mayHaveArrived(): boolean {
+        return this.#mayHaveArrived;
+    }
+
     /** False when the request has moved so often that it must be served where it is. */
     get mayMove(): boolean {
         return this.#moves < maxMoves;
@@ -46,6 +53,7 @@
     /** Records the end of an attempt that did not serve the request. */
     end(result: Exclude<AttemptResult<unknown>, { readonly outcome: "served"; }>): void {
         this.#mayHaveRun ||= result.outcome !== "not-run";
+        this.#mayHaveArrived ||= mayHaveArrived(result);
         if (result.outcome !== "failed" && reasons[result.reason].moves) {
             this.#moves += 1;
         }
--- a/src/policy/retry/attemptresult.ts
+++ b/src/policy/retry/attemptresult.ts
@@ -17,6 +17,8 @@
 type Unanswered = {
     readonly outcome: "not-run" | "unknown";
     readonly reason: Reason;
+    /** The gate says that the request was sent to the upstream. */
+    readonly arrived?: boolean;
     /** When a request refused now is likely to find a slot there, in milliseconds from now. */
     readonly retryAfterMs?: number;
     /** The upstream where a slot is held for the request, and the offer by which it is held. */
--- a/src/wire/answernote.ts
+++ b/src/wire/answernote.ts
@@ -25,6 +25,8 @@
     calls: z.boolean().optional(),
     /** A call that the upstream made for this request failed and was tried again there. */
     retriedBelow: z.boolean().optional(),
+    /** The request was sent to the upstream, which gave no answer to pass on. */
+    arrived: z.boolean().optional(),
 });
 type AnswerNote = z.infer<typeof AnswerNote>;
 
--- a/src/wire/callhead.ts
+++ b/src/wire/callhead.ts
@@ -7,6 +7,7 @@
 import { RequestId } from "../ids/requestid.js";
 import { TeamName } from "../ids/teamname.js";
 import { UpstreamName } from "../ids/upstreamname.js";
+import { arrivalSchema } from "./arrivalschema.js";
 
 const NO_TEAM = "none" as TeamName;
 
@@ -35,6 +36,7 @@
     offer: z.string().max(64).optional(),
     /** Where the sender receives load reports, IP:PORT. */
     from: z.string().max(64).optional(),
+    arrival: arrivalSchema.default("first"),
 });
 type CallHead = z.infer<typeof CallHead>;
 
--- a/src/wire/headcodec.ts
+++ b/src/wire/headcodec.ts
@@ -2,6 +2,7 @@
 import { AnswerMode } from "../config/answermode.js";
 import { Kind } from "../config/kind.js";
 import { Priority } from "../config/priority.js";
+import { arrivalSchema } from "./arrivalschema.js";
 import { RecordCodec } from "./recordcodec.js";
 
 /** As callhead.ts describes it. */
@@ -22,4 +23,5 @@
     { name: "team", usual: "none" },
     { name: "answer", form: AnswerMode.options, usual: "whole" },
     { name: "offer" },
+    { name: "arrival", form: arrivalSchema.options, usual: "first" },
 ]);
--- a/src/wire/notecodec.ts
+++ b/src/wire/notecodec.ts
@@ -25,4 +25,5 @@
     { name: "retriedBelow", usual: false },
     { name: "unframed", usual: false },
     { name: "calls", usual: false },
+    { name: "arrived", usual: false },
 ]);
--- a/src/wire/wire.test.ts
+++ b/src/wire/wire.test.ts
@@ -22,6 +22,7 @@
     choices: 2,
     nearChoices: 1,
     from: "10.0.0.1:7620",
+    arrival: "first",
 } as CallHead;
 
 const note = {
@@ -36,7 +37,8 @@
 });
 
 test("wire: what is not as usual comes back too", () => {
-    const full = { ...head, depth: 3, team: "t", answer: "streamed", offer: "o", incarnation: "x", gateTime: 7 };
+    const unusual = { depth: 3, team: "t", answer: "streamed", offer: "o", arrival: "hedge" };
+    const full = { ...head, ...unusual, incarnation: "x", gateTime: 7 };
     assert.deepEqual(readHead(headCodec.write(full)), { ...full, remainingMs: 950.2 });
 });
 
@@ -45,6 +47,8 @@
     assert.deepEqual(readNote(noteCodec.write(note)), { ...note, gateTime: 1234.5, report });
     const refusal = { ...note, report: undefined, outcome: "not-run", reason: "slow", retryAfterMs: 20 } as AnswerNote;
     const { report: _none, ...plain } = refusal;
+    const shed = { ...note, report, reason: "shed", arrived: true } as AnswerNote;
+    assert.deepEqual(readNote(noteCodec.write(shed)), { ...shed, gateTime: 1234.5 });
     assert.deepEqual(readNote(noteCodec.write(refusal)), { ...plain, gateTime: 1234.5 });
 });
 
--- a/standin/upstream.ts
+++ b/standin/upstream.ts
@@ -12,7 +12,8 @@
 type Work = { readonly run: () => void; };
 
 /**
- * Serves a bounded number of requests at once, the rest in turn, and prints a line for each that it runs: `R id`.
+ * Serves a bounded number of requests at once, the rest in turn, and prints a line for each that arrives, `A id`, and for
+ * each that it runs, `R id`.
  * `/events` streams, `/poll?ms=N` waits without a slot, `/chain` calls the next service through the local daemon.
  */
 export class UpstreamStandin extends StandinServer<UpstreamControl> {
@@ -30,6 +31,7 @@
             spread: "low",
             failing: 0,
             shed: "no",
+            shedShare: 1,
             leaving: false,
             answerFault: "none",
             faultShare: 1,
@@ -89,6 +91,7 @@
     async #work(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
         const path = url.pathname;
         req.resume();
+        this.#print("A", req);
         if (this.#refuse(res)) {
             return;
         }
@@ -118,7 +121,7 @@
             res.writeHead(503, { "winglock-outcome": "not-run", "winglock-leaving": "1" }).end();
             return true;
         }
-        if (this.control.shed !== "no") {
+        if (this.control.shed !== "no" && this.random() < this.control.shedShare) {
             res.writeHead(503, this.control.shed === "said" ? { "winglock-outcome": "not-run" } : {}).end();
             return true;
         }
@@ -126,9 +129,13 @@
     }
 
     #record(req: IncomingMessage): void {
+        this.#print("R", req);
+    }
+
+    #print(word: "A" | "R", req: IncomingMessage): void {
         const id = req.headers["x-load-id"];
         if (id !== undefined) {
-            process.stdout.write(`R ${id}\n`);
+            process.stdout.write(`${word} ${id}\n`);
         }
     }
 
--- a/standin/upstreamcontrol.ts
+++ b/standin/upstreamcontrol.ts
@@ -10,6 +10,8 @@
     spread: "none" | "low";
     failing: number;
     shed: "no" | "said" | "unsaid";
+    /** Of the requests, that are refused where `shed` says so. */
+    shedShare: number;
     leaving: boolean;
     answerFault: AnswerFault;
     faultShare: number;
