One bound on repeats: nothing that may be one more arrival is free, nothing is saved up, a restart brings nothing

Cause: a retry after an upstream had shed was free, however often (row shed of reasons.ts); beside it, each daemon started with retryBurst attempts a service, saved up to five times as many, and started anew with each restart; calls of repeated runs earned budget in place of spending it. Now: a request must pay for each attempt that can be an arrival beyond its first, whatever the reason.

Ruled out: tokens with a smaller start (restarts add up: the model finds it), one shared count (a round trip for each retry).

--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -16,6 +16,9 @@
 import { makePlacement } from "./makeplacement.js";
 import type { MembershipGroup } from "./membershipgroup.js";
 
+/** Milliseconds. */
+const MS_PER_SECOND = 1000;
+
 /** Owns the listeners for callers and peers, and the connections to peers. */
 export class RequestPathGroup {
     readonly table: UpstreamTable;
@@ -23,6 +26,7 @@
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
+    readonly #retries: ServiceRetries;
     #requests = 0;
 
     constructor(
@@ -46,6 +50,9 @@
             upstreams: this.table,
             policy: settings.policy,
         });
+        const { retryBurst: burst, repeats } = settings.policy;
+        const bound = { ...repeats, windowMs: repeats.windowS * MS_PER_SECOND };
+        this.#retries = new ServiceRetries({ bound, burst, startedAt: clock() });
         this.peerServer = this.#makePeerServer();
         this.ingress = this.#makeIngress();
         gates.onChange(() => this.sharing.checkGates());
@@ -57,6 +64,8 @@
         this.gates.gates.apply(upstreams);
         this.table.apply(upstreams);
         this.#hops.apply(upstreams);
+        const gates = new Set(upstreams.map(({ gate }) => gate));
+        this.#retries.recordDaemons(Math.max(gates.size, this.membership.members.length));
     }
 
     readonly #catchUp = (revision: number, from: string | undefined): Promise<void> =>
@@ -93,7 +102,6 @@
         const { current, rules } = this.configuration;
         const { dialect } = environment;
         const { policy } = settings;
-        const retries = new ServiceRetries(policy.retryBurst);
         const revision = (): number => current.revision;
         const planner = new Planner({
             dialect,
@@ -110,7 +118,7 @@
             revision,
             placement: makePlacement(policy),
             upstreams: this.table,
-            retries: service => retries.of(service),
+            retries: service => this.#retries.of(service, clock()),
             hedge: policy.hedge,
             newId: () => `${incarnation}.${this.#requests++}`,
             from: self,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -41,6 +41,13 @@
     leaveHallCost: z.number().min(0).max(100).optional(),
 });
 
+/** What all daemons together may send to a service beyond first arrivals; chosen, not measured. */
+const Repeats = z.strictObject({
+    ratio: z.number().min(0).max(1).default(0.2),
+    slack: z.number().min(0).max(1_000_000).default(240),
+    windowS: z.number().min(1).max(3600).default(10),
+});
+
 const Policy = z.strictObject({
     profile: z.enum(["frugal", "responsive"]).default("responsive"),
     placement: z.enum(["expected-time", "round-robin", "random", "least-outstanding", "two-choices"])
@@ -49,6 +56,7 @@
     relief: z.boolean().default(true),
     hedge: z.boolean().default(true),
     retryBurst: z.int().min(0).max(1000).default(20),
+    repeats: Repeats.prefault({}),
     placementOptions: PlacementOptions.prefault({}),
 });
 
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -123,19 +123,18 @@
             const { status, note } = answer;
             return { outcome: "failed", answer, status, retriedBelow: note?.retriedBelow === true };
         }
-        ingress.retries(plan.service.name).hedging.observe(now - sentAt, answer.note?.calls === true);
+        ingress.retries(plan.service).hedging.observe(now - sentAt, answer.note?.calls === true);
         return await this.#deliver(answer);
     }
 
     async #deliver(answer: GateAnswer): Promise<Result> {
-        const { ingress, plan, claim, deliver } = this.parts;
+        const { claim, deliver } = this.parts;
         if (!claim()) {
             abandonBody(answer.body);
             return { outcome: "unknown", reason: "overtaken" };
         }
         await deliver(answer);
         this.target.recordSuccess();
-        ingress.retries(plan.service.name).budget.earn(plan.service.retryRatio);
         return { outcome: "served" };
     }
 
--- a/src/ingress/ingressparts.ts
+++ b/src/ingress/ingressparts.ts
@@ -1,7 +1,7 @@
 /** What the handling of requests needs of its daemon. */
+import type { Service } from "../config/service.js";
 import type { Dialect } from "../dialect/dialect.js";
 import type { Address } from "../ids/address.js";
-import type { ServiceName } from "../ids/servicename.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { Placement } from "../policy/placement/placement.js";
 import type { RandomSource } from "../policy/randomsource.js";
@@ -19,7 +19,7 @@
     readonly upstreams: UpstreamTable;
     readonly metrics: Metrics;
     /** The service's budget of retries, and what its answers so far say of hedging. */
-    readonly retries: (service: ServiceName) => Retries;
+    readonly retries: (service: Service) => Retries;
     readonly dialect: Dialect;
     readonly hedge: boolean;
     readonly newId: () => string;
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -64,6 +64,7 @@
 
     /** Resolves with what the caller was told. */
     async run(): Promise<Ending> {
+        this.#retries.begin();
         const forget = this.answer.onClose(() => this.#ended.abort());
         this.#timer = setTimeout(() => {
             this.#isDeadlinePassed = true;
--- a/src/ingress/requestretries.ts
+++ b/src/ingress/requestretries.ts
@@ -15,6 +15,9 @@
 import type { Unserved } from "./unserved.js";
 import type { UpstreamView } from "./upstreamview.js";
 
+/** Of a repeat. */
+const TENTHS = 10;
+
 /** What the request lends; its plan may change between attempts. */
 type RetryParts = {
     readonly ingress: IngressParts;
@@ -30,19 +33,40 @@
 
     constructor(private readonly parts: RetryParts) {}
 
+    /** Records that the request has come, as what it is to the budget of its service. */
+    begin(): void {
+        const { ingress: { clock }, plan } = this.parts;
+        const { budget } = this.#retries();
+        if (plan().arrival === "call") {
+            budget.recordRepeat(clock());
+        }
+        else {
+            budget.recordRequest(clock());
+        }
+    }
+
     /** Whether another attempt follows one that did not serve the request. */
     decide(result: Unserved): RetryDecision {
         const { ingress: { clock }, plan, bodyKept } = this.parts;
         const { kind, deadline } = plan();
-        const decision = decideRetry({
-            result,
-            kind,
-            attempts: this.history.counted,
-            maxAttempts: this.#maxAttempts(),
-            moves: this.history.moves,
-            remainingMs: deadline - clock(),
-            bodyKept,
-        }, this.#retries().budget);
+        const now = clock();
+        const decision = decideRetry(
+            {
+                result,
+                kind,
+                attempts: this.history.counted,
+                maxAttempts: this.#maxAttempts(),
+                moves: this.history.moves,
+                remainingMs: deadline - now,
+                bodyKept,
+                owes: this.history.owes,
+            },
+            this.#retries(),
+            now,
+        );
+        if (decision.why === "budget") {
+            this.history.pay();
+        }
         this.logDecision(result, decision);
         return decision;
     }
@@ -50,8 +74,9 @@
     logDecision(result: Unserved, decision: RetryDecision): void {
         const { ingress: { clock }, plan, log } = this.parts;
         const { attempts, moves } = this.history;
-        const { left: budgetLeft } = this.#retries().budget;
-        log.decided(result, decision, { attempts, moves, remainingMs: plan().deadline - clock(), budgetLeft });
+        const now = clock();
+        const budgetLeft = this.#budgetLeft(now);
+        log.decided(result, decision, { attempts, moves, remainingMs: plan().deadline - now, budgetLeft });
     }
 
     /** When the first answer is overdue; undefined where the request must not be sent twice. */
@@ -71,18 +96,26 @@
 
     /** Spends what a hedge costs; false when it is not there. */
     payHedge(overdueMs: number, overdue: UpstreamView, target: UpstreamView): boolean {
-        const { ingress: { metrics }, plan, log } = this.parts;
-        const { budget } = this.#retries();
-        if (!budget.spendSurplus()) {
+        const { ingress: { metrics, clock }, plan, log } = this.parts;
+        const { budget, allowance } = this.#retries();
+        const now = clock();
+        if (!budget.spendSurplus(allowance, now)) {
             return false;
         }
+        this.history.hedge();
         metrics.retried(plan().service.name, "hedge");
-        log.hedged(overdueMs, overdue, target, budget.left);
+        log.hedged(overdueMs, overdue, target, this.#budgetLeft(now));
         return true;
     }
 
+    /** In tenths, for log lines. */
+    #budgetLeft(now: number): number {
+        const { budget, allowance } = this.#retries();
+        return Math.round(budget.left(allowance, now) * TENTHS) / TENTHS;
+    }
+
     #retries(): Retries {
-        return this.parts.ingress.retries(this.parts.plan().service.name);
+        return this.parts.ingress.retries(this.parts.plan().service);
     }
 
     #maxAttempts(): number {
--- a/src/policy/retry/attempthistory.ts
+++ b/src/policy/retry/attempthistory.ts
@@ -14,7 +14,8 @@
     #attempts = 0;
     #moves = 0;
     #mayHaveRun = false;
-    #mayHaveArrived = false;
+    #arrivals = 0;
+    #paid = 0;
 
     /** Attempts, moves among them. */
     get attempts(): number {
@@ -37,7 +38,12 @@
 
     /** An attempt may have reached an upstream, so that the next is not the first arrival. */
     get mayHaveArrived(): boolean {
-        return this.#mayHaveArrived;
+        return this.#arrivals > 0;
+    }
+
+    /** The next arrival would be one that nothing has been paid for. */
+    get owes(): boolean {
+        return this.#arrivals > this.#paid;
     }
 
     /** False when the request has moved so often that it must be served where it is. */
@@ -50,10 +56,23 @@
         this.tried.add(target);
     }
 
+    /** Records that the next arrival is paid for. */
+    pay(): void {
+        this.#paid += 1;
+    }
+
+    /** Records a hedge: it is paid for, and whatever comes of it, it may have arrived. */
+    hedge(): void {
+        this.#arrivals += 1;
+        this.#paid += 1;
+    }
+
     /** Records the end of an attempt that did not serve the request. */
     end(result: Exclude<AttemptResult<unknown>, { readonly outcome: "served"; }>): void {
         this.#mayHaveRun ||= result.outcome !== "not-run";
-        this.#mayHaveArrived ||= mayHaveArrived(result);
+        if (mayHaveArrived(result)) {
+            this.#arrivals += 1;
+        }
         if (result.outcome !== "failed" && reasons[result.reason].moves) {
             this.#moves += 1;
         }
--- a/src/policy/retry/reasons.test.ts
+++ b/src/policy/retry/reasons.test.ts
@@ -56,3 +56,24 @@
     assert.equal(history.mayMove, false);
     assert.equal(history.mayHaveRun, true);
 });
+
+test("history: an arrival beyond the first is owed until it is paid, and a payment covers one arrival", () => {
+    const history = new AttemptHistory<string>();
+    history.begin("a");
+    history.end({ outcome: "not-run", reason: "wait-too-long" });
+    assert.deepEqual([history.mayHaveArrived, history.owes], [false, false], "a gate's refusal is no arrival");
+    history.begin("b");
+    history.end({ outcome: "not-run", reason: "shed", arrived: true });
+    assert.deepEqual([history.mayHaveArrived, history.owes], [true, true]);
+    history.pay();
+    history.begin("c");
+    history.end({ outcome: "not-run", reason: "busy" });
+    assert.equal(history.owes, false, "what was paid has not arrived yet");
+    history.begin("d");
+    history.end({ outcome: "unknown", reason: "peer-broke" });
+    assert.equal(history.owes, true);
+    history.pay();
+    history.hedge();
+    history.end({ outcome: "failed", answer: undefined, status: 500, retriedBelow: false });
+    assert.equal(history.owes, true, "a hedge pays for itself only");
+});
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -40,8 +40,7 @@
     "no-such-upstream": { ...movesForPlace, problem: "no-upstream", upstream: "absent" },
     "stale-rule": movesForLoad,
     "bad-call": refusedForLoad,
-    /** The upstream itself refused: its siblings may well take the request, so another attempt is free. */
-    "shed": { ...refusedForLoad, costsBudget: false, upstream: "failing" },
+    "shed": { ...refusedForLoad, upstream: "failing" },
     "misdirected": refusedForLoad,
     "foreign-answer": mayHaveRun,
     "upstream-broke": mayHaveRun,
--- a/src/policy/retry/retrybudget.ts
+++ b/src/policy/retry/retrybudget.ts
@@ -1,43 +1,50 @@
 /**
- * May one more retry be afforded? Bounds what retries add to a service's load.
+ * May one more repeat be afforded? Bounds what one daemon adds to a service's load, whatever makes it.
  *
- * Each success earns a share of a retry, a retry spends a whole one; what there is at the start is kept for failures, so a hedge
- * takes only what successes have earned beyond it.
+ * A repeat is an arrival at an upstream beyond the first of its request: a retry, a hedge, or a call of a run that was itself a
+ * repeat. What was not spent in a window is not saved, and a start brings nothing: a quiet hour or a row of restarts buys no
+ * storm. A call of a repeated run is counted and never refused here: its request has spent work already, so it takes from what
+ * retries may have.
  */
+import type { Allowance } from "./allowance.js";
+import { RollingCount } from "./rollingcount.js";
 
-/** What may be saved up, as a multiple of what there is at the start; chosen, not measured. */
-const MAX_SHARE = 5;
-
-/** Of one service at one ingress. */
+/** Of one service at one daemon; times are milliseconds on its clock. */
 export class RetryBudget {
-    #tokens: number;
+    readonly #requests: RollingCount;
+    readonly #repeats: RollingCount;
 
-    /** `burst` is how many there are at the start, before any success. */
-    constructor(private readonly burst: number) {
-        this.#tokens = burst;
+    constructor(windowMs: number) {
+        this.#requests = new RollingCount(windowMs);
+        this.#repeats = new RollingCount(windowMs);
     }
 
-    /** Records one success; `ratio` is what it earns, in retries. */
-    earn(ratio: number): void {
-        this.#tokens = Math.min(MAX_SHARE * this.burst, this.#tokens + ratio);
+    /** Records a request that is not itself caused by a repeat. */
+    recordRequest(now: number): void {
+        this.#requests.add(now);
     }
 
-    /** What is left. */
-    get left(): number {
-        return this.#tokens;
+    /** Records a repeat that is sent whether it can be afforded or not. */
+    recordRepeat(now: number): void {
+        this.#repeats.add(now);
     }
 
-    /** Takes one for an attempt that is not needed, only from what successes have earned: the start is kept for failures. */
-    spendSurplus(): boolean {
-        return this.#tokens >= this.burst + 1 && this.spend();
+    /** How many repeats can be afforded; below 0 where calls of repeated runs took more than there was. */
+    left({ ratio, reserve }: Allowance, now: number): number {
+        return ratio * this.#requests.atLeast(now) + reserve - this.#repeats.atMost(now);
     }
 
-    /** Takes one retry; false when none is left. */
-    spend(): boolean {
-        if (this.#tokens < 1) {
+    /** Takes one; false when it can't be afforded. */
+    spend(allowance: Allowance, now: number): boolean {
+        if (this.left(allowance, now) < 1) {
             return false;
         }
-        this.#tokens -= 1;
+        this.recordRepeat(now);
         return true;
     }
+
+    /** Takes one for an attempt that is not needed: the reserve is kept for failures. */
+    spendSurplus({ ratio }: Allowance, now: number): boolean {
+        return this.spend({ ratio, reserve: 0 }, now);
+    }
 }
--- a/test/repeats.test.ts
+++ b/test/repeats.test.ts
@@ -7,10 +7,13 @@
 import { chainMesh } from "./chainmesh.js";
 import { withMesh } from "./withmesh.js";
 
-/** What all daemons together may send beyond the first arrivals, by default: of the requests, and besides. */
+/** What all daemons together may send beyond the first arrivals: of the requests, and besides. */
 const RATIO = 0.2;
 const SLACK = 60;
 const WINDOW_MS = 10_000;
+const BOUNDED = {
+    policy: { profile: "responsive", repeats: { ratio: RATIO, slack: SLACK, windowS: WINDOW_MS / 1000 } },
+};
 
 const load = (mesh: Mesh, seconds: number, ratePerSecond: number): ReturnType<typeof runLoad> =>
     runLoad(mesh.spec, { seed: 3, seconds, ratePerSecond, ingresses: () => mesh.hosts.map(host => host.ingress) });
@@ -60,5 +63,5 @@
         await Promise.all(shedding.map(({ upstream }) => control(upstream, { shed: "said", shedShare: 0.8 })));
         await load(mesh, 8, 150);
         assertWithinBound(mesh, "fees");
-    });
+    }, { settings: BOUNDED });
 });
