A repeated run starts only where its calls can be afforded

All calls of a run come in by the daemon beside it, so that daemon's gate knows alone whether its part of the called service's bound has room (reason calls-spent). Ruled out: a smaller share for all (callers lose retries where nothing is called), refusing the calls themselves (a run fails after its work).

--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -6,11 +6,15 @@
 import { ProbeBudget } from "../health/probebudget.js";
 import { Ledger } from "../ledger/ledger.js";
 import type { Arrival } from "../policy/retry/arrival.js";
+import { ServiceRetries } from "../policy/retry/serviceretries.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { GateSet } from "./gateset.js";
 
-/** Owns the ledger and the contexts of what runs here. */
+/** Milliseconds. */
+const MS_PER_SECOND = 1000;
+
+/** Owns the ledger, the budgets of retries and the contexts of what runs here. */
 export class GateGroup {
     readonly contexts = new CallContexts();
     readonly identity: GateIdentity;
@@ -18,6 +22,7 @@
     readonly probes: ProbeBudget;
     readonly gates: GateSet;
     readonly health: HealthCheck;
+    readonly retries: ServiceRetries;
     #onChange: () => void = () => {};
 
     constructor(context: DaemonContext, { current }: ConfigurationGroup) {
@@ -26,6 +31,9 @@
         this.identity = new GateIdentity(context.incarnation, () => current.revision);
         this.ledger = new Ledger(limits.ledgerEntries);
         this.probes = new ProbeBudget(control, current, metrics, clock);
+        const { retryBurst: burst, repeats } = policy;
+        const bound = { ...repeats, windowMs: repeats.windowS * MS_PER_SECOND };
+        this.retries = new ServiceRetries({ bound, burst, startedAt: clock() });
         const shared = {
             clock,
             localIp,
@@ -37,6 +45,7 @@
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
+            repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
         };
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
@@ -45,6 +54,16 @@
         this.health = new HealthCheck(health, () => this.gates.all, metrics);
     }
 
+    /** Without a bound of its own, a service that the configuration no longer has gets none. */
+    #repeatsLeft(name: Gate["upstream"]["service"], current: ConfigurationGroup["current"], now: number): number {
+        const service = current.document.services.find(each => each.name === name);
+        if (service === undefined) {
+            return 0;
+        }
+        const { budget, allowance } = this.retries.of(service, now);
+        return budget.left(allowance, now);
+    }
+
     /** Calls the listener when a request arrives at a gate, and when one ends there. */
     onChange(listener: () => void): void {
         this.#onChange = listener;
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -5,7 +5,6 @@
 import { Planner } from "../ingress/planner.js";
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
-import { ServiceRetries } from "../policy/retry/serviceretries.js";
 import type { Member } from "../wire/member.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
@@ -16,9 +15,6 @@
 import { makePlacement } from "./makeplacement.js";
 import type { MembershipGroup } from "./membershipgroup.js";
 
-/** Milliseconds. */
-const MS_PER_SECOND = 1000;
-
 /** Owns the listeners for callers and peers, and the connections to peers. */
 export class RequestPathGroup {
     readonly table: UpstreamTable;
@@ -26,7 +22,6 @@
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
-    readonly #retries: ServiceRetries;
     #requests = 0;
 
     constructor(
@@ -50,9 +45,6 @@
             upstreams: this.table,
             policy: settings.policy,
         });
-        const { retryBurst: burst, repeats } = settings.policy;
-        const bound = { ...repeats, windowMs: repeats.windowS * MS_PER_SECOND };
-        this.#retries = new ServiceRetries({ bound, burst, startedAt: clock() });
         this.peerServer = this.#makePeerServer();
         this.ingress = this.#makeIngress();
         gates.onChange(() => this.sharing.checkGates());
@@ -65,7 +57,7 @@
         this.table.apply(upstreams);
         this.#hops.apply(upstreams);
         const gates = new Set(upstreams.map(({ gate }) => gate));
-        this.#retries.recordDaemons(Math.max(gates.size, this.membership.members.length));
+        this.gates.retries.recordDaemons(Math.max(gates.size, this.membership.members.length));
     }
 
     readonly #catchUp = (revision: number, from: string | undefined): Promise<void> =>
@@ -118,7 +110,7 @@
             revision,
             placement: makePlacement(policy),
             upstreams: this.table,
-            retries: service => this.#retries.of(service, clock()),
+            retries: service => this.gates.retries.of(service, clock()),
             hedge: policy.hedge,
             newId: () => `${incarnation}.${this.#requests++}`,
             from: self,
--- a/src/gate/callcontexts.ts
+++ b/src/gate/callcontexts.ts
@@ -1,10 +1,11 @@
 /** Ties the calls that a local upstream makes to the request that it makes them for. */
 import { randomBytes } from "node:crypto";
+import type { ServiceName } from "../ids/servicename.js";
 
 /** Too many to be guessed; chosen, not measured. */
 const TOKEN_BYTES = 12;
 
-/** `deadline` is on the daemon's clock; `calls` is set by the first call made for it, `retriedBelow` when one has failed. */
+/** `deadline` is on the daemon's clock; `calls` are those made for it so far, `retriedBelow` is set when one has failed. */
 type CallContext = {
     readonly token: string;
     readonly requestId: string;
@@ -12,7 +13,7 @@
     readonly depth: number;
     /** The run is not the first of its request, so that its calls are not either. */
     readonly repeated: boolean;
-    calls: boolean;
+    readonly calls: Map<ServiceName, number>;
     retriedBelow: boolean;
 };
 
@@ -26,7 +27,7 @@
     /** `requestId` is the id by which the upstream knows the request. */
     open(requestId: string, { deadline, depth, repeated }: Run): CallContext {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
-        const context = { token, requestId, deadline, depth, repeated, calls: false, retriedBelow: false };
+        const context = { token, requestId, deadline, depth, repeated, calls: new Map(), retriedBelow: false };
         this.#byToken.set(token, context);
         this.#byRequest.set(requestId, context);
         return context;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -9,6 +9,7 @@
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { HopError } from "../hop/hoperror.js";
+import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { log } from "../log/log.js";
 import { Admission } from "../policy/admission/admission.js";
@@ -16,6 +17,8 @@
 import { RuleTimes } from "../policy/admission/ruletimes.js";
 import { atLeast } from "../policy/placement/atleast.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
+import { CallProfile } from "../policy/retry/callprofile.js";
+import { canAffordCalls } from "../policy/retry/canaffordcalls.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import type { CloseReason } from "./closereason.js";
 import { GateLog } from "./gatelog.js";
@@ -43,6 +46,7 @@
     readonly #refusals: GateRefusals;
     readonly #queue: SlotQueue;
     readonly #running = new RunningRequests();
+    readonly #calls = new CallProfile();
     readonly #closedFor = new Set<CloseReason>();
 
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
@@ -161,6 +165,7 @@
     /** Throws for a request that belongs elsewhere, or that the ledger does not let run. */
     async #admit(request: GateRequest): Promise<void> {
         this.#refuseIfClosed();
+        this.#refuseIfCallsAreSpent(request);
         if (await this.#pace.shouldSendOn(request.choices)) {
             throw this.#refusals.make("slow");
         }
@@ -184,12 +189,22 @@
         }
     }
 
+    /** A repeat adds its calls to other services, whose bound holds too. */
+    #refuseIfCallsAreSpent({ call: { head: { arrival } } }: GateRequest): void {
+        const isRepeat = arrival === "retry" || arrival === "hedge";
+        const { perRun } = this.#calls;
+        if (isRepeat && !canAffordCalls(perRun, this.#running.repeated, this.parts.repeatsLeft)) {
+            throw this.#refusals.make("calls-spent");
+        }
+    }
+
     async #run(request: GateRequest): Promise<GateAnswer> {
         const { clock } = this.parts;
         if (!this.#queue.start(request)) {
             throw this.#refusals.make("deadline-or-revoked");
         }
-        const onEnd = (serviceMs: number | undefined): void => {
+        const onEnd = (serviceMs: number | undefined, made: ReadonlyMap<ServiceName, number>): void => {
+            this.#calls.observe(made);
             this.#running.remove(run);
             this.#queue.release(serviceMs, { rule: request.rule, pace: this.#pace.last });
             this.parts.onChange();
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -10,7 +10,8 @@
 
 /**
  * `localIp` is where connections go out from; `onChange` is called at each arrival and each end; `mayAsk` spends one
- * question from the budget of measuring; `onArrival` is called for each request that the upstream has received.
+ * question from the budget of measuring; `onArrival` is called for each request that the upstream has
+ * received; `repeatsLeft` says how many repeats of a service this daemon can still afford.
  */
 export type GateParts = {
     readonly clock: Clock;
@@ -23,5 +24,6 @@
     readonly onChange: () => void;
     readonly mayAsk: () => boolean;
     readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
+    readonly repeatsLeft: (service: ServiceName) => number;
     readonly healthPath: (service: ServiceName) => string;
 };
--- a/src/gate/runningrequests.ts
+++ b/src/gate/runningrequests.ts
@@ -10,6 +10,11 @@
         return this.#finished;
     }
 
+    /** Those that are not the first of their request. */
+    get repeated(): number {
+        return [...this.#runs].filter(run => run.repeated).length;
+    }
+
     add(run: UpstreamRun): void {
         this.#runs.add(run);
     }
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -5,6 +5,7 @@
 import { Cancel } from "../http/cancel.js";
 import { cleanHeaders } from "../http/cleanheaders.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
+import type { ServiceName } from "../ids/servicename.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { reasons } from "../policy/retry/reasons.js";
 import type { Clock } from "../time/clock.js";
@@ -14,14 +15,14 @@
 import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
 
-/** What a run needs; `onEnd` is called once, with the service time when the upstream served the request. */
+/** What a run needs; `onEnd` is called once, with the service time when the upstream served the request, and the calls that the run made. */
 type RunParts = {
     readonly clock: Clock;
     readonly ledger: Ledger;
     readonly contexts: CallContexts;
     readonly dialect: Dialect;
     readonly client: UpstreamClient;
-    readonly onEnd: (serviceMs: number | undefined) => void;
+    readonly onEnd: (serviceMs: number | undefined, calls: ReadonlyMap<ServiceName, number>) => void;
 };
 
 /** An upstream that is silent for so long past the deadline is cut off, so that its slot is not held for ever. */
@@ -54,6 +55,11 @@
         this.#overtime = setTimeout(() => this.#cancel.abort(), deadline - this.#startedAt + OVERTIME_MS);
     }
 
+    /** It is not the first of its request, or its request is a call of such a one. */
+    get repeated(): boolean {
+        return this.request.call.head.arrival !== "first";
+    }
+
     /** How long it has run, in milliseconds. */
     ageMs(now: number): number {
         return now - this.#startedAt;
@@ -78,7 +84,7 @@
                 headers: cleanHeaders(answer.headers),
                 body: streamed ? answer.body : this.#watch(answer.body),
                 leaving: parts.dialect.isLeaving(answer.headers),
-                calls: this.#context.calls,
+                calls: this.#context.calls.size > 0,
                 retriedBelow: this.#context.retriedBelow,
                 unframed: !isFramed(answer.headers),
             };
@@ -128,6 +134,6 @@
         clearTimeout(this.#overtime);
         this.parts.contexts.close(this.#context);
         this.parts.ledger.finish(this.request.call.head.id);
-        this.parts.onEnd(served ? this.ageMs(this.parts.clock()) : undefined);
+        this.parts.onEnd(served ? this.ageMs(this.parts.clock()) : undefined, this.#context.calls);
     }
 }
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -45,9 +45,8 @@
             return { type: "refusal", problem: "no-rule", detail: `${method} ${path}` };
         }
         const parent = this.parentOf(req);
-        if (parent !== undefined) {
-            parent.calls = true;
-        }
+        const { name } = matched.service;
+        parent?.calls.set(name, (parent.calls.get(name) ?? 0) + 1);
         const depth = parent === undefined ? 0 : parent.depth + 1;
         if (depth > maxDepth) {
             return { type: "refusal", problem: "too-deep", detail: `depth ${depth}` };
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -7,6 +7,7 @@
     | "queue-full"
     | "wait-too-long"
     | "handed-back"
+    | "calls-spent"
     | "caller-left"
     // Time.
     | "deadline"
--- a/src/policy/retry/reasons.test.ts
+++ b/src/policy/retry/reasons.test.ts
@@ -11,6 +11,7 @@
 test("reasons: those that move a request elsewhere", () => {
     assert.deepEqual(having(reason => reasons[reason].moves), [
         "busy",
+        "calls-spent",
         "handed-back",
         "incarnation",
         "leaving",
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -27,6 +27,7 @@
     "slow": movesForLoad,
     "busy": movesForLoad,
     "handed-back": movesForLoad,
+    "calls-spent": movesForLoad,
     "queue-full": refusedForLoad,
     "wait-too-long": refusedForLoad,
     "caller-left": refusedForLoad,
--- a/src/policy/retry/retrymodel.test.ts
+++ b/src/policy/retry/retrymodel.test.ts
@@ -8,6 +8,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { ServiceName } from "../../ids/servicename.js";
+import { canAffordCalls } from "./canaffordcalls.js";
 import type { Retries } from "./retries.js";
 import { ServiceRetries } from "./serviceretries.js";
 
@@ -18,11 +19,13 @@
 const STEPS = 600;
 const BOUND = { ratio: 0.2, slack: 58, windowMs: WINDOW_MS };
 const MAX_ATTEMPTS = 3;
+const OUTER = "outer" as ServiceName;
+const INNER = "inner" as ServiceName;
 /** A daemon is back so long after its end. */
 const DOWN_STEPS = 5;
 
 /** A fault planted in a copy of the rule, to see that the search finds it. */
-type Planted = "none" | "free-retry" | "start-with-reserve" | "undivided-slack" | "calls-uncounted";
+type Planted = "none" | "free-retry" | "start-with-reserve" | "undivided-slack" | "calls-uncounted" | "calls-unasked";
 
 /** For some seconds: requests a step, the share of runs that fail, and daemons that are restarted a second. */
 const phase = fc.record({
@@ -121,18 +124,25 @@
             this.#daemons[struck] = this.#start((this.#step + DOWN_STEPS) * STEP_MS);
         }
         for (let request = 0; request < now.perStep; request++) {
-            this.#send(this.outer, "outer", false, now);
+            this.#send(this.outer, this.#draw(), false, now);
         }
     }
 
-    /** One request from a daemon that is up; each of its runs calls the inner service. */
-    #send(traffic: Traffic, service: string, ofRepeat: boolean, now: Phase): void {
-        const at = Math.floor(this.#random() * this.#daemons.length);
+    #retries(at: number, name: ServiceName): Retries {
+        return this.#daemons[at]!.of({ name, retryRatio: 1 }, this.#now);
+    }
+
+    #draw(): number {
+        return Math.floor(this.#random() * this.#daemons.length);
+    }
+
+    /** One request that comes in by a daemon, if that is up. */
+    #send(traffic: Traffic, at: number, ofRepeat: boolean, now: Phase): void {
         if (this.#step < this.#upAt[at]!) {
             return;
         }
-        const retries = (): Retries =>
-            this.#daemons[at]!.of({ name: service as ServiceName, retryRatio: 1 }, this.#now);
+        const service = traffic === this.outer ? OUTER : INNER;
+        const retries = (): Retries => this.#retries(at, service);
         if (ofRepeat && this.planted !== "calls-uncounted") {
             retries().budget.recordRepeat(this.#now);
         }
@@ -153,18 +163,29 @@
         }
     }
 
+    /** A run beside some daemon, by which its calls come in; that daemon may refuse a repeat. */
     #arrive(traffic: Traffic, repeated: boolean, now: Phase): void {
+        const at = this.#draw();
+        const { calls } = this.setup;
+        if (traffic === this.outer && repeated && this.planted !== "calls-unasked" && !this.#canAfford(at, calls)) {
+            return;
+        }
         if (repeated) {
             traffic.beyond[this.#step]! += 1;
         }
-        if (traffic === this.outer) {
-            const { calls } = this.setup;
-            const count = Math.floor(calls) + Number(this.#random() < calls % 1);
-            for (let call = 0; call < count; call++) {
-                this.#send(this.inner, "inner", repeated, now);
-            }
+        const count = traffic === this.outer ? Math.floor(calls) + Number(this.#random() < calls % 1) : 0;
+        for (let call = 0; call < count; call++) {
+            this.#send(this.inner, at, repeated, now);
         }
     }
+
+    #canAfford(at: number, calls: number): boolean {
+        const perRun = new Map(calls === 0 ? [] : [[INNER, calls]]);
+        return canAffordCalls(perRun, 0, service => {
+            const { budget, allowance } = this.#retries(at, service);
+            return budget.left(allowance, this.#now);
+        });
+    }
 }
 
 /** Looks for a scenario in which either service gets more than its bound. */
@@ -185,6 +206,12 @@
 });
 
 test("repeats: the search finds planted faults", () => {
-    const planted: Planted[] = ["free-retry", "start-with-reserve", "undivided-slack", "calls-uncounted"];
+    const planted: Planted[] = [
+        "free-retry",
+        "start-with-reserve",
+        "undivided-slack",
+        "calls-uncounted",
+        "calls-unasked",
+    ];
     assert.deepEqual(planted.filter(fault => !search(fault).failed), []);
 });
