--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -1,7 +1,7 @@
 /**
  * The only way in to one upstream.
  *
- * Owns the upstream's client, its slots and queue, and what it knows of the upstream's pace. Every refusal is a HopError whose
+ * Owns the upstream's client, its slots and queue; gatechecks.ts says what it refuses at once. Every refusal is a HopError whose
  * outcome is `not-run` exactly when the ledger or the upstream proves it. What is decided of a request stands in
  * policy/admission and policy/failure.
  */
@@ -17,15 +17,13 @@
 import { RuleTimes } from "../policy/admission/ruletimes.js";
 import { atLeast } from "../policy/placement/atleast.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
-import { CallProfile } from "../policy/retry/callprofile.js";
-import { canAffordCalls } from "../policy/retry/canaffordcalls.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import type { CloseReason } from "./closereason.js";
+import { GateChecks } from "./gatechecks.js";
 import { GateLog } from "./gatelog.js";
 import type { GateParts } from "./gateparts.js";
 import { GateRefusals } from "./gaterefusals.js";
 import { GateRequest } from "./gaterequest.js";
-import { PaceProbe } from "./paceprobe.js";
 import { RunningRequests } from "./runningrequests.js";
 import { SlotQueue } from "./slotqueue.js";
 import { UpstreamClient } from "./upstreamclient.js";
@@ -39,25 +37,24 @@
 
 /** Serves the requests for one upstream. */
 export class Gate {
-    readonly #pace: PaceProbe;
+    readonly #checks: GateChecks;
     readonly #log: GateLog;
     readonly #client: UpstreamClient;
     readonly #admission: Admission<GateRequest>;
     readonly #refusals: GateRefusals;
     readonly #queue: SlotQueue;
     readonly #running = new RunningRequests();
-    readonly #calls = new CallProfile();
-    readonly #closedFor = new Set<CloseReason>();
 
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
         const { clock, ledger, localIp, dialect } = parts;
-        const onLoad = ({ pace }: { readonly pace: number; }): void => this.#pace.record(pace);
+        const onLoad = ({ pace }: { readonly pace: number; }): void => this.#checks.recordPace(pace);
         this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad });
         this.#log = new GateLog(upstream.name, dialect);
-        this.#pace = new PaceProbe({
-            clock,
-            mayAsk: parts.mayAsk,
+        this.#checks = new GateChecks({
+            ...parts,
+            upstream: upstream.name,
             ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_TIMEOUT_MS),
+            repeatsUnderWay: () => this.#running.repeated,
         });
         this.#admission = new Admission(makeLimit(parts.limit, upstream.slots), new RuleTimes());
         this.#refusals = new GateRefusals(more => this.note(more));
@@ -74,7 +71,7 @@
 
     /** True while no new requests are taken. */
     get isClosed(): boolean {
-        return this.#closedFor.size > 0;
+        return this.#checks.isClosed;
     }
 
     /** Requests that run or wait. */
@@ -93,21 +90,18 @@
 
     /** The load as peers are told it. */
     report(): LoadReport {
-        const report = { ...this.#admission.report(), pace: this.#pace.last };
+        const report = { ...this.#admission.report(), pace: this.#checks.pace };
         return atLeast(report, this.#running.meanAgeMs(this.parts.clock()));
     }
 
     /** Takes no new requests for a reason; what waits and runs is finished. */
     close(reason: CloseReason): void {
-        if (!this.#closedFor.has(reason)) {
-            logger.change("The gate takes no new requests.", { upstream: this.upstream.name, reason });
-        }
-        this.#closedFor.add(reason);
+        this.#checks.close(reason);
     }
 
     /** Takes a reason back; the gate takes new requests when none is left. */
     reopen(reason: CloseReason): void {
-        this.#closedFor.delete(reason);
+        this.#checks.reopen(reason);
     }
 
     /** Ends the connections to the upstream, after what is in flight. */
@@ -162,51 +156,23 @@
         return { ...this.parts.identity.note(this.parts.clock()), report: more.report ?? this.report(), ...more };
     }
 
-    /** Throws for a request that belongs elsewhere, or that the ledger does not let run. */
     async #admit(request: GateRequest): Promise<void> {
-        this.#refuseIfClosed();
-        this.#refuseIfCallsAreSpent(request);
-        if (await this.#pace.shouldSendOn(request.choices)) {
-            throw this.#refusals.make("slow");
-        }
-        this.#refuseIfClosed();
-        if (request.call.cancel.aborted) {
-            throw this.#refusals.make("caller-left");
-        }
-        if (request.once) {
-            const { head } = request.call;
-            const admitted = this.parts.ledger.admit(head.id, request.deadline, request.arrivedAt);
-            if (admitted !== "admitted") {
-                throw this.#refusals.make(`ledger-${admitted}`);
-            }
+        const reason = await this.#checks.refusalOf(request);
+        if (reason !== undefined) {
+            throw this.#refusals.make(reason);
         }
         this.parts.onChange();
     }
 
-    #refuseIfClosed(): void {
-        if (this.isClosed) {
-            throw this.#refusals.make("leaving");
-        }
-    }
-
-    /** A repeat adds its calls to other services, whose bound holds too. */
-    #refuseIfCallsAreSpent({ call: { head: { arrival } } }: GateRequest): void {
-        const isRepeat = arrival === "retry" || arrival === "hedge";
-        const { perRun } = this.#calls;
-        if (isRepeat && !canAffordCalls(perRun, this.#running.repeated, this.parts.repeatsLeft)) {
-            throw this.#refusals.make("calls-spent");
-        }
-    }
-
     async #run(request: GateRequest): Promise<GateAnswer> {
         const { clock } = this.parts;
         if (!this.#queue.start(request)) {
             throw this.#refusals.make("deadline-or-revoked");
         }
         const onEnd = (serviceMs: number | undefined, made: ReadonlyMap<ServiceName, number>): void => {
-            this.#calls.observe(made);
+            this.#checks.recordCalls(made);
             this.#running.remove(run);
-            this.#queue.release(serviceMs, { rule: request.rule, pace: this.#pace.last });
+            this.#queue.release(serviceMs, { rule: request.rule, pace: this.#checks.pace });
             this.parts.onChange();
         };
         const startedAt = clock();
@@ -242,9 +208,7 @@
         if (reason === "gate-error") {
             logger.warn("A request failed at its gate.", err, { upstream: this.upstream.name });
         }
-        if (reason === "leaving" || reason === "misdirected") {
-            this.close("upstream");
-        }
+        this.#checks.recordFailure(reason);
         return this.#refusals.make(reason, { arrived });
     }
 }
--- /dev/null
+++ b/src/gate/gatechecks.ts
@@ -0,0 +1,109 @@
+/**
+ * What a gate refuses before it waits for a slot, and what it knows of its upstream for that.
+ *
+ * Owns the reasons for which the gate is closed, the upstream's pace and the calls of its runs. What is decided by
+ * them stands in policy/failure and policy/retry.
+ */
+import type { ServiceName } from "../ids/servicename.js";
+import { log } from "../log/log.js";
+import { CallProfile } from "../policy/retry/callprofile.js";
+import { canAffordCalls } from "../policy/retry/canaffordcalls.js";
+import type { Reason } from "../policy/retry/reason.js";
+import type { CloseReason } from "./closereason.js";
+import type { GateParts } from "./gateparts.js";
+import type { GateRequest } from "./gaterequest.js";
+import { PaceProbe } from "./paceprobe.js";
+
+const logger = log("gate");
+
+/** What the checks need of their gate; `ask` asks the upstream for its pace and rejects when it does not answer in time. */
+type CheckParts = Pick<GateParts, "clock" | "ledger" | "mayAsk" | "repeatsLeft"> & {
+    readonly upstream: string;
+    readonly ask: () => Promise<void>;
+    /** Runs under way that are not the first of their request. */
+    readonly repeatsUnderWay: () => number;
+};
+
+/** One for each gate. */
+export class GateChecks {
+    readonly #pace: PaceProbe;
+    readonly #calls = new CallProfile();
+    readonly #closedFor = new Set<CloseReason>();
+
+    constructor(private readonly parts: CheckParts) {
+        this.#pace = new PaceProbe(parts);
+    }
+
+    /** True while no new requests are taken. */
+    get isClosed(): boolean {
+        return this.#closedFor.size > 0;
+    }
+
+    /** The upstream's last report of its pace; undefined of one that never reports. */
+    get pace(): number | undefined {
+        return this.#pace.last;
+    }
+
+    /** Takes no new requests for a reason; what waits and runs is finished. */
+    close(reason: CloseReason): void {
+        if (!this.#closedFor.has(reason)) {
+            logger.change("The gate takes no new requests.", { upstream: this.parts.upstream, reason });
+        }
+        this.#closedFor.add(reason);
+    }
+
+    /** Takes a reason back; the gate takes new requests when none is left. */
+    reopen(reason: CloseReason): void {
+        this.#closedFor.delete(reason);
+    }
+
+    recordPace(pace: number): void {
+        this.#pace.record(pace);
+    }
+
+    /** Records what a run called, whatever became of it. */
+    recordCalls(calls: ReadonlyMap<ServiceName, number>): void {
+        this.#calls.observe(calls);
+    }
+
+    /** Records that the upstream gave no answer, for a reason. */
+    recordFailure(reason: Reason): void {
+        if (reason === "leaving" || reason === "misdirected") {
+            this.close("upstream");
+        }
+    }
+
+    /** Why the request is refused: it belongs elsewhere, or the ledger does not let it run; undefined when it is not. */
+    async refusalOf(request: GateRequest): Promise<Reason | undefined> {
+        return this.#refusalAtOnce(request) ?? await this.#refusalForPace(request) ?? this.#refusalOfLedger(request);
+    }
+
+    #refusalAtOnce({ call: { head: { arrival } } }: GateRequest): Reason | undefined {
+        const { repeatsUnderWay, repeatsLeft } = this.parts;
+        if (this.isClosed) {
+            return "leaving";
+        }
+        const isRepeat = arrival === "retry" || arrival === "hedge";
+        return isRepeat && !canAffordCalls(this.#calls.perRun, repeatsUnderWay(), repeatsLeft)
+            ? "calls-spent"
+            : undefined;
+    }
+
+    async #refusalForPace({ choices, call: { cancel } }: GateRequest): Promise<Reason | undefined> {
+        if (await this.#pace.shouldSendOn(choices)) {
+            return "slow";
+        }
+        if (this.isClosed) {
+            return "leaving";
+        }
+        return cancel.aborted ? "caller-left" : undefined;
+    }
+
+    #refusalOfLedger({ once, call: { head }, deadline, arrivedAt }: GateRequest): Reason | undefined {
+        if (!once) {
+            return undefined;
+        }
+        const admitted = this.parts.ledger.admit(head.id, deadline, arrivedAt);
+        return admitted === "admitted" ? undefined : `ledger-${admitted}`;
+    }
+}
