--- a/src/daemon/daemoncontext.ts
+++ b/src/daemon/daemoncontext.ts
@@ -1,5 +1,6 @@
 /** What all parts of one daemon share. */
 import { randomBytes } from "node:crypto";
+import { SilentConnections } from "../connections/silentconnections.js";
 import { Datagrams } from "../datagram/datagrams.js";
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
@@ -27,6 +28,7 @@
     readonly localIp: string;
     readonly peerOptions: PeerOptions;
     readonly peer: PeerClient;
+    readonly silentConnections: SilentConnections;
     readonly datagrams: Datagrams;
 
     constructor(readonly settings: Settings, readonly environment: Environment, readonly metrics: Metrics) {
@@ -34,8 +36,11 @@
         const { clock } = this;
         this.self = advertise ?? peer;
         this.localIp = splitAddress(peer).ip;
-        this.peerOptions = { localIp: this.localIp, key, clock };
+        this.silentConnections = new SilentConnections(clock, metrics);
+        const onSilent = (address: Address): void => this.silentConnections.found("peer", address);
+        this.peerOptions = { localIp: this.localIp, key, clock, onSilent };
         this.peer = new PeerClient(this.peerOptions);
+        this.silentConnections.onFound(() => this.peer.renewConnections());
         this.datagrams = new Datagrams({ key, clock, bytesPerSecond: control.bytesPerSecond, metrics });
     }
 
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -4,6 +4,7 @@
 import { GateIdentity } from "../gate/gateidentity.js";
 import { HealthCheck } from "../health/healthcheck.js";
 import { ProbeBudget } from "../health/probebudget.js";
+import type { Address } from "../ids/address.js";
 import { Ledger } from "../ledger/ledger.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { ServiceRetries } from "../policy/retry/serviceretries.js";
@@ -45,10 +46,12 @@
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
+            onSilent: (address: Address) => context.silentConnections.record("upstream", address),
             repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
         };
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
+        context.silentConnections.onFound(() => [...this.gates.all].forEach(gate => gate.suspectConnections()));
         const perSecond = control.healthPerSecond;
         const health = { path: shared.healthPath, perSecond };
         this.health = new HealthCheck(health, () => this.gates.all, metrics);
--- a/src/daemon/hops.ts
+++ b/src/daemon/hops.ts
@@ -41,6 +41,11 @@
         return { hop, near: upstream.hall === hall, local: false };
     }
 
+    /** Ends idle connections to all gates: they may have gone silent. */
+    dropIdle(): void {
+        this.#remote.forEach(hop => hop.dropIdle());
+    }
+
     apply(upstreams: readonly Upstream[]): void {
         const named = new Set(upstreams.map(upstream => upstream.gate));
         for (const [address, hop] of this.#remote) {
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -14,7 +14,11 @@
     readonly heartbeats: HallHeartbeats;
     readonly announced: Membership | undefined;
 
-    constructor(context: DaemonContext, private readonly configuration: ConfigurationGroup, gates: GateGroup) {
+    constructor(
+        private readonly context: DaemonContext,
+        private readonly configuration: ConfigurationGroup,
+        gates: GateGroup,
+    ) {
         const { settings, environment, clock, random, self, send } = context;
         const { current, puller, watcher } = configuration;
         this.heartbeats = new HallHeartbeats({
@@ -31,6 +35,7 @@
             leavingHosts: new LeavingHosts(environment.store),
             onHostLeaving: leaving => gates.gates.setClosed("host-leaving", leaving),
         });
+        context.silentConnections.onFound(() => this.#renewStore());
         this.announced = environment.registry && new Membership({
             self,
             incarnation: context.incarnation,
@@ -48,6 +53,17 @@
         });
     }
 
+    /** Calls of the store and watches of it go on over new connections: the old ones may have gone silent. */
+    #renewStore(): void {
+        this.context.environment.store.renewConnections();
+        if (this.announced === undefined) {
+            this.configuration.watcher.renew();
+        }
+        else {
+            this.announced.renewWatches();
+        }
+    }
+
     /** The upstreams of the document, and those that have announced themselves. */
     get upstreams(): readonly Upstream[] {
         return [...this.configuration.current.document.upstreams, ...this.announced?.upstreams ?? []];
--- a/src/daemon/ownenvironment.ts
+++ b/src/daemon/ownenvironment.ts
@@ -2,6 +2,7 @@
 import { OwnDialect } from "../dialect/owndialect.js";
 import { splitAddress } from "../ids/splitaddress.js";
 import type { Metrics } from "../metrics/metrics.js";
+import { countStoreEvents } from "../store/countstoreevents.js";
 import { HttpStore } from "../store/httpstore.js";
 import type { Environment } from "./environment.js";
 import type { Settings } from "./settings.js";
@@ -9,6 +10,6 @@
 /** The store's bytes are counted. */
 export function ownEnvironment(settings: Settings, metrics: Metrics): Environment {
     const localIp = splitAddress(settings.peer).ip;
-    const store = new HttpStore(settings.store, localIp, bytes => metrics.spent("store", bytes));
+    const store = new HttpStore(settings.store, localIp, countStoreEvents(metrics));
     return { dialect: new OwnDialect(), store, registry: undefined };
 }
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -47,6 +47,7 @@
         });
         this.peerServer = this.#makePeerServer();
         this.ingress = this.#makeIngress();
+        context.silentConnections.onFound(() => this.#hops.dropIdle());
         gates.onChange(() => this.sharing.checkGates());
         configuration.current.onChange(document => this.ingress.allow(document.limits ?? {}));
     }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -15,6 +15,7 @@
 import { Admission } from "../policy/admission/admission.js";
 import { makeLimit } from "../policy/admission/makelimit.js";
 import { RuleTimes } from "../policy/admission/ruletimes.js";
+import { silentAfter } from "../policy/failure/silentafter.js";
 import { atLeast } from "../policy/placement/atleast.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
 import type { AnswerNote } from "../wire/answernote.js";
@@ -48,7 +49,7 @@
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
         const { clock, ledger, localIp, dialect } = parts;
         const onLoad = ({ pace }: { readonly pace: number; }): void => this.#checks.recordPace(pace);
-        this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad });
+        this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad, clock, onSilent: parts.onSilent });
         this.#log = new GateLog(upstream.name, dialect);
         this.#checks = new GateChecks({
             ...parts,
@@ -104,6 +105,12 @@
         this.#checks.reopen(reason);
     }
 
+    /** Acts on the finding that open connections of this daemon may carry nothing any more. */
+    suspectConnections(): void {
+        this.#client.dropIdle();
+        this.#running.suspect(silentAfter(this.report().baseMs));
+    }
+
     /** Ends the connections to the upstream, after what is in flight. */
     end(): Promise<void> {
         return this.#client.close();
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -1,5 +1,6 @@
 /** What a gate shares with the rest of its daemon. */
 import type { Dialect } from "../dialect/dialect.js";
+import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { LimitName } from "../policy/admission/limitname.js";
@@ -23,6 +24,8 @@
     readonly localIp: string;
     readonly onChange: () => void;
     readonly mayAsk: () => boolean;
+    /** Told of a connection to the upstream that was found to carry nothing any more. */
+    readonly onSilent: (address: Address) => void;
     readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
     readonly repeatsLeft: (service: ServiceName) => number;
     readonly healthPath: (service: ServiceName) => string;
--- a/src/gate/runningrequests.ts
+++ b/src/gate/runningrequests.ts
@@ -24,6 +24,11 @@
         this.#finished += 1;
     }
 
+    /** Has each given up that has no answer so long after its start. */
+    suspect(afterMs: number): void {
+        this.#runs.forEach(run => run.suspect(afterMs));
+    }
+
     /** How long what runs has run, on average; 0 while nothing runs. */
     meanAgeMs(now: number): number {
         let sumMs = 0;
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -8,6 +8,8 @@
 import { isConnectError } from "../http/connecterror.js";
 import { guardBody } from "../http/guardbody.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
+import type { Address } from "../ids/address.js";
+import type { Clock } from "../time/clock.js";
 import { UpstreamConnection } from "./upstreamconnection.js";
 import { UpstreamError } from "./upstreamerror.js";
 
@@ -19,6 +21,9 @@
     readonly localIp: string;
     readonly dialect: Dialect;
     readonly onLoad: (load: UpstreamLoad) => void;
+    readonly clock: Clock;
+    /** Told of a connection that carries nothing any more, and has been ended. */
+    readonly onSilent: (address: Address) => void;
 };
 
 /** Sends requests; the error of one that fails says what is proven. */
@@ -27,6 +32,8 @@
     readonly #idle: UpstreamConnection[] = [];
     readonly #all = new Set<UpstreamConnection>();
     #closed = false;
+    /** When the newest request was sent that the upstream has answered. */
+    #newestAnswered = -Infinity;
 
     constructor(readonly upstream: Upstream, private readonly options: ClientOptions) {}
 
@@ -66,6 +73,22 @@
         }
     }
 
+    /** Ends connections that carry nothing now: they may have gone silent. */
+    dropIdle(): void {
+        this.#idle.splice(0).forEach(connection => this.#drop(connection));
+    }
+
+    /**
+     * Records that a request had no answer in all its time. Where the upstream has answered one that was sent later, its connection
+     * carried nothing, and the idle ones, which are older than that answer, go too.
+     */
+    recordUnanswered(sentAt: number): void {
+        if (this.#newestAnswered > sentAt) {
+            this.dropIdle();
+            this.options.onSilent(this.upstream.address);
+        }
+    }
+
     async close(): Promise<void> {
         this.#closed = true;
         await Promise.all([...this.#all].map(connection => connection.close()));
@@ -106,6 +129,7 @@
         headers: HttpHeaders,
         cancel: Cancel | undefined,
     ): Promise<UpstreamAnswer> {
+        const sentAt = this.options.clock();
         try {
             const answer = await connection.request({
                 method: call.method as "GET",
@@ -114,6 +138,7 @@
                 body: call.body,
                 signal: cancel,
             });
+            this.#newestAnswered = Math.max(this.#newestAnswered, sentAt);
             this.#readLoad(answer.headers);
             const body = guardBody(connection.whole(answer));
             body.once("close", () => this.#give(connection));
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -44,6 +44,8 @@
     readonly #cancel = new Cancel();
     readonly #overtime: NodeJS.Timeout;
     #open = true;
+    #hasHead = false;
+    #suspected: NodeJS.Timeout | undefined;
 
     constructor(private readonly request: GateRequest, private readonly parts: RunParts) {
         this.#startedAt = parts.clock();
@@ -52,7 +54,10 @@
         this.#requestId = parts.dialect.idOf(headers, head.id);
         const run = { deadline, depth: head.depth, repeated: head.arrival !== "first" };
         this.#context = parts.contexts.open(this.#requestId, run);
-        this.#overtime = setTimeout(() => this.#cancel.abort(), deadline - this.#startedAt + OVERTIME_MS);
+        this.#overtime = setTimeout(() => {
+            this.#giveUp();
+            this.#cancel.abort();
+        }, deadline - this.#startedAt + OVERTIME_MS);
     }
 
     /** It is not the first of its request, or its request is a call of such a one. */
@@ -65,6 +70,21 @@
         return now - this.#startedAt;
     }
 
+    /** Gives the request up if it has no answer so long after its start: its connection may have gone silent. */
+    suspect(afterMs: number): void {
+        if (!this.#hasHead && this.#suspected === undefined) {
+            const now = this.parts.clock();
+            this.#suspected = setTimeout(() => this.#giveUp(), Math.max(0, this.#startedAt + afterMs - now));
+        }
+    }
+
+    #giveUp(): void {
+        if (!this.#hasHead) {
+            this.#cancel.abort();
+            this.parts.client.recordUnanswered(this.#startedAt);
+        }
+    }
+
     /** Sends the request; throws an UpstreamError, and then the run has ended. */
     async send(): Promise<RunAnswer> {
         const { request, parts } = this;
@@ -75,6 +95,7 @@
         }
         try {
             const answer = await parts.client.send(request.call, this.#headers(), this.#cancel);
+            this.#hasHead = true;
             const streamed = request.call.head.answer === "streamed";
             if (streamed) {
                 this.#end(true);
@@ -132,6 +153,7 @@
         }
         this.#open = false;
         clearTimeout(this.#overtime);
+        clearTimeout(this.#suspected);
         this.parts.contexts.close(this.#context);
         this.parts.ledger.finish(this.request.call.head.id);
         this.parts.onEnd(served ? this.ageMs(this.parts.clock()) : undefined, this.#context.calls);
--- a/src/link/frametype.ts
+++ b/src/link/frametype.ts
@@ -14,4 +14,8 @@
     end: 5,
     /** Such a body has broken off, and the connection is in order. */
     broken: 6,
+    /** A question whether the connection carries anything, from the caller's side at any time. */
+    probe: 7,
+    /** The answer to it. */
+    alive: 8,
 } as const;
--- a/src/link/link.test.ts
+++ b/src/link/link.test.ts
@@ -1,75 +1,19 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { test } from "node:test";
+import { LinkEnds } from "../../test/linkends.js";
 import type { GateCall } from "../hop/gatecall.js";
 import { Cancel } from "../http/cancel.js";
 import { collect } from "../http/collect.js";
 import type { Address } from "../ids/address.js";
 import { FrameReader } from "./framereader.js";
 import { frameType } from "./frametype.js";
-import { LinkPool } from "./linkpool.js";
-import { LinkSession } from "./linksession.js";
-import type { ServedAnswer } from "./servedanswer.js";
-import type { ServedCall } from "./servedcall.js";
+import type { LinkPool } from "./linkpool.js";
 import { writeFrame } from "./writeframe.js";
 
-const KEY = "a-key-for-tests-only";
-const note = { incarnation: "abcdefghijkl", gateTime: 1, revision: 2 } as ServedAnswer["note"];
-
-type Serve = (call: ServedCall, cancel: Cancel) => Promise<ServedAnswer>;
-type Ends = { readonly pool: LinkPool; readonly sockets: Socket[]; isClosing: boolean; };
-
-/** Runs a body between a pool and a listener of its own. */
-const between = async (serve: Serve, body: (ends: Ends) => Promise<void>): Promise<void> => {
-    const sockets: Socket[] = [];
-    const server = createServer(socket => {
-        sockets.push(socket);
-        new LinkSession(socket, {
-            key: Buffer.from(KEY),
-            serve,
-            refuseBad: () => ({ note, status: 0, headers: {}, body: undefined }),
-            isClosing: () => ends.isClosing,
-        });
-    });
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
-    const ends: Ends = { pool: new LinkPool(address, { localIp: "127.0.0.1", key: KEY }), sockets, isClosing: false };
-    try {
-        await body(ends);
-    }
-    finally {
-        ends.pool.close();
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-    }
-};
-
-const call = (more: Partial<GateCall> = {}): GateCall => ({
-    head: {
-        id: "abcdefghijkl.1",
-        upstream: "i-1",
-        kind: "repeatable",
-        priority: "normal",
-        team: "none",
-        answer: "whole",
-        remainingMs: 900,
-        maxWaitMs: 100,
-        depth: 0,
-        revision: 4,
-        choices: 0,
-        nearChoices: 0,
-    } as GateCall["head"],
-    rule: undefined,
-    method: "POST",
-    path: "/a/b?c=d",
-    headers: { "host": "h", "set-cookie": ["one", "two"] },
-    body: undefined,
-    cancel: new Cancel(),
-    ...more,
-});
+const { note } = LinkEnds;
+
+type Serve = Parameters<typeof LinkEnds.between>[0];
 
 const textOf = async (body: Buffer | Readable | undefined): Promise<string> =>
     Buffer.concat((await collect(body ?? Buffer.alloc(0), Infinity)).chunks).toString();
@@ -86,9 +30,9 @@
 type LinkConnectionSend = Awaited<ReturnType<LinkPool["take"]>>["send"];
 
 test("link: a request and its answer come over as they were, one after the other on one connection", async () => {
-    await between(echo, async ({ pool, sockets }) => {
+    await LinkEnds.between(echo, async ({ pool, sockets }) => {
         for (const body of [undefined, Buffer.from("x"), Buffer.alloc(100_000, "y")]) {
-            const answer = await send(pool, call({ body }));
+            const answer = await send(pool, LinkEnds.call({ body }));
             assert.equal(await textOf(answer.body), `POST /a/b?c=d ${body?.toString() ?? ""}`);
             assert.deepEqual(answer.headers, { "host": "h", "set-cookie": ["one", "two"] });
             assert.equal(answer.status, 200);
@@ -107,19 +51,19 @@
         headers: {},
         body: Readable.from([await textOf(body)], { objectMode: false }),
     });
-    await between(serve, async ({ pool }) => {
-        const answer = await send(pool, call({ body: Readable.from(parts, { objectMode: false }) }));
+    await LinkEnds.between(serve, async ({ pool }) => {
+        const answer = await send(pool, LinkEnds.call({ body: Readable.from(parts, { objectMode: false }) }));
         assert.equal(await textOf(answer.body), whole);
     });
 });
 
 test("link: streamed bodies leave nothing behind on the connection they shared", async () => {
     const serve: Serve = async () => ({ note, status: 200, headers: {}, body: Readable.from([Buffer.from("x")]) });
-    await between(serve, async ({ pool, sockets }) => {
-        const streamed = { ...call().head, answer: "streamed" as const };
+    await LinkEnds.between(serve, async ({ pool, sockets }) => {
+        const streamed = { ...LinkEnds.call().head, answer: "streamed" as const };
         const listeners: number[] = [];
         for (let round = 0; round < 5; round++) {
-            assert.equal(await textOf((await send(pool, call({ head: streamed }))).body), "x");
+            assert.equal(await textOf((await send(pool, LinkEnds.call({ head: streamed }))).body), "x");
             listeners.push(sockets[0]!.listenerCount("close") + sockets[0]!.listenerCount("drain"));
         }
         assert.equal(sockets.length, 1);
@@ -132,9 +76,11 @@
         await new Promise(resolve => setTimeout(resolve, path.length % 7 * 3));
         return { note, status: 200, headers: {}, body: Buffer.from(path) };
     };
-    await between(serve, async ({ pool }) => {
+    await LinkEnds.between(serve, async ({ pool }) => {
         const paths = Array.from({ length: 50 }, (_, at) => `/${"p".repeat(at)}`);
-        const told = await Promise.all(paths.map(async path => await textOf((await send(pool, call({ path }))).body)));
+        const told = await Promise.all(
+            paths.map(async path => await textOf((await send(pool, LinkEnds.call({ path }))).body)),
+        );
         assert.deepEqual(told, paths);
     });
 });
@@ -153,10 +99,10 @@
                 },
             }).on("error", () => {}),
     });
-    await between(serve, async ({ pool, sockets }) => {
-        const { body } = await send(pool, call());
+    await LinkEnds.between(serve, async ({ pool, sockets }) => {
+        const { body } = await send(pool, LinkEnds.call());
         await assert.rejects(textOf(body));
-        assert.equal(await textOf((await send(pool, call({ path: "/ok" }))).body), "ok");
+        assert.equal(await textOf((await send(pool, LinkEnds.call({ path: "/ok" }))).body), "ok");
         assert.equal(sockets.length, 1);
     });
 });
@@ -166,57 +112,57 @@
         const body = new Readable({ read() {} }).on("error", () => {});
         body.destroy(new Error("broke"));
         await new Promise(resolve => body.on("close", resolve));
-        await between(async () => ({ note, status: 200, headers: {}, body }), async ({ pool }) => {
-            const { head } = call();
-            const sent = await send(pool, call({ head: { ...head, answer } }));
+        await LinkEnds.between(async () => ({ note, status: 200, headers: {}, body }), async ({ pool }) => {
+            const { head } = LinkEnds.call();
+            const sent = await send(pool, LinkEnds.call({ head: { ...head, answer } }));
             await assert.rejects(textOf(sent.body), answer);
         });
     }
 });
 
 test("link: a connection that is cut is an error of its request, which may have run", async () => {
-    await between(() => new Promise(() => {}), async ({ pool, sockets }) => {
-        const sent = send(pool, call());
+    await LinkEnds.between(() => new Promise(() => {}), async ({ pool, sockets }) => {
+        const sent = send(pool, LinkEnds.call());
         setTimeout(() => sockets[0]!.resetAndDestroy(), 30);
         await assert.rejects(sent, { reason: "peer-broke", unsent: false });
     });
 });
 
 test("link: nobody there proves that nothing was sent", async () => {
-    const pool = new LinkPool("127.0.0.1:1" as Address, { localIp: "127.0.0.1", key: KEY });
+    const pool = LinkEnds.makePool("127.0.0.1:1" as Address);
     await assert.rejects(pool.take(), { reason: "unreachable", unsent: true });
 });
 
 test("link: calling a request off reaches the server, one called off before is not sent", async () => {
     let leftAt: number | undefined;
     const serve: Serve = (_call, cancel) => new Promise(() => cancel.onAbort(() => leftAt = performance.now()));
-    await between(serve, async ({ pool }) => {
+    await LinkEnds.between(serve, async ({ pool }) => {
         const cancel = new Cancel();
-        const sent = send(pool, call({ cancel }));
+        const sent = send(pool, LinkEnds.call({ cancel }));
         setTimeout(() => cancel.abort(), 20);
         await assert.rejects(sent);
         await new Promise(resolve => setTimeout(resolve, 50));
         assert.ok(leftAt !== undefined);
-        await assert.rejects(send(pool, call({ cancel })), { reason: "called-off", unsent: true });
+        await assert.rejects(send(pool, LinkEnds.call({ cancel })), { reason: "called-off", unsent: true });
     });
 });
 
 test("link: a server that winds up ends the connection after the answer", async () => {
-    await between(echo, async ends => {
-        await send(ends.pool, call());
+    await LinkEnds.between(echo, async ends => {
+        await send(ends.pool, LinkEnds.call());
         ends.isClosing = true;
-        const { last } = await send(ends.pool, call());
+        const { last } = await send(ends.pool, LinkEnds.call());
         assert.equal(last, true);
         ends.isClosing = false;
-        assert.equal((await send(ends.pool, call())).last, false);
+        assert.equal((await send(ends.pool, LinkEnds.call())).last, false);
         assert.equal(ends.sockets.length, 2);
     });
 });
 
 test("link: a wrong key, and bytes that are no frame, end the connection", async () => {
-    await between(echo, async ({ pool }) => {
-        const other = new LinkPool(pool.address, { localIp: "127.0.0.1", key: "another-key-for-tests" });
-        await assert.rejects(send(other, call()), { reason: "peer-broke" });
+    await LinkEnds.between(echo, async ({ pool }) => {
+        const other = LinkEnds.makePool(pool.address, { key: "another-key-for-tests" });
+        await assert.rejects(send(other, LinkEnds.call()), { reason: "peer-broke" });
         other.close();
     });
     assert.throws(() => new FrameReader().read(Buffer.from("GET / HTTP/1.1")));
--- /dev/null
+++ b/src/link/linkcheck.ts
@@ -0,0 +1,61 @@
+/**
+ * Does a connection to a peer carry anything at all, when the answer on it is overdue?
+ *
+ * It is asked by a probe, which the other end answers at once whatever it does for the request. Without an answer a new connection is
+ * opened and asked too: when that one answers and the old one still has not, the old one is silent. When neither does, the host is
+ * slow, cut off or gone, which is for failuredetection to find out. Peers of a version that does not know probes are never asked.
+ */
+import type { Clock } from "../time/clock.js";
+import type { LinkConnection } from "./linkconnection.js";
+
+/** How long a probe may go unanswered: the way there and back through two busy processes, in milliseconds. Chosen, not measured. */
+const PROBE_MS = 200;
+/** How long the new connection has for the same, in milliseconds; chosen, not measured. */
+const CONFIRM_MS = 500;
+
+/** What the check needs of its pool; `open` rejects when the peer takes no connection. */
+type CheckParts = {
+    readonly clock: Clock;
+    readonly open: () => Promise<LinkConnection>;
+    /** Takes back a connection that was opened for the check. */
+    readonly free: (connection: LinkConnection) => void;
+};
+
+/** Of one peer. */
+export class LinkCheck {
+    #answeredAt = -Infinity;
+    #confirming: Promise<void> | undefined;
+
+    constructor(private readonly parts: CheckParts) {}
+
+    /** Resolves with true when the connection is silent; it may have ended meanwhile. */
+    async isSilent(connection: LinkConnection): Promise<boolean> {
+        const probedAt = this.parts.clock();
+        if (await connection.probe(PROBE_MS)) {
+            return false;
+        }
+        if (this.#answeredAt < probedAt) {
+            this.#confirming ??= this.#confirm();
+            await this.#confirming;
+        }
+        return this.#answeredAt >= probedAt && !connection.hasSignSince(probedAt);
+    }
+
+    /** Asks on a new connection; connections that are checked at the same time share one. */
+    async #confirm(): Promise<void> {
+        const { clock, open, free } = this.parts;
+        try {
+            const fresh = await open();
+            if (await fresh.probe(CONFIRM_MS)) {
+                this.#answeredAt = clock();
+            }
+            free(fresh);
+        }
+        catch {
+            // No connection: the peer is gone or cut off, and requests to it find that out and log it.
+        }
+        finally {
+            this.#confirming = undefined;
+        }
+    }
+}
--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -3,6 +3,8 @@
 import { Readable } from "node:stream";
 import type { GateCall } from "../hop/gatecall.js";
 import { log } from "../log/log.js";
+import type { Clock } from "../time/clock.js";
+import { emptyBuffer } from "./emptybuffer.js";
 import type { Frame } from "./frame.js";
 import { FramedBody } from "./framedbody.js";
 import { FrameReader } from "./framereader.js";
@@ -20,9 +22,20 @@
 /** An answer whose body is whole, or comes as a stream that fails when it breaks off. */
 type LinkAnswer = Omit<WireAnswer, "body"> & { readonly body: Buffer | Readable | undefined; };
 
+/** An answer that takes longer has the connection checked, in milliseconds: most answers come sooner. Chosen, not measured. */
+const OVERDUE_MS = 250;
+
+/** `onFree` is called after each request when the connection may carry another, `onOverdue` while an answer is overdue. */
+type LinkEvents = {
+    readonly clock: Clock;
+    readonly onFree: (connection: LinkConnection) => void;
+    readonly onOverdue: (connection: LinkConnection) => Promise<void>;
+    /** The other end answers probes. */
+    readonly onProbes: () => void;
+};
+
 type Waiting = { readonly resolve: (answer: LinkAnswer) => void; readonly reject: (err: LinkError) => void; };
 
-/** `onFree` is called after each request when the connection may carry another. */
 export class LinkConnection {
     readonly #reader = new FrameReader();
     #waiting: Waiting | undefined;
@@ -30,8 +43,11 @@
     #last = false;
     #sending = false;
     #forget: () => void = () => {};
+    #signAt = -Infinity;
+    #onSign: () => void = () => {};
+    #overdue: NodeJS.Timeout | undefined;
 
-    constructor(private readonly socket: Socket, private readonly onFree: (connection: LinkConnection) => void) {
+    constructor(private readonly socket: Socket, private readonly events: LinkEvents) {
         socket.on("data", (chunk: Buffer) => this.#read(chunk));
         socket.on("error", () => {
             // `close` follows, and ends what waits for an answer.
@@ -46,16 +62,39 @@
     /** Sends a request; rejects with a LinkError. Calling it off ends the connection. */
     send(call: GateCall): Promise<LinkAnswer> {
         if (call.cancel.aborted) {
-            this.onFree(this);
+            this.events.onFree(this);
             return Promise.reject(new LinkError("called-off"));
         }
         this.#forget = call.cancel.onAbort(() => this.destroy());
         return new Promise((resolve, reject) => {
             this.#waiting = { resolve, reject };
             this.#write(call);
+            this.#watch();
+        });
+    }
+
+    /** Asks the other end for a sign; resolves with false when none comes in time. */
+    probe(timeoutMs: number): Promise<boolean> {
+        this.socket.write(writeFrame(frameType.probe, emptyBuffer));
+        return new Promise(resolve => {
+            const timer = setTimeout(() => resolve(false), timeoutMs);
+            this.#onSign = () => {
+                clearTimeout(timer);
+                resolve(true);
+            };
         });
     }
 
+    /** True when anything has come on it since. */
+    hasSignSince(at: number): boolean {
+        return this.#signAt >= at;
+    }
+
+    /** True while a request has no answer, or its answer's body is still coming. */
+    get busy(): boolean {
+        return this.#waiting !== undefined || this.#body !== undefined;
+    }
+
     destroy(): void {
         this.socket.destroy();
     }
@@ -71,7 +110,25 @@
         sendBody(body, this.socket, () => this.#sending = false);
     }
 
+    /** Looks again and again, since a connection that carried something may fall silent later. */
+    #watch(): void {
+        const since = this.events.clock();
+        clearTimeout(this.#overdue);
+        this.#overdue = setTimeout(() => void this.#look(since), OVERDUE_MS);
+    }
+
+    async #look(since: number): Promise<void> {
+        if (!this.hasSignSince(since)) {
+            await this.events.onOverdue(this);
+        }
+        if (this.busy && this.open) {
+            this.#watch();
+        }
+    }
+
     #read(chunk: Buffer): void {
+        this.#signAt = this.events.clock();
+        this.#onSign();
         try {
             this.#reader.read(chunk).forEach(frame => this.#receive(frame));
         }
@@ -86,6 +143,9 @@
             this.#receiveAnswer(unpackAnswer(frame.payload));
             return;
         }
+        if (frame.type === frameType.alive) {
+            return;
+        }
         if (!isBodyFrame(frame)) {
             this.destroy();
             return;
@@ -95,7 +155,11 @@
         }
     }
 
-    #receiveAnswer(answer: WireAnswer): void {
+    #receiveAnswer({ note: { probes, ...note }, ...rest }: WireAnswer): void {
+        const answer = { ...rest, note };
+        if (probes === true) {
+            this.events.onProbes();
+        }
         const waiting = this.#waiting;
         if (waiting === undefined) {
             this.destroy();
@@ -113,6 +177,7 @@
     }
 
     #done(): void {
+        clearTimeout(this.#overdue);
         this.#forget();
         this.#forget = () => {};
         this.#body = undefined;
@@ -120,10 +185,11 @@
             this.destroy();
             return;
         }
-        this.onFree(this);
+        this.events.onFree(this);
     }
 
     #broke(): void {
+        clearTimeout(this.#overdue);
         this.#forget();
         this.#waiting?.reject(new LinkError("peer-broke"));
         this.#waiting = undefined;
--- a/src/link/linkpool.ts
+++ b/src/link/linkpool.ts
@@ -1,8 +1,10 @@
 /** The connections to one peer. */
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Address } from "../ids/address.js";
 import { splitAddress } from "../ids/splitaddress.js";
+import type { Clock } from "../time/clock.js";
 import { frameType } from "./frametype.js";
+import { LinkCheck } from "./linkcheck.js";
 import { LinkConnection } from "./linkconnection.js";
 import { LinkError } from "./linkerror.js";
 import { writeFrame } from "./writeframe.js";
@@ -15,15 +17,29 @@
 const KEEP_IDLE_MS = 4000;
 
 /** `localIp` is the address that connections go out from; `key` is shared by all daemons. */
-type PoolOptions = { readonly localIp: string; readonly key: string; };
+type PoolOptions = {
+    readonly localIp: string;
+    readonly key: string;
+    readonly clock: Clock;
+    /** Told of a connection that carries nothing any more, and has been ended. */
+    readonly onSilent: (address: Address) => void;
+};
 
 /** The one that was used last is used first, so that those not needed end. */
 export class LinkPool {
     readonly #idle: LinkConnection[] = [];
     readonly #all = new Set<LinkConnection>();
+    readonly #check: LinkCheck;
     #closed = false;
+    #peerAnswersProbes = false;
 
-    constructor(readonly address: Address, private readonly options: PoolOptions) {}
+    constructor(readonly address: Address, private readonly options: PoolOptions) {
+        this.#check = new LinkCheck({
+            clock: options.clock,
+            open: () => this.#open(),
+            free: connection => this.#give(connection),
+        });
+    }
 
     /** A connection that carries nothing; rejects with a LinkError. */
     async take(): Promise<LinkConnection> {
@@ -41,9 +57,21 @@
     /** Ends idle connections, and each of the others after what it carries. */
     close(): void {
         this.#closed = true;
+        this.dropIdle();
+    }
+
+    /** Ends connections that carry nothing now: they may have gone silent. */
+    dropIdle(): void {
         this.#idle.splice(0).forEach(connection => connection.destroy());
     }
 
+    async #endIfSilent(connection: LinkConnection): Promise<void> {
+        if (this.#peerAnswersProbes && await this.#check.isSilent(connection) && connection.busy) {
+            connection.destroy();
+            this.options.onSilent(this.address);
+        }
+    }
+
     #open(): Promise<LinkConnection> {
         const { ip, port } = splitAddress(this.address);
         const { localIp, key } = this.options;
@@ -60,7 +88,7 @@
                 clearTimeout(timer);
                 socket.removeListener("error", fail);
                 socket.write(writeFrame(frameType.greeting, Buffer.from(key)));
-                const connection = new LinkConnection(socket, freed => this.#give(freed));
+                const connection = this.#connection(socket);
                 this.#all.add(connection);
                 socket.once("close", () => this.#all.delete(connection));
                 socket.setTimeout(KEEP_IDLE_MS, () => this.#endIfIdle(connection));
@@ -69,6 +97,15 @@
         });
     }
 
+    #connection(socket: Socket): LinkConnection {
+        return new LinkConnection(socket, {
+            clock: this.options.clock,
+            onFree: freed => this.#give(freed),
+            onOverdue: overdue => this.#endIfSilent(overdue),
+            onProbes: () => this.#peerAnswersProbes = true,
+        });
+    }
+
     #give(connection: LinkConnection): void {
         if (this.#closed) {
             connection.destroy();
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -36,6 +36,8 @@
 export class LinkSession {
     readonly #reader = new FrameReader();
     #greeted = false;
+    #isFirst = true;
+    #isAnswering = false;
     #serving: Cancel | undefined;
     #body: FramedBody | undefined;
 
@@ -71,6 +73,14 @@
         }
     }
 
+    /** Ends a connection on which nothing has moved for long: it carries nothing, or nobody takes the answer. */
+    endIfStill(): void {
+        if (this.#isAnswering) {
+            this.destroy();
+        }
+        this.endIfIdle();
+    }
+
     destroy(): void {
         this.socket.destroy();
     }
@@ -80,6 +90,10 @@
             this.#greet(frame);
             return;
         }
+        if (frame.type === frameType.probe) {
+            this.socket.write(writeFrame(frameType.alive, emptyBuffer));
+            return;
+        }
         if (frame.type === frameType.call) {
             this.#receiveCall(frame.payload);
             return;
@@ -163,13 +177,17 @@
         this.#done(last);
     }
 
-    #write(answer: WireAnswer): void {
-        this.socket.write(writeFrame(frameType.answer, packAnswer(answer)));
+    #write({ note, ...answer }: WireAnswer): void {
+        const told = this.#isFirst ? { ...note, probes: true } : note;
+        this.#isFirst = false;
+        this.#isAnswering = true;
+        this.socket.write(writeFrame(frameType.answer, packAnswer({ ...answer, note: told })));
     }
 
     /** A request whose body is still coming when it has its answer leaves the connection useless. */
     #done(last: boolean): void {
         this.#serving = undefined;
+        this.#isAnswering = false;
         this.#body?.stream.resume();
         if (last) {
             this.socket.end();
--- /dev/null
+++ b/src/link/silentlink.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
+import { LinkEnds } from "../../test/linkends.js";
+import type { Address } from "../ids/address.js";
+import { FrameReader } from "./framereader.js";
+import { frameType } from "./frametype.js";
+import type { LinkPool } from "./linkpool.js";
+import { packAnswer } from "./packanswer.js";
+import { writeFrame } from "./writeframe.js";
+
+type Serve = Parameters<typeof LinkEnds.between>[0];
+
+const { note, call, between } = LinkEnds;
+const answer = { note, status: 200, headers: {}, body: undefined };
+const serve: Serve = () => Promise.resolve(answer);
+
+const send = async (pool: LinkPool): Promise<number> => (await (await pool.take()).send(call())).status;
+
+test("silent link: it is found while others work, what was on it ends as broken, and idle ones go", async () => {
+    await between(serve, async ends => {
+        const { pool, sockets, found } = ends;
+        await Promise.all([send(pool), send(pool), send(pool)]);
+        sockets.forEach(socket => ends.silence(socket));
+        const sentAt = performance.now();
+        await assert.rejects(send(pool), { reason: "peer-broke", unsent: false });
+        assert.ok(performance.now() - sentAt < 1000, "found within a second");
+        assert.deepEqual(found, [pool.address]);
+        pool.dropIdle();
+        assert.equal(await send(pool), 200);
+    });
+});
+
+test("silent link: connections that are silent together are found together, by one new connection", async () => {
+    await between(serve, async ends => {
+        const { pool, sockets, found } = ends;
+        await Promise.all(Array.from({ length: 10 }, () => send(pool)));
+        sockets.forEach(socket => ends.silence(socket));
+        const results = await Promise.allSettled(Array.from({ length: 10 }, () => send(pool)));
+        assert.ok(results.every(({ status }) => status === "rejected"));
+        assert.equal(found.length, 10);
+        assert.equal(sockets.length, 11);
+    });
+});
+
+test("silent link: a slow answer on a sound connection is waited for", async () => {
+    const slow: Serve = async () => {
+        await wait(1200);
+        return answer;
+    };
+    await between(slow, async ({ pool, sockets, found }) => {
+        assert.equal(await send(pool), 200);
+        assert.equal(await send(pool), 200);
+        assert.deepEqual([sockets.length, found.length], [1, 0]);
+    });
+});
+
+test("silent link: a host on which nothing works is none", async () => {
+    await between(serve, async ends => {
+        await send(ends.pool);
+        ends.silence(ends.sockets[0]!);
+        ends.stopReading();
+        const settled = await Promise.race([send(ends.pool).catch(() => "broken"), wait(2000, "waits")]);
+        assert.equal(settled, "waits");
+        assert.deepEqual(ends.found, []);
+    });
+});
+
+/** A peer of a version that ends a connection when it is sent a probe. */
+const serveAsBefore = (socket: Socket): void => {
+    const reader = new FrameReader();
+    socket.on("data", (chunk: Buffer) =>
+        reader.read(chunk).forEach(({ type }) => {
+            if (type === frameType.probe) {
+                socket.destroy();
+            }
+            if (type === frameType.call) {
+                setTimeout(
+                    () => socket.write(writeFrame(frameType.answer, packAnswer({ ...answer, last: false }))),
+                    700,
+                );
+            }
+        }));
+};
+
+test("silent link: a peer that does not know probes is sent none", async () => {
+    const server = createServer(serveAsBefore);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = LinkEnds.makePool(`127.0.0.1:${(server.address() as AddressInfo).port}` as Address);
+    assert.equal(await send(pool), 200);
+    assert.equal(await send(pool), 200);
+    pool.close();
+    server.close();
+});
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -135,6 +135,12 @@
         this.#listener = listener;
     }
 
+    /** Watches the store anew: what waits may wait on a connection that carries nothing any more. */
+    renewWatches(): void {
+        this.#watcher.renew();
+        this.parts.watcher.renew();
+    }
+
     async start(): Promise<void> {
         const { announce } = this.parts.settings;
         if (announce !== undefined) {
@@ -215,8 +221,7 @@
     #storeAnswered(): void {
         if (this.#storeFailed) {
             this.#storeFailed = false;
-            this.#watcher.renew();
-            this.parts.watcher.renew();
+            this.renewWatches();
         }
     }
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -4,6 +4,7 @@
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { Arrival } from "../policy/retry/arrival.js";
+import type { ConnectionKind } from "./connectionkind.js";
 
 /** Milliseconds. */
 const MS_PER_SECOND = 1000;
@@ -39,6 +40,12 @@
         labelNames: ["service", "arrival"] as const,
         registers: [this.registry],
     });
+    readonly #silent = new Counter({
+        name: "winglock_silent_connections_total",
+        help: "Open connections that were found to carry nothing any more.",
+        labelNames: ["kind"] as const,
+        registers: [this.registry],
+    });
     readonly #messages = new Counter({
         name: "winglock_control_messages_total",
         help: "Messages and calls sent for control.",
@@ -83,6 +90,11 @@
         this.#arrivals.inc({ service, arrival });
     }
 
+    /** Records a connection that was found to carry nothing any more. */
+    silentConnection(kind: ConnectionKind): void {
+        this.#silent.inc({ kind });
+    }
+
     /** Records what was sent for control. */
     spent(kind: Spending, bytes: number): void {
         this.#messages.inc({ kind });
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -33,15 +33,18 @@
 
 /** One client for all peers. */
 export class PeerClient {
-    readonly #agent: Agent;
+    #agent: Agent;
     readonly #clients = new Map<Address, Client>();
 
     constructor(private readonly options: PeerOptions) {
-        this.#agent = new Agent({
-            connections: 2,
-            localAddress: options.localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
-        });
+        this.#agent = this.#makeAgent();
+    }
+
+    /** Makes later calls on new connections: the old ones may have gone silent. Calls under way end by their time limit. */
+    renewConnections(): void {
+        const old = this.#agent;
+        this.#agent = this.#makeAgent();
+        old.close().catch((err: unknown) => logger.warn("Old connections to peers could not be ended.", err));
     }
 
     hello(address: Address): Promise<ReturnType<PeerService["hello"]>> {
@@ -79,6 +82,14 @@
         return this.#agent.destroy();
     }
 
+    #makeAgent(): Agent {
+        return new Agent({
+            connections: 2,
+            localAddress: this.options.localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
+        });
+    }
+
     #bound(timeoutMs = CALL_TIMEOUT_MS): { signal: AbortSignal; } {
         return { signal: AbortSignal.timeout(timeoutMs) };
     }
--- a/src/peer/peeroptions.ts
+++ b/src/peer/peeroptions.ts
@@ -1,4 +1,5 @@
 /** What every call to a peer needs. */
+import type { Address } from "../ids/address.js";
 import type { Clock } from "../time/clock.js";
 
 /** `localIp` is the address that connections go out from; `key` is shared by all daemons. */
@@ -6,4 +7,6 @@
     readonly localIp: string;
     readonly key: string;
     readonly clock: Clock;
+    /** Told of a connection to a peer that was found to carry nothing any more. */
+    readonly onSilent: (address: Address) => void;
 };
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -114,7 +114,7 @@
             refuseBad: err => this.#refuseBad(socket, err),
             isClosing: () => this.#isClosing,
         });
-        socket.setTimeout(KEEP_ALIVE_MS, () => session.endIfIdle());
+        socket.setTimeout(KEEP_ALIVE_MS, () => session.endIfStill());
         this.#sessions.add(session);
         socket.on("close", () => this.#sessions.delete(session));
         session.read(first);
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -65,6 +65,11 @@
         }
     }
 
+    /** Ends idle connections: they may have gone silent. */
+    dropIdle(): void {
+        this.#pool.dropIdle();
+    }
+
     async close(): Promise<void> {
         this.#pool.close();
     }
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -6,6 +6,7 @@
 import { StoreClient } from "./storeclient.js";
 import type { Stored } from "./stored.js";
 import { StoredHost } from "./storedhost.js";
+import type { StoreEvents } from "./storeevents.js";
 
 const KEY_PATH = "/v1/kv/winglock";
 const HOSTS_PATH = "/v1/hosts";
@@ -19,14 +20,14 @@
 const StoredValue = z.object({ value: z.string(), version: z.int().min(0) });
 const NOTHING: Stored = { value: "", version: 0 };
 
-/** `counted` is called with the bytes of each call. */
+/** `told` is called with what happens to its calls. */
 export class HttpStore extends Store {
     readonly #client: StoreClient;
 
-    constructor(address: Address, localIp: string, counted: (bytes: number) => void) {
+    constructor(address: Address, localIp: string, told: StoreEvents) {
         super();
         const bounds = { connections: CONNECTIONS, timeoutMs: CALL_TIMEOUT_MS };
-        this.#client = new StoreClient({ address, localIp, ...bounds, counted });
+        this.#client = new StoreClient({ address, localIp, ...bounds, ...told });
     }
 
     async read(): Promise<Stored> {
@@ -54,6 +55,10 @@
         return (await this.#client.call(z.array(StoredHost), { method: "GET", path: HOSTS_PATH }))!;
     }
 
+    renewConnections(): void {
+        this.#client.renewConnections();
+    }
+
     close(): Promise<void> {
         return this.#client.close();
     }
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -10,5 +10,7 @@
     /** Waits for a version above `version`; undefined when none came in time. */
     abstract watch(version: number, signal: AbortSignal): Promise<Stored | undefined>;
     abstract hosts(): Promise<StoredHost[]>;
+    /** Makes later calls on new connections: the old ones may have gone silent. */
+    abstract renewConnections(): void;
     abstract close(): Promise<void>;
 }
--- a/src/store/storeclient.ts
+++ b/src/store/storeclient.ts
@@ -8,8 +8,12 @@
 import { isConnectError } from "../http/connecterror.js";
 import { httpStatus } from "../http/httpstatus.js";
 import type { Address } from "../ids/address.js";
+import { log } from "../log/log.js";
 import { HistoryError } from "./historyerror.js";
 import { StoreError } from "./storeerror.js";
+import type { StoreEvents } from "./storeevents.js";
+
+const logger = log("connections");
 
 /** A store on the same network accepts a connection within milliseconds; chosen, not measured. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -18,13 +22,12 @@
 /** Refusals, for rate or outage, that prove that nothing was done. */
 const REFUSALS: ReadonlySet<number> = new Set([httpStatus.tooManyRequests, httpStatus.serviceUnavailable]);
 
-/** `timeoutMs` bounds each call but watches; `counted` is called with the bytes of each call that was answered. */
-type ClientOptions = {
+/** `timeoutMs` bounds each call but watches. */
+type ClientOptions = StoreEvents & {
     readonly address: Address;
     readonly localIp: string;
     readonly connections: number;
     readonly timeoutMs: number;
-    readonly counted: (bytes: number) => void;
 };
 
 type Call = {
@@ -42,15 +45,18 @@
 
 /** A call that gets no answer may have been done; the StoreError says what is proven. */
 export class StoreClient {
-    readonly #pool: Pool;
+    #pool: Pool;
+    #isRenewed = false;
 
     constructor(private readonly options: ClientOptions) {
-        const { address, localIp, connections } = options;
-        this.#pool = new Pool(`http://${address}`, {
-            connections,
-            localAddress: localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
-        });
+        this.#pool = this.#makePool();
+    }
+
+    /** Makes later calls on new connections: the old ones may have gone silent. Calls under way end by their time limit. */
+    renewConnections(): void {
+        const old = this.#pool;
+        this.#pool = this.#makePool();
+        old.close().catch((err: unknown) => logger.warn("Old connections to the store could not be ended.", err));
     }
 
     /**
@@ -91,14 +97,41 @@
             const signal = this.#bound(call);
             const answer = await this.#pool.request({ method, path, headers, body, signal });
             const text = await answer.body.text();
+            this.#recordAnswer();
             this.options.counted(text.length + (body?.length ?? 0));
             return { status: answer.statusCode, text };
         }
         catch (err) {
+            this.#recordFailure(call, err);
             throw new StoreError(!isConnectError(err), "the store did not answer", { cause: err });
         }
     }
 
+    /** A call that got no answer in time may have met a silent connection, or a store that is silent: the next one tells. */
+    #recordFailure({ waitMs }: Call, err: unknown): void {
+        if (waitMs === undefined && (err as Error).name === "TimeoutError") {
+            this.renewConnections();
+            this.#isRenewed = true;
+        }
+    }
+
+    #recordAnswer(): void {
+        if (this.#isRenewed) {
+            this.#isRenewed = false;
+            logger.warn("An open connection to the store carried nothing any more.", "a new one is answered");
+            this.options.onSilent();
+        }
+    }
+
+    #makePool(): Pool {
+        const { address, localIp, connections } = this.options;
+        return new Pool(`http://${address}`, {
+            connections,
+            localAddress: localIp,
+            connect: { timeout: CONNECT_TIMEOUT_MS },
+        });
+    }
+
     #bound({ waitMs, signal }: Call): AbortSignal {
         const limitMs = waitMs === undefined ? this.options.timeoutMs : waitMs + WATCH_SLACK_MS;
         const limit = AbortSignal.timeout(limitMs);
--- a/src/wire/notecodec.ts
+++ b/src/wire/notecodec.ts
@@ -26,4 +26,5 @@
     { name: "unframed", usual: false },
     { name: "calls", usual: false },
     { name: "arrived", usual: false },
+    { name: "probes", usual: false },
 ]);
--- a/standin/fault.ts
+++ b/standin/fault.ts
@@ -10,6 +10,8 @@
     pause?: boolean;
     lose?: "there" | "back";
     delayMs?: number;
+    /** Connections that are open when it is set carry nothing more, without an end, also after it is lifted; new ones work. */
+    silent?: boolean;
     /** Drops datagrams and leaves connections alone. */
     deaf?: boolean;
 };
--- a/standin/proxy.ts
+++ b/standin/proxy.ts
@@ -19,6 +19,7 @@
 /** A host's place is the third number of its IP; between places each direction takes `betweenMs`. */
 export class Proxy {
     readonly #pairs = new Set<Pair>();
+    readonly #silent = new WeakSet<Pair>();
     #faults: Fault[] = [];
 
     constructor(private readonly betweenMs: number) {}
@@ -31,6 +32,9 @@
                 pair.near.destroy();
                 pair.far.destroy();
             }
+            if (this.#fault(pair.link, pair.from, "silent") !== undefined) {
+                this.#silent.add(pair);
+            }
         }
     }
 
@@ -79,6 +83,9 @@
             last = last.then(() => this.#hold(pair)).then(act);
         };
         const at = (act: () => void): void => {
+            if (this.#silent.has(pair)) {
+                return;
+            }
             const delayMs = this.#delayMs(pair.link, pair.from);
             if (delayMs === 0) {
                 later(act);
--- a/standin/store.ts
+++ b/standin/store.ts
@@ -1,5 +1,6 @@
 /** A stand-in for the platform's key-value service and its lagging list of hosts. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { DocumentCalls } from "./documentcalls.js";
 import type { HostLine } from "./hostline.js";
@@ -11,6 +12,7 @@
 import type { StoreParts } from "./storeparts.js";
 
 const HOSTS_LAG_MS = 500;
+const MUTE_AFTER_MS = 20;
 const RATE_PER_SECOND = 2000;
 
 /** Called in two forms, over one set of data; `GET /counts` tells how often, by kind of call. */
@@ -19,6 +21,8 @@
     readonly #counts: Record<string, number> = { reads: 0, writes: 0, watches: 0, refused: 0 };
     readonly #documentCalls: DocumentCalls;
     readonly #platformCalls: PlatformCalls;
+    readonly #open = new Set<Socket>();
+    readonly #mute = new WeakSet<Socket>();
     #hosts: readonly HostLine[] = [];
     #second = 0;
     #inSecond = 0;
@@ -28,6 +32,7 @@
             down: false,
             refuse: 0,
             silent: false,
+            muteOpen: false,
             from: "",
             loseAnswers: 0,
             delayMs: 0,
@@ -36,6 +41,10 @@
             revoke: false,
             hosts: [],
         });
+        this.server.on("connection", (socket: Socket) => {
+            this.#open.add(socket);
+            socket.on("close", () => this.#open.delete(socket));
+        });
         const parts: StoreParts = {
             data: this.#data,
             hosts: () => this.#hosts,
@@ -49,6 +58,9 @@
     }
 
     protected override async serve(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
+        if (this.#mute.has(req.socket)) {
+            return;
+        }
         if (url.pathname === "/counts") {
             return sendJson(res, 200, this.#counts);
         }
@@ -69,20 +81,34 @@
     }
 
     protected override async controlled({ hosts }: Partial<StoreControl>): Promise<object> {
-        const { forget, revoke } = this.control;
+        const { forget, revoke, muteOpen } = this.control;
+        if (muteOpen) {
+            this.#muteOpen();
+        }
         if (forget) {
             this.#data.forget();
         }
         if (revoke) {
             this.#data.revokeAll();
         }
-        this.control = { ...this.control, forget: false, revoke: false };
+        this.control = { ...this.control, forget: false, revoke: false, muteOpen: false };
         if (hosts !== undefined) {
             setTimeout(() => this.#hosts = hosts, HOSTS_LAG_MS);
         }
         return this.control;
     }
 
+    /** The answer to the call that asks for it still goes out. */
+    #muteOpen(): void {
+        const open = [...this.#open];
+        setTimeout(() => {
+            for (const socket of open) {
+                this.#mute.add(socket);
+                socket.write = () => true;
+            }
+        }, MUTE_AFTER_MS);
+    }
+
     #count(name: string): void {
         this.#counts[name] = (this.#counts[name] ?? 0) + 1;
     }
--- a/standin/storecontrol.ts
+++ b/standin/storecontrol.ts
@@ -9,6 +9,8 @@
     refuse: 0 | 429 | 503;
     /** Calls wait for ever. */
     silent: boolean;
+    /** Connections that are open now carry nothing more, without an end; once for each call. */
+    muteOpen: boolean;
     /** `refuse` and `silent` strike only callers with this IP; empty for all. */
     from: string;
     /** So many of the next writes are done and not answered. */
--- /dev/null
+++ b/test/linkends.ts
@@ -0,0 +1,103 @@
+/** The two ends of links between daemons, for tests: a pool, and a listener with its sockets. */
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { GateCall } from "../src/hop/gatecall.js";
+import { Cancel } from "../src/http/cancel.js";
+import type { Address } from "../src/ids/address.js";
+import { LinkPool } from "../src/link/linkpool.js";
+import { LinkSession } from "../src/link/linksession.js";
+import type { ServedAnswer } from "../src/link/servedanswer.js";
+import type { ServedCall } from "../src/link/servedcall.js";
+
+type Serve = (call: ServedCall, cancel: Cancel) => Promise<ServedAnswer>;
+
+const KEY = "a-key-for-tests-only";
+
+/** `found` are the connections that the pool found silent; `isClosing` has the listener wind up. */
+export class LinkEnds {
+    static readonly note = { incarnation: "abcdefghijkl", gateTime: 1, revision: 2 } as ServedAnswer["note"];
+    readonly sockets: Socket[] = [];
+    readonly found: Address[] = [];
+    readonly pool: LinkPool;
+    isClosing = false;
+
+    private constructor(private readonly server: Server) {
+        const { port } = server.address() as AddressInfo;
+        const onSilent = (at: Address): void => void this.found.push(at);
+        this.pool = LinkEnds.makePool(`127.0.0.1:${port}` as Address, { onSilent });
+    }
+
+    /** Runs a body between a pool and a listener of its own. */
+    static async between(serve: Serve, body: (ends: LinkEnds) => Promise<void>): Promise<void> {
+        const server = createServer();
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const ends = new LinkEnds(server);
+        server.on("connection", socket => ends.#accept(socket, serve));
+        try {
+            await body(ends);
+        }
+        finally {
+            ends.#end();
+        }
+    }
+
+    static call(more: Partial<GateCall> = {}): GateCall {
+        return {
+            head: {
+                id: "abcdefghijkl.1",
+                upstream: "i-1",
+                kind: "repeatable",
+                priority: "normal",
+                team: "none",
+                answer: "whole",
+                remainingMs: 900,
+                maxWaitMs: 100,
+                depth: 0,
+                revision: 4,
+                choices: 0,
+                nearChoices: 0,
+            } as GateCall["head"],
+            rule: undefined,
+            method: "POST",
+            path: "/a/b?c=d",
+            headers: { "host": "h", "set-cookie": ["one", "two"] },
+            body: undefined,
+            cancel: new Cancel(),
+            ...more,
+        };
+    }
+
+    static makePool(address: Address, more: Partial<ConstructorParameters<typeof LinkPool>[1]> = {}): LinkPool {
+        const clock = (): number => performance.now();
+        return new LinkPool(address, { localIp: "127.0.0.1", key: KEY, clock, onSilent: () => {}, ...more });
+    }
+
+    /** Takes connections from now on and reads nothing from them. */
+    stopReading(): void {
+        this.server.removeAllListeners("connection");
+        this.server.on("connection", socket => this.sockets.push(socket));
+    }
+
+    /** Has a connection carry nothing more, either way, without an end. */
+    silence(socket: Socket): void {
+        socket.removeAllListeners("data");
+        socket.write = () => true;
+    }
+
+    #accept(socket: Socket, serve: Serve): void {
+        this.sockets.push(socket);
+        new LinkSession(socket, {
+            key: Buffer.from(KEY),
+            serve,
+            refuseBad: () => ({ note: LinkEnds.note, status: 0, headers: {}, body: undefined }),
+            isClosing: () => this.isClosing,
+        });
+    }
+
+    #end(): void {
+        this.pool.close();
+        this.sockets.forEach(socket => socket.destroy());
+        this.server.close();
+    }
+}
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -74,12 +74,16 @@
         return child;
     }
 
-    /** Writes a configuration as the platform's operators do. */
+    /** Writes a configuration as the platform's operators do, over a connection of its own. */
     async configure(configuration: object): Promise<void> {
         const value = Buffer.from(JSON.stringify(configuration)).toString("base64");
-        await fetch(`http://${this.storeAddress}/api/kv-txn`, {
-            method: "POST",
-            body: JSON.stringify({ put: [{ key: "op/config", value }] }),
+        const body = JSON.stringify({ put: [{ key: "op/config", value }] });
+        await new Promise<void>((resolve, reject) => {
+            const url = `http://${this.storeAddress}/api/kv-txn`;
+            const sent = httpRequest(url, { method: "POST", agent: false }, res => {
+                res.resume().on("end", resolve);
+            });
+            sent.on("error", reject).end(body);
         });
     }
 
