--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -117,6 +117,19 @@
         });
     }
 
+    /** Sends a request and closes its connection after a time, as a client that gives up does. */
+    leave(name: string, path: string, id: string, afterMs: number): Promise<void> {
+        const headers = { "host": "site.example", "attempt-id": id, "deadline-ms": "1000" };
+        return new Promise(resolve => {
+            const sent = httpRequest(`http://${this.host(name).ip}:7104${path}`, { headers, agent: false });
+            sent.on("error", () => {
+                // It closes the connection itself.
+            });
+            sent.on("close", resolve).end();
+            setTimeout(() => sent.destroy(), afterMs);
+        });
+    }
+
     /** How often the instances ran a request. */
     runsOf(id: string): number {
         return this.runs.filter(line => line === `R ${id}`).length;
