A request whose body is streamed is not checked for a silent link, and only its own check goes on

Such a request has all of its time now. A check that outlasts its request does not go on for the next one on the connection.

--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -71,7 +71,7 @@
         return new Promise((resolve, reject) => {
             this.#waiting = { resolve, reject };
             this.#write(call);
-            this.#watch(OVERDUE_MS + (Buffer.isBuffer(call.body) ? call.body.length / LEAST_BYTES_PER_MS : 0));
+            this.#watchFor(call.body);
         });
     }
 
@@ -87,9 +87,9 @@
         });
     }
 
-    /** True when anything has come on it since, or when no sign can come: a body is being sent before it, or is not being read here. */
+    /** True when anything has come on it since, or when none is read here, since the answer's reader holds it up. */
     hasSignSince(at: number): boolean {
-        return this.#signAt >= at || this.#sending || this.socket.isPaused();
+        return this.#signAt >= at || this.socket.isPaused();
     }
 
     /** True while a request has no answer, or its answer's body is still coming. */
@@ -112,18 +112,27 @@
         sendBody(body, this.socket, () => this.#sending = false);
     }
 
+    /** A probe would lie behind a body that the other end need not have read: such a request has all of its time. */
+    #watchFor(body: GateCall["body"]): void {
+        if (!(body instanceof Readable)) {
+            this.#watch(OVERDUE_MS + (body?.length ?? 0) / LEAST_BYTES_PER_MS);
+        }
+    }
+
     /** Looks again and again, since a connection that carried something may fall silent later. */
     #watch(afterMs = OVERDUE_MS): void {
         const since = this.events.clock();
         clearTimeout(this.#overdue);
-        this.#overdue = setTimeout(() => void this.#look(since), afterMs);
+        const timer = setTimeout(() => void this.#look(since, timer), afterMs);
+        this.#overdue = timer;
     }
 
-    async #look(since: number): Promise<void> {
+    /** Goes on only while it is the same request's: the next one may be of those that are not watched. */
+    async #look(since: number, timer: NodeJS.Timeout): Promise<void> {
         if (!this.hasSignSince(since)) {
             await this.events.onOverdue(this);
         }
-        if (this.busy && this.open) {
+        if (this.#overdue === timer && this.busy && this.open) {
             this.#watch();
         }
     }
@@ -180,6 +189,7 @@
 
     #done(): void {
         clearTimeout(this.#overdue);
+        this.#overdue = undefined;
         this.#forget();
         this.#forget = () => {};
         this.#body = undefined;
