A slot stays free while its upstream works slowly, if the request loses less by waiting

Cause: work that begins while an upstream reports to be slow keeps its slot for as many times as long, to its end. A request that could go elsewhere is sent on already; one with no choice left, or whose turn came in the queue, began all the same.

Now the gate holds the slot, asks for the pace every 20 ms under the budget that there is, and begins at the next report of the usual pace, where (slowdown - 1) x work exceeds the time that slow spells mostly last. Both are learnt from reports; work on a rule without calls.

Ruled out: that the pace changes work under way (calls of 55 ms that ended in a slow moment took 62 in the median, those that began in one 280).

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -16,6 +16,7 @@
 import { LevelClock } from "../policy/admission/levelclock.js";
 import { makeLimit } from "../policy/admission/makelimit.js";
 import { RuleTimes } from "../policy/admission/ruletimes.js";
+import { Pace } from "../policy/failure/pace.js";
 import { silentAfter } from "../policy/failure/silentafter.js";
 import { atLeast } from "../policy/placement/atleast.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
@@ -54,15 +55,25 @@
         const onLoad = ({ pace }: { readonly pace: number; }): void => this.#checks.recordPace(pace);
         this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad, clock, onSilent: parts.onSilent });
         this.#log = new GateLog(upstream.name, dialect);
+        const pace = new Pace();
+        const times = new RuleTimes();
         this.#checks = new GateChecks({
             ...parts,
+            pace,
+            workMs: rule => times.longMs(rule),
             upstream: upstream.name,
             ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_TIMEOUT_MS),
             repeatsUnderWay: () => this.#running.repeated,
         });
-        this.#admission = new Admission(makeLimit(parts.limit, upstream.slots), new RuleTimes(), this.#levels);
+        this.#admission = new Admission(makeLimit(parts.limit, upstream.slots), times, this.#levels, pace);
         this.#refusals = new GateRefusals(more => this.note(more));
-        this.#queue = new SlotQueue({ clock, ledger, admission: this.#admission, refusals: this.#refusals });
+        this.#queue = new SlotQueue({
+            clock,
+            ledger,
+            admission: this.#admission,
+            refusals: this.#refusals,
+            refreshPace: () => this.#checks.refreshPace(),
+        });
     }
 
     get finished(): number {
--- a/src/gate/gatechecks.ts
+++ b/src/gate/gatechecks.ts
@@ -4,8 +4,10 @@
  * Owns the reasons for which the gate is closed, the upstream's pace and the calls of its runs. What is decided by
  * them stands in policy/failure and policy/retry.
  */
+import type { RuleName } from "../ids/rulename.js";
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
+import type { Pace } from "../policy/failure/pace.js";
 import { CallProfile } from "../policy/retry/callprofile.js";
 import { canAffordCalls } from "../policy/retry/canaffordcalls.js";
 import type { Reason } from "../policy/retry/reason.js";
@@ -19,6 +21,9 @@
 /** What the checks need of their gate; `ask` asks the upstream for its pace and rejects when it does not answer in time. */
 type CheckParts = Pick<GateParts, "clock" | "ledger" | "mayAsk" | "repeatsLeft"> & {
     readonly upstream: string;
+    readonly pace: Pace;
+    /** How long work on a rule takes at the usual pace, in milliseconds. */
+    readonly workMs: (rule: RuleName | undefined) => number;
     readonly ask: () => Promise<void>;
     /** Runs under way that are not the first of their request. */
     readonly repeatsUnderWay: () => number;
@@ -61,6 +66,11 @@
         this.#pace.record(pace);
     }
 
+    /** Asks the upstream for its pace, unless the budget is spent. */
+    refreshPace(): Promise<void> {
+        return this.#pace.refresh();
+    }
+
     /** Records what a run called, whatever became of it. */
     recordCalls(calls: ReadonlyMap<ServiceName, number>): void {
         this.#calls.observe(calls);
@@ -89,8 +99,8 @@
             : undefined;
     }
 
-    async #refusalForPace({ choices, call: { cancel } }: GateRequest): Promise<Reason | undefined> {
-        if (await this.#pace.shouldSendOn(choices)) {
+    async #refusalForPace({ choices, rule, call: { cancel } }: GateRequest): Promise<Reason | undefined> {
+        if (await this.#pace.shouldSendOn({ choices, workMs: this.parts.workMs(rule) })) {
             return "slow";
         }
         if (this.isClosed) {
--- a/src/gate/paceprobe.ts
+++ b/src/gate/paceprobe.ts
@@ -1,6 +1,6 @@
 /** Knows the pace of the upstream, and asks the upstream when its last report is too old to decide by. */
 import { log } from "../log/log.js";
-import { Pace } from "../policy/failure/pace.js";
+import type { Pace } from "../policy/failure/pace.js";
 import { checkPace } from "../policy/failure/pacecheck.js";
 import type { Clock } from "../time/clock.js";
 
@@ -9,16 +9,19 @@
 /** `mayAsk` spends one question from the budget; `ask` rejects when the upstream does not answer in time. */
 type PaceProbeParts = {
     readonly clock: Clock;
+    readonly pace: Pace;
     readonly mayAsk: () => boolean;
     readonly ask: () => Promise<void>;
 };
 
 /** Questions at the same time share one. */
 export class PaceProbe {
-    readonly #pace = new Pace();
+    readonly #pace: Pace;
     #asking: Promise<boolean> | undefined;
 
-    constructor(private readonly parts: PaceProbeParts) {}
+    constructor(private readonly parts: PaceProbeParts) {
+        this.#pace = parts.pace;
+    }
 
     /** The last report; undefined of an upstream that never reports. */
     get last(): number | undefined {
@@ -29,10 +32,10 @@
         this.#pace.observe(pace, this.parts.clock());
     }
 
-    /** True when a request with so many other choices should go elsewhere, by a report that is fresh. */
-    async shouldSendOn(choices: number): Promise<boolean> {
+    /** True when the request should go elsewhere, by a report that is fresh. */
+    async shouldSendOn(request: Parameters<typeof checkPace>[1]): Promise<boolean> {
         const { clock, mayAsk } = this.parts;
-        const check = checkPace(this.#pace, choices, clock());
+        const check = checkPace(this.#pace, request, clock());
         if (check !== "ask") {
             return check === "slow";
         }
@@ -40,7 +43,16 @@
             return false;
         }
         this.#asking ??= this.#ask();
-        return await this.#asking;
+        return await this.#asking && request.choices > 0;
+    }
+
+    /** Asks the upstream, unless the budget is spent. */
+    async refresh(): Promise<void> {
+        if (this.#asking === undefined && !this.parts.mayAsk()) {
+            return;
+        }
+        this.#asking ??= this.#ask();
+        await this.#asking;
     }
 
     /** Resolves with whether the answer reports slow work; judged by the time of the question, so that a stall here ages no answer. */
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -19,13 +19,20 @@
     readonly ledger: Ledger;
     readonly admission: Admission<GateRequest>;
     readonly refusals: GateRefusals;
+    /** Asks the upstream for its pace, unless the budget is spent. */
+    readonly refreshPace: () => Promise<void>;
 };
 
+/** A report of the pace that was just asked for is still believed at the next question; in milliseconds. */
+const ASK_EVERY_MS = 20;
+
 type Ended = Parameters<Admission<GateRequest>["finish"]>[1];
 
 /** Every refusal is `not-run`, and the ledger sees to it that it stays so. */
 export class SlotQueue {
     readonly offers: Offers;
+    /** Runs while a slot is kept free until the upstream works faster. */
+    #nextAsk: NodeJS.Timeout | undefined;
 
     constructor(private readonly parts: QueueParts) {
         this.offers = new Offers(parts.admission);
@@ -43,6 +50,7 @@
             const { reason, retryAfterMs } = verdict.refusal;
             throw refusals.make(reason, { retryAfterMs });
         }
+        this.#watchPace();
         await this.#wait(request);
     }
 
@@ -76,6 +84,7 @@
         for (const request of run) {
             request.grantSlot();
         }
+        this.#watchPace();
     }
 
     /** Hands waiting requests back to their ingresses, one for each offer that a sibling has made. */
@@ -114,6 +123,20 @@
         }
     }
 
+    /** Asks again and again while a slot is kept free; when nothing is known any more, what waits runs. */
+    #watchPace(): void {
+        const { admission, clock, refreshPace } = this.parts;
+        if (this.#nextAsk !== undefined || !admission.isWaitingForPace(clock())) {
+            return;
+        }
+        this.#nextAsk = setTimeout(() => {
+            void refreshPace().then(() => {
+                this.#nextAsk = undefined;
+                this.advance();
+            });
+        }, ASK_EVERY_MS);
+    }
+
     /** Refuses a request that still waits: it has not run. */
     #giveUp(request: GateRequest, reason: Reason, retryAfterMs?: number): void {
         if (this.parts.admission.leave(request)) {
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -9,7 +9,9 @@
  * usual and by two pings; waits by deadline".
  */
 import type { RuleName } from "../../ids/rulename.js";
+import type { Pace } from "../failure/pace.js";
 import type { LoadReport } from "../placement/loadreport.js";
+import { isWorthWaiting } from "./isworthwaiting.js";
 import type { LevelClock } from "./levelclock.js";
 import type { Refusal } from "./refusal.js";
 import type { RuleTimes } from "./ruletimes.js";
@@ -48,6 +50,7 @@
         private readonly limit: SlotLimit,
         private readonly times: RuleTimes,
         private readonly levels: LevelClock,
+        private readonly pace: Pace,
     ) {}
 
     get running(): number {
@@ -81,7 +84,7 @@
         if (now >= item.deadline) {
             return { type: "refuse", refusal: { reason: "deadline", retryAfterMs: 0 } };
         }
-        if (this.#queue.length === 0 && this.#running + this.#held < this.limit.current()) {
+        if (this.#queue.length === 0 && this.#hasSlot && !this.#waitsForPace(item, now)) {
             this.#setRunning(this.#running + 1, now);
             return RUN;
         }
@@ -118,6 +121,12 @@
         }
     }
 
+    /** True while a slot is free for a request that waits until the upstream works faster. */
+    isWaitingForPace(now: number): boolean {
+        const item = this.#queue.first();
+        return item !== undefined && this.#hasSlot && this.#waitsForPace(item, now);
+    }
+
     /** Takes a waiting request out; false when it does not wait. */
     leave(item: Item): boolean {
         return this.#queue.remove(item);
@@ -132,11 +141,12 @@
     /** Releases what may run now; what has waited past its deadline comes out as late. */
     next(now: number): Released<Item> {
         const released: Released<Item> = { run: [], late: [] };
-        while (this.#running + this.#held < this.limit.current()) {
-            const item = this.#queue.shift();
-            if (item === undefined) {
+        for (;;) {
+            const item = this.#queue.first();
+            if (item === undefined || !this.#hasSlot || (now < item.deadline && this.#waitsForPace(item, now))) {
                 break;
             }
+            this.#queue.shift();
             if (now >= item.deadline) {
                 released.late.push(item);
                 continue;
@@ -152,6 +162,16 @@
         return Math.ceil(this.#waitMs(item) + this.times.usualMs(item.rule) * COME_BACK_SHARE);
     }
 
+    get #hasSlot(): boolean {
+        return this.#running + this.#held < this.limit.current();
+    }
+
+    #waitsForPace({ rule }: Item, now: number): boolean {
+        const slowdown = this.pace.slowdown(now);
+        return slowdown > 1
+            && isWorthWaiting({ workMs: this.times.longMs(rule), slowdown, spellMs: this.pace.spellMs });
+    }
+
     #setRunning(running: number, now: number): void {
         this.#running = running;
         this.levels.setRunning(running, now);
--- a/src/policy/admission/fairqueue.ts
+++ b/src/policy/admission/fairqueue.ts
@@ -29,6 +29,12 @@
         this.#length += 1;
     }
 
+    /** The next item, which stays; undefined when none waits. */
+    first(): Item | undefined {
+        const key = this.#next();
+        return key === undefined ? undefined : this.#lanes.get(key)!.items[0];
+    }
+
     /** Takes the next item, undefined when none waits. */
     shift(): Item | undefined {
         const key = this.#next();
--- /dev/null
+++ b/src/policy/admission/isworthwaiting.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TeamName } from "../../ids/teamname.js";
+import { Pace } from "../failure/pace.js";
+import { Admission } from "./admission.js";
+import { FixedLimit } from "./fixedlimit.js";
+import { isWorthWaiting } from "./isworthwaiting.js";
+import { LevelClock } from "./levelclock.js";
+import { RuleTimes } from "./ruletimes.js";
+import type { Waiting } from "./waiting.js";
+
+const item = (deadline = 10_000): Waiting => ({
+    priority: "normal",
+    team: "a" as TeamName,
+    deadline,
+    maxWaitMs: 1000,
+    choices: 0,
+    nearChoices: 0,
+});
+
+/** A gate of two slots whose requests take so many milliseconds; its upstream reports its pace later. */
+const gateOf = (workMs: number, pace: Pace): Admission<Waiting> => {
+    const gate = new Admission<Waiting>(new FixedLimit(2), new RuleTimes(), new LevelClock(2, 0), pace);
+    for (let at = 0; at < 100; at++) {
+        gate.arrive(item(), 0);
+        gate.finish(workMs, { work: Float64Array.of(0, workMs, 0) }, 0);
+    }
+    return gate;
+};
+
+const turnSlow = (pace: Pace, now: number): void => {
+    pace.observe(1, now - 1);
+    pace.observe(5, now);
+};
+
+test("pace: long work waits for a faster moment, short work does not", () => {
+    assert.equal(isWorthWaiting({ workMs: 220, slowdown: 5, spellMs: 150 }), true);
+    assert.equal(isWorthWaiting({ workMs: 24, slowdown: 4, spellMs: 300 }), false);
+    assert.equal(isWorthWaiting({ workMs: 220, slowdown: 1, spellMs: 150 }), false);
+});
+
+test("pace: a gate keeps a free slot while its upstream is slow, and uses it when it is not or when nothing is known", () => {
+    const pace = new Pace();
+    const gate = gateOf(220, pace);
+    turnSlow(pace, 100);
+    assert.equal(gate.arrive(item(), 100).type, "wait");
+    assert.deepEqual(gate.next(101).run, []);
+    assert.equal(gate.isWaitingForPace(101), true);
+    pace.observe(1, 120);
+    assert.equal(gate.next(120).run.length, 1);
+    pace.observe(5, 140);
+    assert.equal(gate.arrive(item(), 140).type, "wait");
+    assert.equal(gate.next(500).run.length, 1);
+});
+
+test("pace: short work begins also while the upstream is slow", () => {
+    const pace = new Pace();
+    const gate = gateOf(20, pace);
+    turnSlow(pace, 100);
+    assert.equal(gate.arrive(item(), 100).type, "run");
+});
+
+test("pace: a request whose time is over comes out also while the upstream is slow", () => {
+    const pace = new Pace();
+    const gate = gateOf(220, pace);
+    turnSlow(pace, 100);
+    gate.arrive(item(900), 100);
+    pace.observe(5, 899);
+    assert.equal(gate.next(901).late.length, 1);
+});
+
+test("pace: how long a slow spell lasts is learnt from reports that follow each other closely", () => {
+    const pace = new Pace();
+    for (let spell = 0; spell < 60; spell++) {
+        const start = spell * 1000;
+        pace.observe(1, start);
+        for (let at = 0; at <= 60; at += 20) {
+            pace.observe(5, start + 20 + at);
+        }
+        pace.observe(1, start + 100);
+    }
+    assert.ok(Math.abs(pace.spellMs - 80) < 5, String(pace.spellMs));
+    pace.observe(5, 100_000);
+    pace.observe(1, 101_000);
+    assert.ok(Math.abs(pace.spellMs - 80) < 5, String(pace.spellMs));
+});
--- a/src/policy/admission/waitqueue.ts
+++ b/src/policy/admission/waitqueue.ts
@@ -40,6 +40,12 @@
         this.#teams.get(item.priority)!.push(item.team, item);
     }
 
+    /** The next that `shift` gives. */
+    first(): Item | undefined {
+        const priority = this.#classes.first();
+        return priority === undefined ? undefined : this.#teams.get(priority)!.first();
+    }
+
     shift(): Item | undefined {
         const priority = this.#classes.shift();
         return priority === undefined ? undefined : this.#teams.get(priority)!.shift();
--- a/src/policy/failure/pace.ts
+++ b/src/policy/failure/pace.ts
@@ -13,6 +13,12 @@
 const USUAL = 1;
 /** A report is the present for so long: a tenth of the time between changes of pace at the users' (about 300 ms). */
 const BELIEVE_MS = 30;
+/** How long an upstream stays slow, assumed before it was seen, in milliseconds: of the order of the users'. */
+const START_SPELL_MS = 150;
+/** Of the newest spell in their mean: the last ten, about; chosen, not measured. */
+const SPELL_WEIGHT = 0.1;
+/** A spell between whose reports lay more time was not watched, in milliseconds. */
+const WATCHED_MS = 100;
 
 /** Of one upstream. */
 export class Pace {
@@ -20,15 +26,35 @@
     #best = Infinity;
     #at = -Infinity;
     #known = false;
+    /** Since when the upstream has been slow without a gap between reports; undefined while it is not. */
+    #slowSince: number | undefined;
+    #spellMs = START_SPELL_MS;
+    #slowdownInSpells = USUAL;
 
     /** Records a report that was true at `now`. */
     observe(pace: number, now: number): void {
         this.#pace = pace;
         this.#best = Math.max(USUAL, Math.min(this.#best, pace));
+        this.#observeSpell(now);
         this.#at = now;
         this.#known = true;
     }
 
+    /** How long an upstream that is found to be slow mostly stays so, in milliseconds. */
+    get spellMs(): number {
+        return this.#spellMs;
+    }
+
+    /** How many times as long work took in the last slow spell; 1 before there was one. */
+    get slowdownInSpells(): number {
+        return this.#slowdownInSpells;
+    }
+
+    /** How many times as long work takes that begins now, by a report that is still believed; 1 where there is none. */
+    slowdown(now: number): number {
+        return this.isSlow(now) ? this.#pace / this.#best : USUAL;
+    }
+
     /** The last report; undefined of an upstream that never reports. */
     get last(): number | undefined {
         return this.#known ? this.#pace : undefined;
@@ -44,6 +70,21 @@
         return this.#at >= at && this.#pace >= SLOW * this.#best;
     }
 
+    #observeSpell(now: number): void {
+        const isSlow = this.#pace >= SLOW * this.#best;
+        const isWatched = now - this.#at <= WATCHED_MS;
+        if (!isSlow && this.#slowSince !== undefined && isWatched) {
+            this.#spellMs += SPELL_WEIGHT * (now - this.#slowSince - this.#spellMs);
+        }
+        if (!isSlow || !isWatched) {
+            this.#slowSince = undefined;
+        }
+        if (isSlow) {
+            this.#slowdownInSpells = this.#pace / this.#best;
+            this.#slowSince ??= now;
+        }
+    }
+
     /** True when the upstream is slow by a report that is still believed. */
     isSlow(now: number): boolean {
         return this.#known && !this.isStale(now) && this.#pace >= SLOW * this.#best;
