Daemons start with their code cache again

Cause: the bound on repeats put parts into the settings template that stand or go with a value; the build's warm-up read the template by a pattern that knew gaps in texts only, failed, and said so on its last line, which nobody reads.

New test: the build's two steps leave a cache behind; red before ("Expected property name"), green after. The old test makes its own.

--- a/build/warm.js
+++ b/build/warm.js
@@ -12,6 +12,7 @@
 import { Agent, request } from "node:http";
 import { resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { fillTemplate } from "./filltemplate.js";
 
 const ROOT = new URL("..", import.meta.url);
 const OUT = resolve(process.argv[2]);
@@ -53,7 +54,7 @@
 
 /** The deployed settings, with addresses on loopback in the place of what the platform fills in. */
 const settings = (ip, index) => ({
-    ...JSON.parse(readFileSync(new URL("deploy/settings.json", ROOT), "utf8").replaceAll(/"\{\{.*?\}\}.*?"/g, "\"x\"")),
+    ...fillTemplate(readFileSync(new URL("deploy/settings.json", ROOT), "utf8")),
     host: `h${index}`,
     hall: `hall-${index}`,
     region: "r",
--- a/test/start.test.ts
+++ b/test/start.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { execFileSync } from "node:child_process";
 import { cpSync, existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -7,6 +8,7 @@
 import { takeRunNumber } from "../demo/runnumber.js";
 
 const BINARY = new URL("../bin", import.meta.url).pathname;
+const ROOT = new URL("../../", import.meta.url).pathname;
 
 /** Starts a daemon until it is up, ends it, and returns what its first line says of the code cache. */
 const startOnce = async (folder: string, nodeFlags: string[], env: NodeJS.ProcessEnv = {}): Promise<string> => {
@@ -49,3 +51,16 @@
         lock.close();
     }
 });
+
+test("start: the platform's build makes a code cache, by the settings and flags that are deployed", () => {
+    const folder = mkdtempSync(join(tmpdir(), "winglock-warm-"));
+    try {
+        for (const step of [["build/bundle.js", folder, "platform/main.ts"], ["build/warm.js", folder]]) {
+            execFileSync(process.execPath, step, { cwd: ROOT });
+        }
+        assert.ok(existsSync(join(folder, "winglockd.cache")));
+    }
+    finally {
+        rmSync(folder, { recursive: true, force: true });
+    }
+});
