Daemons ask each other who they are on the link, so that a start loads no fetch

Cause: the first request that may run once needs its gate's life and clock, and asked for them by a trpc call. trpc's client looks whether an input is a form (`typeof FormData`), and its server makes a `Request`: each loads Node.js's own fetch, 78 ms of 1,100 in a profile of the first second (unminified), at both ends, in the second in which everything else begins too.

Now a probe of the link is answered with a note of who answers; daemons of older versions answer without one or end the connection, and are asked as before. Probes for silence are as they were.

--- a/src/link/frametype.ts
+++ b/src/link/frametype.ts
@@ -16,6 +16,6 @@
     broken: 6,
     /** A question whether the connection carries anything, from the caller's side at any time. */
     probe: 7,
-    /** The answer to it. */
+    /** The answer to it: a note of who answers, empty from daemons of older versions. */
     alive: 8,
 } as const;
--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -4,6 +4,8 @@
 import type { GateCall } from "../hop/gatecall.js";
 import { log } from "../log/log.js";
 import type { Clock } from "../time/clock.js";
+import type { AnswerNote } from "../wire/answernote.js";
+import { readNote } from "../wire/readnote.js";
 import { emptyBuffer } from "./emptybuffer.js";
 import type { Frame } from "./frame.js";
 import { FramedBody } from "./framedbody.js";
@@ -14,6 +16,7 @@
 import { packCall } from "./packcall.js";
 import { sendBody } from "./sendbody.js";
 import { unpackAnswer } from "./unpackanswer.js";
+import { unpackList } from "./unpacklist.js";
 import type { WireAnswer } from "./wireanswer.js";
 import { writeFrame } from "./writeframe.js";
 
@@ -47,6 +50,7 @@
     #forget: () => void = () => {};
     #signAt = -Infinity;
     #onSign: () => void = () => {};
+    #onAlive: (note: AnswerNote | undefined) => void = () => {};
     #overdue: NodeJS.Timeout | undefined;
 
     constructor(private readonly socket: Socket, private readonly events: LinkEvents) {
@@ -87,6 +91,31 @@
         });
     }
 
+    /**
+     * Asks who is at the other end; resolves with undefined when it does not say: older versions answer without a word, or end the
+     * connection. Rejects with a LinkError when nothing comes.
+     */
+    greet(timeoutMs: number): Promise<AnswerNote | undefined> {
+        this.socket.write(writeFrame(frameType.probe, emptyBuffer));
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                this.destroy();
+                reject(new LinkError("unreachable"));
+            }, timeoutMs);
+            const onClose = (): void => {
+                clearTimeout(timer);
+                resolve(undefined);
+            };
+            this.socket.once("close", onClose);
+            this.#onAlive = note => {
+                clearTimeout(timer);
+                this.socket.removeListener("close", onClose);
+                this.#onAlive = () => {};
+                resolve(note);
+            };
+        });
+    }
+
     /** True when anything has come on it since, or when none is read here, since the answer's reader holds it up. */
     hasSignSince(at: number): boolean {
         return this.#signAt >= at || this.socket.isPaused();
@@ -155,6 +184,7 @@
             return;
         }
         if (frame.type === frameType.alive) {
+            this.#onAlive(frame.payload.length === 0 ? undefined : readNote(unpackList(frame.payload)));
             return;
         }
         if (!isBodyFrame(frame)) {
--- a/src/link/linkpool.ts
+++ b/src/link/linkpool.ts
@@ -3,6 +3,7 @@
 import type { Address } from "../ids/address.js";
 import { splitAddress } from "../ids/splitaddress.js";
 import type { Clock } from "../time/clock.js";
+import type { AnswerNote } from "../wire/answernote.js";
 import { frameType } from "./frametype.js";
 import { LinkCheck } from "./linkcheck.js";
 import { LinkConnection } from "./linkconnection.js";
@@ -13,6 +14,8 @@
 const MAX_CONNECTIONS = 256;
 /** Several times the way between data halls, in milliseconds; chosen, not measured. */
 const CONNECT_TIMEOUT_MS = 500;
+/** For the answer to the first question, in milliseconds: a peer that has just started is slow. Chosen, not measured. */
+const GREET_TIMEOUT_MS = 1000;
 /** Shorter than the peer keeps an idle connection. */
 const KEEP_IDLE_MS = 4000;
 
@@ -54,6 +57,16 @@
         return await this.#open();
     }
 
+    /** Asks the peer who it is; undefined from one that does not say. Rejects with a LinkError. */
+    async greet(): Promise<AnswerNote | undefined> {
+        const connection = await this.take();
+        const note = await connection.greet(GREET_TIMEOUT_MS);
+        if (connection.open) {
+            this.#give(connection);
+        }
+        return note;
+    }
+
     /** Ends idle connections, and each of the others after what it carries. */
     close(): void {
         this.#closed = true;
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -1,9 +1,12 @@
 /** The serving end of one connection from a peer, which carries one request at a time. */
+import { pack } from "msgpackr";
 import { timingSafeEqual } from "node:crypto";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { Cancel } from "../http/cancel.js";
 import { log } from "../log/log.js";
+import type { AnswerNote } from "../wire/answernote.js";
+import { noteCodec } from "../wire/notecodec.js";
 import { emptyBuffer } from "./emptybuffer.js";
 import type { Frame } from "./frame.js";
 import { FramedBody } from "./framedbody.js";
@@ -28,6 +31,8 @@
     readonly serve: (call: ServedCall, cancel: Cancel) => Promise<ServedAnswer>;
     /** The refusal of a call that can't be read. */
     readonly refuseBad: (err: unknown) => ServedAnswer;
+    /** Who serves here, and its clock: the answer to a probe. */
+    readonly identity: () => AnswerNote;
     /** True when each answer is to be its connection's last. */
     readonly isClosing: () => boolean;
 };
@@ -90,7 +95,7 @@
             return;
         }
         if (frame.type === frameType.probe) {
-            this.socket.write(writeFrame(frameType.alive, emptyBuffer));
+            this.socket.write(writeFrame(frameType.alive, pack(noteCodec.write(this.parts.identity()))));
             return;
         }
         if (frame.type === frameType.call) {
--- a/src/link/silentlink.test.ts
+++ b/src/link/silentlink.test.ts
@@ -128,3 +128,20 @@
     pool.close();
     server.close();
 });
+
+test("link: a peer says who it is when it is asked, and one that does not know the question is not believed to be gone", async () => {
+    await between(() => Promise.resolve(answer), async ({ pool }) => {
+        const note = await pool.greet();
+        assert.equal(note?.incarnation, LinkEnds.note.incarnation);
+        assert.equal(note?.gateTime, LinkEnds.note.gateTime);
+        assert.equal(await send(pool), 200);
+    });
+    const server = createServer(serveAsBefore);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = LinkEnds.makePool(`127.0.0.1:${(server.address() as AddressInfo).port}` as Address);
+    assert.equal(await pool.greet(), undefined);
+    assert.equal(await send(pool), 200);
+    pool.close();
+    server.close();
+});
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -112,6 +112,7 @@
             key: this.#key,
             serve: (call, cancel) => this.#serve(call, cancel),
             refuseBad: err => this.#refuseBad(socket, err),
+            identity: () => this.#note({}),
             isClosing: () => this.#isClosing,
         });
         socket.setTimeout(KEEP_ALIVE_MS, () => session.endIfStill());
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -57,8 +57,8 @@
 
     async greet(): Promise<void> {
         try {
-            const hello = await this.peer.hello(this.address);
-            this.clock.observe(hello.incarnation, hello.gateTime, this.options.clock());
+            const { incarnation, gateTime } = await this.#pool.greet() ?? await this.peer.hello(this.address);
+            this.clock.observe(incarnation, gateTime, this.options.clock());
         }
         catch (err) {
             throw new HopError("not-run", "unreachable", undefined, { cause: err });
--- a/test/linkends.ts
+++ b/test/linkends.ts
@@ -91,6 +91,7 @@
             key: Buffer.from(KEY),
             serve,
             refuseBad: () => ({ note: LinkEnds.note, status: 0, headers: {}, body: undefined }),
+            identity: () => LinkEnds.note,
             isClosing: () => this.isClosing,
         });
     }
