A model of many daemons over the policies themselves; a limit may begin by what was found at others

The model (src/policy/model): upstreams with slots, a knee, noise and cold; gates and ingresses made of the daemon's own admission, limit, pace, placement and waits; callers that come back once; bursts, losses, a restart of all hosts. `npm run model` prints classes by what became of them, and a plot; wrong flags are named.

Without a knee it now climbs by one level, not to all slots at once.

--- /dev/null
+++ b/bench/model.ts
@@ -0,0 +1,65 @@
+/**
+ * `npm run model -- [--hosts N] [--load X] [--policy P] [--trouble T] [--seed S] [--seeds N] [--seconds N] [--plot FILE.svg]`.
+ *
+ * Runs the model of src/policy/model and prints what became of the requests, by class: no processes, no network.
+ */
+import { writeFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { table } from "../src/cli/table.js";
+import { layered } from "../src/policy/model/layered.js";
+import { type ClassTally, type ModelTally, worthShare } from "../src/policy/model/modeltally.js";
+import { runModel } from "../src/policy/model/runmodel.js";
+import { seededRandom } from "../standin/seededrandom.js";
+import { modelSettings } from "./modelsettings.js";
+import { plotSeconds } from "./plotseconds.js";
+
+const MS_PER_SECOND = 1000;
+const DIGITS = 3;
+
+const { values: flags } = parseArgs({
+    options: {
+        hosts: { type: "string", default: "13" },
+        load: { type: "string", default: "1" },
+        policy: { type: "string", default: "usual" },
+        trouble: { type: "string", default: "none" },
+        seed: { type: "string", default: "1" },
+        seeds: { type: "string", default: "1" },
+        seconds: { type: "string", default: "30" },
+        plot: { type: "string" },
+    },
+});
+const settings = modelSettings(flags);
+if (Array.isArray(settings)) {
+    settings.forEach(line => console.error(line));
+    process.exit(2);
+}
+
+const { hosts, load, policy, troubles, seed, seeds, seconds, plot } = settings;
+const scenario = layered({ hosts, load, lengthMs: seconds * MS_PER_SECOND, troubles, policy });
+const tallies: ModelTally[] = [];
+for (let at = 0; at < seeds; at++) {
+    tallies.push(runModel(scenario, seededRandom(seed + at)));
+}
+
+/** Of all seeds together. */
+const sumOf = (pick: (tally: ClassTally) => number, name: string): number =>
+    tallies.flatMap(tally => tally.classes).filter(one => one.name === name).reduce((sum, one) => sum + pick(one), 0);
+const share = (pick: (tally: ClassTally) => number, name: string): string =>
+    (sumOf(pick, name) / sumOf(one => one.asked, name)).toFixed(DIGITS);
+
+const rows = scenario.classes.map(({ name, worth }) => [
+    name,
+    String(worth),
+    String(sumOf(one => one.asked, name)),
+    share(one => one.inTime, name),
+    share(one => one.late, name),
+    share(one => one.refused, name),
+    share(one => one.failed, name),
+]);
+console.log(table(["class", "worth", "asked", "in time", "late", "refused", "failed"], rows));
+const worths = tallies.map(({ classes }) => worthShare(classes));
+const mean = worths.reduce((sum, worth) => sum + worth, 0) / worths.length;
+console.log(`worth ${mean.toFixed(DIGITS)}, by seed ${worths.map(worth => worth.toFixed(DIGITS)).join(" ")}`);
+if (plot !== undefined) {
+    writeFileSync(plot, plotSeconds(tallies[0]!.seconds));
+}
--- /dev/null
+++ b/bench/modelsettings.ts
@@ -0,0 +1,62 @@
+/** What an operator of the model asks for; a wrong flag is named with its value and what is allowed. */
+import { z } from "zod";
+import { usualPolicy } from "../src/policy/model/layered.js";
+import type { ModelPolicy, ModelTrouble } from "../src/policy/model/scenario.js";
+
+/** Policies by name: all parts, and each with one part switched off. */
+const policies: Readonly<Record<string, ModelPolicy>> = {
+    "usual": usualPolicy,
+    "no-pace-wait": { ...usualPolicy, waitsForPace: false },
+    "no-memory": { ...usualPolicy, remembers: false },
+    "ramp-limit": { ...usualPolicy, limit: "ramp", remembers: false },
+    "fixed-limit": { ...usualPolicy, limit: "fixed", remembers: false },
+    "no-moves": { ...usualPolicy, moves: false },
+    "calls-inherited": { ...usualPolicy, calls: "inherited" },
+    "calls-raised": { ...usualPolicy, calls: "raised" },
+};
+
+/** Troubles by name; times in milliseconds. */
+const troubles: Readonly<Record<string, readonly ModelTrouble[]>> = {
+    none: [],
+    burst: [{ type: "burst", at: 8000, forMs: 5000, times: 1.7 }],
+    loss: [{ type: "loss", at: 5000, service: "engine", count: 2 }, {
+        type: "burst",
+        at: 8000,
+        forMs: 5000,
+        times: 1.5,
+    }],
+    restart: [{ type: "restart", at: 15_000, downMs: 1300 }],
+};
+
+const oneOf = (names: Readonly<Record<string, unknown>>): z.ZodType<string> =>
+    z.string().refine(name => name in names, `must be one of ${Object.keys(names).join(", ")}`);
+
+const Flags = z.strictObject({
+    hosts: z.coerce.number().int().min(3).max(1000),
+    load: z.coerce.number().positive().max(10),
+    policy: oneOf(policies),
+    trouble: oneOf(troubles),
+    seed: z.coerce.number().int().min(0),
+    seeds: z.coerce.number().int().min(1).max(100),
+    seconds: z.coerce.number().int().min(5).max(600),
+    plot: z.string().optional(),
+});
+
+/** Checked. */
+export type ModelSettings = Omit<z.infer<typeof Flags>, "policy" | "trouble"> & {
+    readonly policy: ModelPolicy;
+    readonly troubles: readonly ModelTrouble[];
+};
+
+/** The settings, or one line for each flag that is wrong. */
+export function modelSettings(flags: Record<string, string | undefined>): ModelSettings | string[] {
+    const { data, error } = Flags.safeParse(flags);
+    if (data === undefined) {
+        return error.issues.map(({ path, message }) => {
+            const name = path.join(".");
+            return `--${name} ${flags[name] ?? ""}: ${message}`;
+        });
+    }
+    const { policy, trouble, ...rest } = data;
+    return { ...rest, policy: policies[policy]!, troubles: troubles[trouble]! };
+}
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -25,6 +25,7 @@
     readonly health: HealthCheck;
     readonly retries: ServiceRetries;
     #onChange: () => void = () => {};
+    #usualShare: (service: Gate["upstream"]["service"]) => number | undefined = () => undefined;
 
     constructor(context: DaemonContext, { current }: ConfigurationGroup) {
         const { settings, environment, metrics, clock, self, localIp } = context;
@@ -43,6 +44,7 @@
             identity: this.identity,
             dialect: environment.dialect,
             limit: policy.limit,
+            usualShare: (service: Gate["upstream"]["service"]) => this.#usualShare(service),
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
@@ -67,6 +69,11 @@
         return budget.left(allowance, now);
     }
 
+    /** Where gates ask what was found at others of their service. */
+    onUsualShare(usualShare: (service: Gate["upstream"]["service"]) => number | undefined): void {
+        this.#usualShare = usualShare;
+    }
+
     /** Calls the listener when a request arrives at a gate, and when one ends there. */
     onChange(listener: () => void): void {
         this.#onChange = listener;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -65,7 +65,12 @@
             ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_TIMEOUT_MS),
             repeatsUnderWay: () => this.#running.repeated,
         });
-        this.#admission = new Admission(makeLimit(parts.limit, upstream.slots), times, this.#levels, pace);
+        this.#admission = new Admission(
+            makeLimit(parts.limit, upstream.slots, () => parts.usualShare(upstream.service)),
+            times,
+            this.#levels,
+            pace,
+        );
         this.#refusals = new GateRefusals(more => this.note(more));
         this.#queue = new SlotQueue({
             clock,
@@ -94,6 +99,11 @@
         return this.#admission.running + this.#admission.waiting;
     }
 
+    /** Of the slots, above which the upstream was found to slow down; undefined while none is known. */
+    get learnedShare(): number | undefined {
+        return this.#admission.learnedShare;
+    }
+
     /** Slots that are neither in use nor held. */
     get free(): number {
         return this.#admission.free;
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -21,6 +21,8 @@
     readonly identity: GateIdentity;
     readonly dialect: Dialect;
     readonly limit: LimitName;
+    /** Of their slots, where upstreams of the service were found to slow down; undefined while that is not known. */
+    readonly usualShare: (service: ServiceName) => number | undefined;
     readonly localIp: string;
     readonly onChange: () => void;
     readonly mayAsk: () => boolean;
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -66,6 +66,11 @@
         return Math.max(0, this.limit.current() - this.#running - this.#held - this.#queue.length);
     }
 
+    /** Of the slots, above which the upstream was found to slow down; undefined while none is known. */
+    get learnedShare(): number | undefined {
+        return this.limit.learnedShare;
+    }
+
     report(): LoadReport {
         return {
             running: this.#running + this.#held,
--- a/src/policy/admission/learnedlimit.test.ts
+++ b/src/policy/admission/learnedlimit.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { seededRandom } from "../../../standin/seededrandom.js";
+import { FullUpstream } from "../model/fullupstream.js";
 import { FixedLimit } from "./fixedlimit.js";
 import { LearnedLimit } from "./learnedlimit.js";
-import { SimulatedUpstream } from "./simulatedupstream.js";
 import type { SlotLimit } from "./slotlimit.js";
 
 const SLOTS = 12;
@@ -74,7 +74,7 @@
     for (const { slots, workMs } of SHAPES) {
         for (const seed of SEEDS) {
             const shape = { ...FULL, isSetAtStart: seed % 2 === 0, knee, slots, workMs };
-            const upstream = new SimulatedUpstream(shape, makeLimit(slots), seededRandom(seed));
+            const upstream = new FullUpstream(shape, makeLimit(slots), seededRandom(seed));
             upstream.run(fromMs);
             done += upstream.run(toMs - fromMs) / slots;
         }
@@ -110,7 +110,7 @@
     for (const seed of [...SEEDS, 7, 8, 9, 10]) {
         const limit = new LearnedLimit(18);
         const shape = { ...FULL, isSetAtStart: true, knee: 0.8, slots: 18, workMs: 220 };
-        const upstream = new SimulatedUpstream(shape, limit, seededRandom(seed));
+        const upstream = new FullUpstream(shape, limit, seededRandom(seed));
         while (upstream.finished < 200) {
             upstream.run(1);
         }
--- a/src/policy/admission/learnedlimit.ts
+++ b/src/policy/admission/learnedlimit.ts
@@ -9,7 +9,7 @@
  *
  * Ways weighed: additive increase and multiplicative decrease needs a sign of overload that is no chance, and here work takes five
  * times as long by chance; a gradient of times against the least time seen (Vegas) takes the same for a full queue. Both only know the
- * level that they are at. Measured by simulatedupstream.ts, full from the first request on, work done against that of the best fixed
+ * level that they are at. Measured by src/policy/model/fullupstream.ts, full from the first request on, work done against that of the best fixed
  * limit, in the first 6 s and the next 14 s: 0.80 to 0.83 and 0.89 to 0.91 where work takes 1.7 times as long with over four fifths
  * of the slots in use (all slots: 0.72 and 0.73 to 0.78); 0.84 to 0.90 and 0.89 to 0.96 where all slots are best.
  */
@@ -25,6 +25,8 @@
 const WANTED_ABOVE = 16;
 /** Answers in a phase for each slot that is open: what was started before has ended by two thirds of them. */
 const PHASE_TURNS = 1.5;
+/** Answers before something is tried where others' limit is taken over: a start under load is no time for it. Chosen. */
+const UNDISTURBED = 150;
 /** Answers between two decisions; chosen, not measured. */
 const DECIDE_EVERY = 8;
 
@@ -41,7 +43,8 @@
     readonly #top: number;
     readonly #size: number;
 
-    constructor(slots: number) {
+    /** `usualShare`: of the slots, where upstreams of the service were found to slow down before; undefined while that is not known. */
+    constructor(slots: number, private readonly usualShare: () => number | undefined = () => undefined) {
         super();
         this.#size = levelSize(slots);
         this.#top = levelOf(slots, slots);
@@ -50,6 +53,11 @@
         this.#limit = this.#top;
         this.#tried = this.#unknown();
         this.#phaseEnd = this.#phase();
+        this.#heedOthers();
+    }
+
+    override get learnedShare(): number | undefined {
+        return this.#limit < this.#top ? this.#limit / this.#top : undefined;
     }
 
     current(): number {
@@ -71,13 +79,28 @@
         }
         if (this.#answers % DECIDE_EVERY === 0) {
             this.#limit = findKnee(this.#rates, this.#top)?.level ?? this.#withoutKnee();
+            this.#heedOthers();
         }
     }
 
-    /** All slots, unless what lies above the limit is not known any more. */
+    /** One more, where that is known to be no slower. */
     #withoutKnee(): number {
         const isKnown = this.#rates.answers(this.#limit + 1, this.#top) >= WANTED_ABOVE / 2;
-        return this.#limit === this.#top || isKnown ? this.#top : this.#limit;
+        return this.#limit < this.#top && isKnown ? this.#limit + 1 : this.#limit;
+    }
+
+    /** Goes by what was found at others of the service, as long as nothing is known here of the levels above that. */
+    #heedOthers(): void {
+        const share = this.#limit === this.#top ? this.usualShare() : undefined;
+        if (share === undefined) {
+            return;
+        }
+        const limit = Math.min(this.#top, Math.max(leastLimit(this.#top), Math.round(share * this.#top)));
+        if (this.#rates.answers(limit + 1, this.#top) < WANTED_ABOVE / 2) {
+            this.#limit = limit;
+            this.#tried = undefined;
+            this.#phaseEnd = this.#answers + UNDISTURBED;
+        }
     }
 
     /** A level that too little is known of to compare it; undefined when there is none. */
--- a/src/policy/admission/slotlimit.ts
+++ b/src/policy/admission/slotlimit.ts
@@ -2,6 +2,11 @@
 
 /** A policy of limiting; observes each answer. */
 export abstract class SlotLimit {
+    /** Of the slots, above which the upstream was found to slow down; undefined while none is known. */
+    get learnedShare(): number | undefined {
+        return undefined;
+    }
+
     /** The most that may run now. */
     abstract current(): number;
     /**
--- a/src/policy/admission/simulatedupstream.ts
+++ b/src/policy/model/fullupstream.ts
@@ -3,9 +3,10 @@
  *
  * Simulates one upstream behind a limit, in steps of a millisecond; nothing of it is used by the daemon.
  */
+import { LevelClock } from "../admission/levelclock.js";
+import type { SlotLimit } from "../admission/slotlimit.js";
 import type { RandomSource } from "../randomsource.js";
-import { LevelClock } from "./levelclock.js";
-import type { SlotLimit } from "./slotlimit.js";
+import { lognormal } from "./lognormal.js";
 
 /** Times in milliseconds. */
 type UpstreamShape = {
@@ -31,22 +32,8 @@
     readonly slower: number;
 };
 
-const GAUSS_DRAWS = 12;
-
-/** About normal, by the sum of twelve. */
-const gauss = (random: RandomSource): number => {
-    let sum = -GAUSS_DRAWS / 2;
-    for (let at = 0; at < GAUSS_DRAWS; at++) {
-        sum += random();
-    }
-    return sum;
-};
-
-/** Work varies by this share, as lognormal. */
-const SPREAD = 0.3;
-
 /** Kept full from the first request on. */
-export class SimulatedUpstream {
+export class FullUpstream {
     finished = 0;
     #now = 0;
     #pace = 1;
@@ -87,7 +74,7 @@
 
     #fill(): void {
         while (this.#jobs.length < this.limit.current()) {
-            const workMs = this.shape.workMs * Math.exp(SPREAD * gauss(this.random));
+            const workMs = this.shape.workMs * lognormal(this.random);
             const pace = this.#reported();
             const slower = pace * this.#fullness(this.#jobs.length + 1);
             this.#jobs.push({ leftMs: workMs, workMs, begun: this.#clock.read(this.#now), pace, slower });
--- /dev/null
+++ b/src/policy/model/modelgate.ts
@@ -0,0 +1,179 @@
+/** A gate of a model: the daemon's own admission and pace, with the model's time and upstream. */
+import { Admission } from "../admission/admission.js";
+import { LevelClock } from "../admission/levelclock.js";
+import { makeLimit } from "../admission/makelimit.js";
+import { RuleTimes } from "../admission/ruletimes.js";
+import { waitLimit } from "../admission/waitlimit.js";
+import { WorkTime } from "../admission/worktime.js";
+import { Pace } from "../failure/pace.js";
+import type { LoadReport } from "../placement/loadreport.js";
+import type { RandomSource } from "../randomsource.js";
+import type { EventLoop } from "./eventloop.js";
+import type { ModelEnd, ModelRequest, ModelSent } from "./modelrequest.js";
+import type { ModelUpstream } from "./modelupstream.js";
+import type { ModelPolicy } from "./scenario.js";
+
+/** A gate asks for the pace so often while it keeps a slot free. */
+const ASK_EVERY_MS = 20;
+/** Of a run's work, before it makes its call. */
+const BEFORE_CALL = 0.5;
+
+type GateParts = {
+    readonly upstream: ModelUpstream;
+    readonly loop: EventLoop;
+    readonly random: RandomSource;
+    readonly policy: ModelPolicy;
+    /** What was learnt of the service's upstreams, before a restart too. */
+    readonly usualShare: () => number | undefined;
+    /** Sends a call that a run makes. */
+    readonly call: (name: string, parent: ModelSent, done: (end: ModelEnd) => void) => void;
+};
+
+/** Lost with all that it holds at a restart. */
+export class ModelGate {
+    readonly #pace = new Pace();
+    readonly #times = new RuleTimes();
+    readonly #levels: LevelClock;
+    readonly #admission: Admission<ModelRequest>;
+    /** Ends of the requests that are here. */
+    readonly #open = new Set<(end: ModelEnd) => void>();
+    #isGone = false;
+    #isAsking = false;
+
+    constructor(private readonly parts: GateParts) {
+        const { upstream: { slots }, loop, policy } = parts;
+        this.#levels = new LevelClock(slots, loop.now);
+        const heeded = policy.waitsForPace ? this.#pace : new Pace();
+        this.#admission = new Admission(
+            makeLimit(policy.limit, slots, parts.usualShare),
+            this.#times,
+            this.#levels,
+            heeded,
+        );
+    }
+
+    get learnedShare(): number | undefined {
+        return this.#admission.learnedShare;
+    }
+
+    get isGone(): boolean {
+        return this.#isGone;
+    }
+
+    /** Cuts off what is here. */
+    end(): void {
+        this.#isGone = true;
+        [...this.#open].forEach(done => done({ outcome: "failed" }));
+    }
+
+    report(): LoadReport {
+        return { ...this.#admission.report(), pace: this.#pace.last };
+    }
+
+    /** `onEnd` is called once. */
+    serve(request: ModelRequest, onEnd: (end: ModelEnd) => void): void {
+        const done = (end: ModelEnd): void => {
+            if (this.#open.delete(done)) {
+                onEnd(end);
+            }
+        };
+        this.#open.add(done);
+        const { loop, upstream, policy } = this.parts;
+        this.#pace.observe(upstream.pace, loop.now);
+        if (policy.moves && request.choices > 0 && this.#pace.isSlow(loop.now)) {
+            done({ outcome: "refused", reason: "slow", retryAfterMs: 0 });
+            return;
+        }
+        const verdict = this.#admission.arrive(request, loop.now);
+        if (verdict.type === "refuse") {
+            done({ outcome: "refused", ...verdict.refusal });
+            return;
+        }
+        if (verdict.type === "run") {
+            this.#run(request, done);
+            return;
+        }
+        this.#wait(request, done);
+    }
+
+    #wait(request: ModelRequest, done: (end: ModelEnd) => void): void {
+        const { loop } = this.parts;
+        const { afterMs, reason } = waitLimit(request.maxWaitMs, request.deadline - loop.now);
+        const forget = loop.in(afterMs, () => {
+            if (!this.#isGone && this.#admission.leave(request)) {
+                done({ outcome: "refused", reason, retryAfterMs: this.#admission.retryAfterMs(request) });
+            }
+        });
+        request.grant = () => {
+            forget();
+            this.#run(request, done);
+        };
+        request.refuse = end => {
+            forget();
+            done(end);
+        };
+        this.#watchPace();
+    }
+
+    #run(request: ModelRequest, done: (end: ModelEnd) => void): void {
+        const { upstream, loop, random, call } = this.parts;
+        const { kind } = request.sent;
+        const startedAt = loop.now;
+        const work = new WorkTime(this.#levels, startedAt);
+        const pace = upstream.pace;
+        const workMs = upstream.workMs(kind.workMs, this.#admission.running);
+        const finish = (end: ModelEnd): void => {
+            if (this.#isGone) {
+                return;
+            }
+            const served = end.outcome === "served" ? loop.now - startedAt : undefined;
+            this.#pace.observe(upstream.pace, loop.now);
+            this.#admission.finish(served, { rule: request.rule, work: work.read(loop.now), pace }, loop.now);
+            done(end);
+            this.#advance();
+        };
+        const after = (ms: number, then: () => void): void => {
+            const leftMs = request.deadline - loop.now;
+            loop.in(Math.min(ms, leftMs), ms > leftMs ? () => finish({ outcome: "failed" }) : then);
+        };
+        if (kind.calls === undefined || random() >= kind.calls.share) {
+            after(workMs, () => finish({ outcome: "served" }));
+            return;
+        }
+        const { name } = kind.calls;
+        after(workMs * BEFORE_CALL, () => {
+            work.callBegan(loop.now);
+            call(name, request.sent, end => {
+                work.callEnded(loop.now);
+                if (end.outcome === "served") {
+                    after(workMs * (1 - BEFORE_CALL), () => finish(end));
+                }
+                else {
+                    finish({ outcome: "failed" });
+                }
+            });
+        });
+    }
+
+    #advance(): void {
+        const { run, late } = this.#admission.next(this.parts.loop.now);
+        late.forEach(request => request.refuse({ outcome: "refused", reason: "deadline", retryAfterMs: 0 }));
+        run.forEach(request => request.grant());
+        this.#watchPace();
+    }
+
+    #watchPace(): void {
+        const { loop, upstream } = this.parts;
+        if (this.#isAsking || !this.#admission.isWaitingForPace(loop.now)) {
+            return;
+        }
+        this.#isAsking = true;
+        loop.in(ASK_EVERY_MS, () => {
+            this.#isAsking = false;
+            if (!this.#isGone) {
+                this.#pace.observe(upstream.pace, loop.now);
+                this.#advance();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/policy/model/modelupstream.ts
@@ -0,0 +1,48 @@
+/** An upstream of a model: work takes longer by noise, when it is cold and when too many slots are in use; settled when it begins. */
+import type { RandomSource } from "../randomsource.js";
+import type { EventLoop } from "./eventloop.js";
+import { lognormal } from "./lognormal.js";
+import type { ModelService, Scenario } from "./scenario.js";
+
+/** Its slots are counted by its gate. */
+export class ModelUpstream {
+    #startedAt = -Infinity;
+    #noiseAt = -1;
+    #pace = 1;
+
+    constructor(
+        private readonly shape: ModelService,
+        private readonly scenario: Pick<Scenario, "noise" | "cold">,
+        private readonly loop: EventLoop,
+        private readonly random: RandomSource,
+    ) {}
+
+    get slots(): number {
+        return this.shape.slots;
+    }
+
+    /** From now on it is cold. */
+    restart(): void {
+        this.#startedAt = this.loop.now;
+    }
+
+    /** As it would report it: noise, and nothing of cold or of how full it is. */
+    get pace(): number {
+        const { share, times, everyMs } = this.scenario.noise;
+        const span = Math.floor(this.loop.now / everyMs);
+        if (span !== this.#noiseAt) {
+            this.#noiseAt = span;
+            this.#pace = this.random() < share ? times : 1;
+        }
+        return this.#pace;
+    }
+
+    /** How long work takes that begins now, as the last of so many. */
+    workMs(meanMs: number, running: number): number {
+        const { knee, kneeTimes, slots } = this.shape;
+        const { cold } = this.scenario;
+        const fullness = running > knee * slots ? kneeTimes : 1;
+        const coldness = this.loop.now - this.#startedAt < cold.forMs ? cold.times : 1;
+        return meanMs * lognormal(this.random) * this.pace * fullness * coldness;
+    }
+}
--- /dev/null
+++ b/src/policy/model/modelview.ts
@@ -0,0 +1,38 @@
+/** What an ingress of a model knows of an upstream: as `UpstreamView` of the daemon, without what connections tell. */
+import type { UpstreamName } from "../../ids/upstreamname.js";
+import type { Availability } from "../placement/availability.js";
+import type { Candidate } from "../placement/candidate.js";
+import type { LoadReport } from "../placement/loadreport.js";
+import type { Selectable } from "../placement/selectable.js";
+import type { ModelHost } from "./modelhost.js";
+
+/** Reports come with answers only. */
+export class ModelView implements Candidate, Selectable {
+    outstanding = 0;
+    report: LoadReport | undefined;
+    reportAt = 0;
+    outstandingAtReport = 0;
+    readonly roundTripMs = 1;
+    readonly penaltyMs = 0;
+    readonly penaltyAt = 0;
+
+    constructor(readonly host: ModelHost, readonly near: boolean) {}
+
+    get upstream(): UpstreamName {
+        return this.host.name as UpstreamName;
+    }
+
+    get slots(): number {
+        return this.host.upstream.slots;
+    }
+
+    availability(): Availability {
+        return this.host.isUp ? "available" : "leaving";
+    }
+
+    recordReport(now: number): void {
+        this.report = this.host.gate.report();
+        this.reportAt = now;
+        this.outstandingAtReport = this.outstanding;
+    }
+}
