One gate of a service tells what it has learnt, and only what it found itself

Now a record is written anew for a share only when it differs from what is known of the service; every other record carries on the service's.

Run: tests of src/policy, src/membership.

--- a/src/membership/learnedshares.ts
+++ b/src/membership/learnedshares.ts
@@ -13,7 +13,7 @@
 import type { HostedUpstream } from "../wire/hostedupstream.js";
 import type { Member } from "../wire/member.js";
 
-/** Each telling is a write to the store and a record to all peers; milliseconds, chosen. */
+/** Each telling is a write to the store, and each daemon's watch of the records comes back with it; milliseconds, chosen. */
 const TELL_EVERY_MS = 5000;
 /** Of the slots: less is what a limit that tries a level more moves by. */
 const WORTH_TELLING = 0.1;
@@ -41,10 +41,10 @@
         }
     }
 
-    /** The upstreams beside this daemon with what is known of them. */
-    mark(upstreams: readonly HostedUpstream[]): HostedUpstream[] {
+    /** The upstreams beside this daemon with what is known of them, here or else of their service. */
+    mark(upstreams: readonly HostedUpstream[], others: readonly HostedUpstream[]): HostedUpstream[] {
         return upstreams.map(upstream => {
-            const share = this.parts.learnedShare(upstream.name);
+            const share = this.parts.learnedShare(upstream.name) ?? this.usual(upstream.service, others);
             if (share === undefined) {
                 return upstream;
             }
@@ -59,11 +59,12 @@
         return usualShare(known.map(upstream => upstream.limitShare).filter(share => share !== undefined));
     }
 
-    /** True when more has been learnt than records say, now and then. */
-    hasNews(upstreams: readonly HostedUpstream[], now: number): boolean {
-        const isNew = ({ name }: HostedUpstream): boolean => {
+    /** True when something else has been learnt than records say of the service, now and then: one of its gates tells for all. */
+    hasNews(upstreams: readonly HostedUpstream[], others: readonly HostedUpstream[], now: number): boolean {
+        const isNew = ({ name, service }: HostedUpstream): boolean => {
             const share = this.parts.learnedShare(name);
-            return share !== undefined && Math.abs(share - (this.#told.get(name) ?? 0)) > WORTH_TELLING;
+            const known = this.#told.get(name) ?? this.usual(service, others) ?? 0;
+            return share !== undefined && Math.abs(share - known) > WORTH_TELLING;
         };
         if (now - this.#toldAt < TELL_EVERY_MS || !upstreams.some(isNew)) {
             return false;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -18,6 +18,7 @@
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
+import type { HostedUpstream } from "../wire/hostedupstream.js";
 import type { Member } from "../wire/member.js";
 import type { Announcement } from "./announcement.js";
 import { AnnouncementServer } from "./announcementserver.js";
@@ -117,7 +118,7 @@
     get member(): Member {
         const { self: gate, incarnation, settings } = this.parts;
         const { host, hall, region } = settings;
-        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#local.all);
+        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#local.all, this.#hostedElsewhere);
         return { gate, host, hall, region, incarnation, version: this.#version, upstreams };
     }
 
@@ -131,9 +132,13 @@
         return [...upstreamsOf({ ...this.member, upstreams: this.#local.all }), ...this.#others.upstreams];
     }
 
+    get #hostedElsewhere(): HostedUpstream[] {
+        return this.#others.members.flatMap(member => member.upstreams);
+    }
+
     /** Where upstreams of the service were found to slow down, of their slots; undefined while that is not known. */
     usualShare(service: ServiceName): number | undefined {
-        return this.#shares.usual(service, this.#others.members.flatMap(member => member.upstreams));
+        return this.#shares.usual(service, this.#hostedElsewhere);
     }
 
     /** Calls the listener at each change of the upstreams that there are. */
@@ -214,7 +219,7 @@
         if (this.#local.removeSilent(now).length > 0) {
             this.#changed();
         }
-        else if (!this.#isLeaving && this.#shares.hasNews(this.#local.all, now)) {
+        else if (!this.#isLeaving && this.#shares.hasNews(this.#local.all, this.#hostedElsewhere, now)) {
             this.#tell();
         }
     }
--- a/src/policy/admission/learnedlimit.ts
+++ b/src/policy/admission/learnedlimit.ts
@@ -38,6 +38,8 @@
     /** What is tried in this phase; undefined in phases between. The first phase of all is one. */
     #tried: number | undefined;
     #answers = 0;
+    /** A knee was found here, and not only taken over from others. */
+    #isFound = false;
     #phaseEnd: number;
 
     readonly #top: number;
@@ -57,7 +59,7 @@
     }
 
     override get learnedShare(): number | undefined {
-        return this.#limit < this.#top ? this.#limit / this.#top : undefined;
+        return this.#isFound && this.#limit < this.#top ? this.#limit / this.#top : undefined;
     }
 
     current(): number {
@@ -78,7 +80,9 @@
             this.#phaseEnd = this.#answers + this.#phase();
         }
         if (this.#answers % DECIDE_EVERY === 0) {
-            this.#limit = findKnee(this.#rates, this.#top)?.level ?? this.#withoutKnee();
+            const knee = findKnee(this.#rates, this.#top);
+            this.#isFound ||= knee !== undefined;
+            this.#limit = knee?.level ?? this.#withoutKnee();
             this.#heedOthers();
         }
     }
--- a/src/policy/model/modelhost.ts
+++ b/src/policy/model/modelhost.ts
@@ -12,4 +12,6 @@
     gate: ModelGate;
     ingress: ModelIngress;
     isUp: boolean;
+    /** What its record says that its gate has learnt; it outlasts restarts. */
+    told: number | undefined;
 };
--- a/src/policy/model/runmodel.ts
+++ b/src/policy/model/runmodel.ts
@@ -45,6 +45,7 @@
                     gate: this.#gate(service.name, upstream),
                     ingress: this.#ingress(host.hall),
                     isUp: true,
+                    told: undefined,
                 });
             }
         }
@@ -58,13 +59,14 @@
         return { classes: this.#classes, seconds: this.#seconds };
     }
 
-    /** Of the service's gates as they are, or as they were when their hosts stopped. */
+    /** By the records of the service's hosts. */
     #usualShare(service: string): number | undefined {
         if (!this.scenario.policy.remembers) {
             return undefined;
         }
-        const gates = this.#hosts.filter(host => host.service === service).map(host => host.gate);
-        return usualShare(gates.map(gate => gate.learnedShare).filter(share => share !== undefined));
+        const hosts = this.#hosts.filter(host => host.service === service);
+        hosts.forEach(host => host.told = host.gate.learnedShare ?? host.told);
+        return usualShare(hosts.map(host => host.told).filter(share => share !== undefined));
     }
 
     #gate(service: string, upstream: ModelUpstream): ModelGate {
@@ -170,6 +172,7 @@
 
     #stop(host: ModelHost): void {
         host.isUp = false;
+        host.told = host.gate.learnedShare ?? host.told;
         host.gate.end();
     }
 
