--- /dev/null
+++ b/src/gate/slotqueue.test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Cancel } from "../http/cancel.js";
+import { Ledger } from "../ledger/ledger.js";
+import { Admission } from "../policy/admission/admission.js";
+import { FixedLimit } from "../policy/admission/fixedlimit.js";
+import { LevelClock } from "../policy/admission/levelclock.js";
+import { RuleTimes } from "../policy/admission/ruletimes.js";
+import { Pace } from "../policy/failure/pace.js";
+import { GateIdentity } from "./gateidentity.js";
+import { GateRefusals } from "./gaterefusals.js";
+import { GateRequest } from "./gaterequest.js";
+import { SlotQueue } from "./slotqueue.js";
+
+const SLOTS = 2;
+const WORK_MS = 220;
+const clock = (): number => performance.now();
+
+/** A queue before an upstream that has turned slow, and reports `paces` when it is asked, one after the other. */
+const queueOf = (paces: number[]): { readonly queue: SlotQueue; readonly asked: () => number; } => {
+    const pace = new Pace();
+    const admission = new Admission<GateRequest>(
+        new FixedLimit(SLOTS),
+        new RuleTimes(),
+        new LevelClock(SLOTS, clock()),
+        pace,
+    );
+    const identity = new GateIdentity("i" as never, () => 1);
+    let asked = 0;
+    const queue = new SlotQueue({
+        clock,
+        ledger: new Ledger(10),
+        admission,
+        refusals: new GateRefusals(() => identity.note(clock())),
+        refreshPace: async () => {
+            asked += 1;
+            pace.observe(paces.shift()!, clock());
+        },
+    });
+    pace.observe(1, clock());
+    admission.arrive(request(), clock());
+    admission.finish(WORK_MS, { work: Float64Array.of(0, WORK_MS, 0) }, clock());
+    pace.observe(5, clock());
+    return { queue, asked: () => asked };
+};
+
+const request = (): GateRequest => {
+    const head = {
+        id: "r",
+        kind: "repeatable",
+        priority: "normal",
+        team: "a",
+        maxWaitMs: 1000,
+        remainingMs: 5000,
+        choices: 0,
+        nearChoices: 0,
+    };
+    return new GateRequest({ head, cancel: new Cancel() } as never, { incarnation: "i" } as never, clock());
+};
+
+test("slot queue: while the upstream is slow it asks again and again, and what waits begins when it is not any more", async () => {
+    const { queue, asked } = queueOf([5, 5, 1]);
+    const began = clock();
+    await Promise.all([queue.enter(request()), queue.enter(request())]);
+    assert.equal(asked(), 3);
+    assert.ok(clock() - began >= 50, String(clock() - began));
+});
--- /dev/null
+++ b/src/policy/admission/worktime.test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { LevelClock } from "./levelclock.js";
+import { levelOf, levelSize } from "./levelcount.js";
+import { WorkTime } from "./worktime.js";
+
+test("work time: by the number that ran, without the calls that were waited for", () => {
+    const clock = new LevelClock(4, 0);
+    clock.setRunning(1, 0);
+    const work = new WorkTime(clock, 0);
+    clock.setRunning(2, 10);
+    work.callBegan(15);
+    work.callBegan(20);
+    clock.setRunning(3, 30);
+    work.callEnded(35);
+    work.callEnded(50);
+    clock.setRunning(1, 60);
+    assert.deepEqual([...work.read(70)], [0, 20, 5, 10, 0]);
+});
+
+test("work time: a run that ends while a call is under way has worked until the call began", () => {
+    const clock = new LevelClock(2, 0);
+    clock.setRunning(1, 0);
+    const work = new WorkTime(clock, 0);
+    work.callBegan(40);
+    assert.deepEqual([...work.read(100)], [0, 40, 0]);
+    work.callEnded(120);
+});
+
+test("work time: an upstream with many slots is told apart by fewer levels, each of as many", () => {
+    assert.equal(levelSize(64), 1);
+    assert.equal(levelSize(650), 11);
+    assert.equal(levelOf(0, 650), 0);
+    assert.equal(levelOf(1, 650), 1);
+    assert.equal(levelOf(11, 650), 1);
+    assert.equal(levelOf(12, 650), 2);
+    assert.equal(levelOf(9999, 650), levelOf(650, 650));
+});
