--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -24,11 +24,12 @@
 const QUEUE_PER_SLOT = 16;
 /**
  * A request that can go elsewhere does so when it would wait longer than this share of a usual service time: sooner
- * within the data hall than out of it.
+ * within the data hall than out of it. In the model (burst, loss, restart, all; six seeds) the worth is 0.864 with these two shares,
+ * 0.858 with half of them and 0.855 with two and a half times as much.
  */
-const NEAR_SHARE = 0.25;
+const NEAR_SHARE = 0.1;
 /** The same where the request must leave the data hall. */
-const FAR_SHARE = 0.5;
+const FAR_SHARE = 0.2;
 /** Of a usual service time, added: a caller that comes back just when the queue should have ended mostly finds that it has not. */
 const COME_BACK_SHARE = 0.5;
 const RUN: Verdict = { type: "run" };
