--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -55,3 +55,41 @@
     assert.equal(unplayed.status, 1);
     assert.match(unplayed.stdout, /not played/);
 });
+
+const SITE = [
+    "name = \"small\"",
+    "wire = \"wire.json\"",
+    "services = [",
+    "  { name = \"pages\", slots = 12, queue = 24, load_header = true, on_full = \"shed\", cold_x = 2.0, knee = 0.8, knee_x = 1.7, "
+    + "noise = { share = 0.25, x = 4.0, every_ms = 300.0 } },",
+    "]",
+    "[prices]",
+    "probe = 0.01",
+    "",
+    "[[day]]",
+    "name = \"quiet-1\"",
+    "",
+].join("\n");
+
+test("days: a site is varied by its seed alone, upstreams and prices and nothing else", () => {
+    const folder = mkdtempSync(join(tmpdir(), "winglock-vary-"));
+    const vary = (seed: string, out: string): number | null => {
+        const args = [join(ROOT, "days/vary.js"), join(folder, "small.toml"), join(folder, out), seed];
+        return spawnSync(process.execPath, args, { encoding: "utf8" }).status;
+    };
+    try {
+        writeFileSync(join(folder, "small.toml"), SITE);
+        writeFileSync(join(folder, "wire.json"), "{}");
+        assert.deepEqual([vary("7", "one"), vary("7", "two"), vary("8", "three"), vary("x", "four")], [0, 0, 0, 2]);
+        const [one, two] = ["one", "two"].map(out => readFileSync(join(folder, out, "small-7.toml"), "utf8"));
+        assert.equal(one, two);
+        assert.notEqual(one, readFileSync(join(folder, "three", "small-8.toml"), "utf8").replace("-8", "-7"));
+        assert.equal(readFileSync(join(folder, "one", "wire.json"), "utf8"), "{}");
+        const kept = (text: string): string[] => text.split("\n").filter(line => !/slots|probe|^name/.test(line));
+        assert.deepEqual(kept(one!), kept(SITE));
+        assert.notEqual(one!.split("\n")[3], SITE.split("\n")[3]);
+    }
+    finally {
+        rmSync(folder, { recursive: true, force: true });
+    }
+});
