An upstream that stays slow is used as it is: a spell that lasts is expected to last as long again

Cause, found by reading: slots waited for the usual length of a spell from each report on, so an upstream that reports a slow pace for seconds would have had none of its requests begin while it is watched, and all that wait there refused.

Now what is expected of a spell grows with it. Test red before in its second part (a gap between reports began a new spell) and in its first (never begun): 880 ms for work of 220 at five times the usual.

--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -175,7 +175,7 @@
     #waitsForPace({ rule }: Item, now: number): boolean {
         const slowdown = this.pace.slowdown(now);
         return slowdown > 1
-            && isWorthWaiting({ workMs: this.times.longMs(rule), slowdown, spellMs: this.pace.spellMs });
+            && isWorthWaiting({ workMs: this.times.longMs(rule), slowdown, spellMs: this.pace.spellMs(now) });
     }
 
     #setRunning(running: number, now: number): void {
--- a/src/policy/admission/isworthwaiting.test.ts
+++ b/src/policy/admission/isworthwaiting.test.ts
@@ -79,8 +79,25 @@
         }
         pace.observe(1, start + 100);
     }
-    assert.ok(Math.abs(pace.spellMs - 80) < 5, String(pace.spellMs));
+    assert.ok(Math.abs(pace.spellMs(100_000) - 80) < 5, String(pace.spellMs(100_000)));
     pace.observe(5, 100_000);
     pace.observe(1, 101_000);
-    assert.ok(Math.abs(pace.spellMs - 80) < 5, String(pace.spellMs));
+    assert.ok(Math.abs(pace.spellMs(101_000) - 80) < 5, String(pace.spellMs(101_000)));
+});
+
+test("pace: an upstream that stays slow is used as it is, after a while that is no longer than its work", () => {
+    const pace = new Pace();
+    const gate = gateOf(220, pace);
+    turnSlow(pace, 100);
+    let began: number | undefined;
+    gate.arrive(item(), 100);
+    for (let now = 100; began === undefined && now < 5000; now += 20) {
+        pace.observe(5, now);
+        began = gate.next(now).run.length > 0 ? now : undefined;
+    }
+    assert.ok(began !== undefined && began - 100 > 700 && began - 100 <= 900, String(began));
+    assert.equal(gate.arrive(item(), began).type, "run");
+    gate.finish(undefined, undefined, began);
+    pace.observe(5, 5000);
+    assert.equal(gate.arrive(item(), 5000).type, "run");
 });
--- a/src/policy/failure/pace.ts
+++ b/src/policy/failure/pace.ts
@@ -26,8 +26,10 @@
     #best = Infinity;
     #at = -Infinity;
     #known = false;
-    /** Since when the upstream has been slow without a gap between reports; undefined while it is not. */
+    /** Since when all reports were slow; undefined while the last one was not. */
     #slowSince: number | undefined;
+    /** The spell was watched from its begin on, without a gap between reports. */
+    #isWatched = false;
     #spellMs = START_SPELL_MS;
     #slowdownInSpells = USUAL;
 
@@ -40,9 +42,12 @@
         this.#known = true;
     }
 
-    /** How long an upstream that is found to be slow mostly stays so, in milliseconds. */
-    get spellMs(): number {
-        return this.#spellMs;
+    /**
+     * How much longer an upstream that is slow stays so, in milliseconds: as long as such spells mostly last, or as long again as this one
+     * has lasted. So a moment is waited for, and an upstream that stays slow is used as it is.
+     */
+    spellMs(now: number): number {
+        return Math.max(this.#spellMs, now - (this.#slowSince ?? now));
     }
 
     /** How many times as long work took in the last slow spell; 1 before there was one. */
@@ -72,17 +77,16 @@
 
     #observeSpell(now: number): void {
         const isSlow = this.#pace >= SLOW * this.#best;
-        const isWatched = now - this.#at <= WATCHED_MS;
-        if (!isSlow && this.#slowSince !== undefined && isWatched) {
-            this.#spellMs += SPELL_WEIGHT * (now - this.#slowSince - this.#spellMs);
-        }
-        if (!isSlow || !isWatched) {
-            this.#slowSince = undefined;
-        }
+        this.#isWatched = now - this.#at <= WATCHED_MS && (this.#slowSince === undefined || this.#isWatched);
         if (isSlow) {
             this.#slowdownInSpells = this.#pace / this.#best;
             this.#slowSince ??= now;
+            return;
+        }
+        if (this.#slowSince !== undefined && this.#isWatched) {
+            this.#spellMs += SPELL_WEIGHT * (now - this.#slowSince - this.#spellMs);
         }
+        this.#slowSince = undefined;
     }
 
     /** True when the upstream is slow by a report that is still believed. */
--- a/src/policy/failure/pacecheck.ts
+++ b/src/policy/failure/pacecheck.ts
@@ -16,7 +16,7 @@
 
 /** `now` is on the daemon's clock, in milliseconds. */
 export function checkPace(pace: Pace, { choices, workMs }: Checked, now: number): PaceCheck {
-    const mayWait = isWorthWaiting({ workMs, slowdown: pace.slowdownInSpells, spellMs: pace.spellMs });
+    const mayWait = isWorthWaiting({ workMs, slowdown: pace.slowdownInSpells, spellMs: pace.spellMs(now) });
     if (choices === 0 && !mayWait) {
         return "serve";
     }
