--- a/src/membership/learnedshares.ts
+++ b/src/membership/learnedshares.ts
@@ -1,10 +1,10 @@
 /**
  * What gates have learnt of where their upstreams slow down, as records carry it from daemon to daemon and from life to life.
  *
- * A daemon that starts, alone or with all others after a loss of power, has no time to find it out: its upstream is cold and its callers
- * have waited. The records of the earlier lives are in the store for as long as their leases run. In a model of 13 hosts that
- * restart together under load (src/policy/model, four seeds) 0.38, 0.41 and 0.79 of the requests of the second to fourth second are
- * answered in time with it, 0.30, 0.24 and 0.55 without.
+ * A daemon that starts, alone or with all others after a loss of power, has no time to find it out: its upstream is cold and its
+ * callers have waited. The records of the earlier lives are in the store for as long as their leases run. In a model of 13 hosts
+ * that restart together under load (src/policy/model, four seeds) 0.46, 0.51 and 0.77 of the requests of the second to fourth
+ * second are answered in time with it, 0.35, 0.29 and 0.58 without.
  */
 import type { Incarnation } from "../ids/incarnation.js";
 import type { ServiceName } from "../ids/servicename.js";
--- a/src/membership/registrywatcher.ts
+++ b/src/membership/registrywatcher.ts
@@ -14,7 +14,7 @@
 /** Changes often come many at once, and each watch is a call that costs; milliseconds, chosen. */
 const GATHER_MS = 250;
 
-/** What the watcher needs; `onOwnGone` is called when this daemon's own record is gone, `onOwn` with one that was found at the start. */
+/** What the watcher needs; `onOwnGone` is called when this daemon's own record is gone, `onOwn` with one that is found. */
 type WatcherParts = {
     readonly self: Address;
     readonly registry: Registry;
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -35,7 +35,7 @@
 const RUN: Verdict = { type: "run" };
 const WAIT: Verdict = { type: "wait" };
 
-/** What is known of a request that has ended: its rule, the time that its work took (worktime.ts), the upstream's pace at its start. */
+/** What is known of a request that has ended: its rule, its work's time (worktime.ts), the upstream's pace when it began. */
 type Ended = { readonly rule?: RuleName; readonly work: Float64Array; readonly pace?: number; };
 
 /** What `next` gives: requests that may run now, and requests whose deadline has passed. */
--- a/src/policy/admission/isworthwaiting.ts
+++ b/src/policy/admission/isworthwaiting.ts
@@ -6,7 +6,7 @@
  * long work does, short work doesn't.
  */
 
-/** `workMs` of the request at the usual pace; work that begins now takes `slowdown` times that, and the slow spell lasts `spellMs` more. */
+/** Work takes `workMs` at the usual pace and `slowdown` times that if it begins now; the slow spell lasts `spellMs` more. */
 type WaitInput = { readonly workMs: number; readonly slowdown: number; readonly spellMs: number; };
 
 /** Times in milliseconds. */
--- a/src/policy/admission/learnedlimit.ts
+++ b/src/policy/admission/learnedlimit.ts
@@ -9,8 +9,8 @@
  *
  * Ways weighed: additive increase and multiplicative decrease needs a sign of overload that is no chance, and here work takes five
  * times as long by chance; a gradient of times against the least time seen (Vegas) takes the same for a full queue. Both only know the
- * level that they are at. Measured by src/policy/model/fullupstream.ts, full from the first request on, work done against that of the best fixed
- * limit, in the first 6 s and the next 14 s: 0.80 to 0.83 and 0.89 to 0.91 where work takes 1.7 times as long with over four fifths
+ * level that they are at. Measured by src/policy/model/fullupstream.ts, full from the first request on, work done against that of the
+ * best fixed limit, in the first 6 s and the next 14 s: 0.80 to 0.83 and 0.89 to 0.91 where work takes 1.7 times as long with over four fifths
  * of the slots in use (all slots: 0.72 and 0.73 to 0.78); 0.84 to 0.90 and 0.89 to 0.96 where all slots are best.
  */
 import { findKnee, leastLimit } from "./findknee.js";
@@ -45,7 +45,7 @@
     readonly #top: number;
     readonly #size: number;
 
-    /** `usualShare`: of the slots, where upstreams of the service were found to slow down before; undefined while that is not known. */
+    /** `usualShare`: of the slots, where upstreams of the service were found to slow down; undefined while that is not known. */
     constructor(slots: number, private readonly usualShare: () => number | undefined = () => undefined) {
         super();
         this.#size = levelSize(slots);
--- a/src/policy/failure/pace.ts
+++ b/src/policy/failure/pace.ts
@@ -43,8 +43,8 @@
     }
 
     /**
-     * How much longer an upstream that is slow stays so, in milliseconds: as long as such spells mostly last, or as long again as this one
-     * has lasted. So a moment is waited for, and an upstream that stays slow is used as it is.
+     * How much longer an upstream that is slow stays so, in milliseconds: as long as such spells mostly last, or as long again as
+     * this one has lasted. So a moment is waited for, and an upstream that stays slow is used as it is.
      */
     spellMs(now: number): number {
         return Math.max(this.#spellMs, now - (this.#slowSince ?? now));
--- a/src/policy/model/layered.ts
+++ b/src/policy/model/layered.ts
@@ -1,8 +1,8 @@
 /**
  * A scenario: three services, of which pages call the engine and works call the desk, and more load than is comfortable.
  *
- * At 13 hosts and load 1 the engine and the pages' service are about half used at their usual pace; its shape (slots, work, noise, a knee at
- * four fifths) is that of a mesh of users whose rush days and restarts winglock was measured on.
+ * At 13 hosts and load 1 the engine and the pages' service are about half used at their usual pace; its shape (slots, work, noise,
+ * a knee at four fifths) is that of a mesh of users whose rush days and restarts winglock was measured on.
  */
 import type { ModelPolicy, ModelTrouble, Scenario } from "./scenario.js";
 
