--- a/src/gate/paceprobe.ts
+++ b/src/gate/paceprobe.ts
@@ -34,25 +34,25 @@
 
     /** True when the request should go elsewhere, by a report that is fresh. */
     async shouldSendOn(request: Parameters<typeof checkPace>[1]): Promise<boolean> {
-        const { clock, mayAsk } = this.parts;
-        const check = checkPace(this.#pace, request, clock());
+        const check = checkPace(this.#pace, request, this.parts.clock());
         if (check !== "ask") {
             return check === "slow";
         }
-        if (this.#asking === undefined && !mayAsk()) {
-            return false;
-        }
-        this.#asking ??= this.#ask();
-        return await this.#asking && request.choices > 0;
+        return await this.#askIfAllowed() && request.choices > 0;
     }
 
     /** Asks the upstream, unless the budget is spent. */
     async refresh(): Promise<void> {
+        await this.#askIfAllowed();
+    }
+
+    /** Resolves with false when the budget is spent. */
+    async #askIfAllowed(): Promise<boolean> {
         if (this.#asking === undefined && !this.parts.mayAsk()) {
-            return;
+            return false;
         }
         this.#asking ??= this.#ask();
-        await this.#asking;
+        return await this.#asking;
     }
 
     /** Resolves with whether the answer reports slow work; judged by the time of the question, so that a stall here ages no answer. */
