A record says what was settled with its version; reading it tells nobody

Cause: Membership.member is a getter that every sign of life and renewal reads, and it marked what it gave out as told.

Now shares are settled once for each version, the first one after the store's records have been read; a reading only copies them. Test red before: "learned shares: reading the record tells nobody". The other tests call `tell` where `mark` did both; their assertions are as they were.

--- a/src/membership/learnedshares.test.ts
+++ b/src/membership/learnedshares.test.ts
@@ -31,11 +31,13 @@
     const learnt: Record<string, number> = {};
     const shares = sharesOf(learnt);
     const beside = [upstream("me")];
-    assert.deepEqual(shares.mark(beside, []), beside);
+    shares.tell(beside, []);
+    assert.deepEqual(shares.mark(beside), beside);
     assert.equal(shares.hasNews(beside, [], 0), false);
     learnt["me"] = 14 / 18;
     assert.equal(shares.hasNews(beside, [], 0), true);
-    assert.equal(shares.mark(beside, [])[0]!.limitShare, 0.78);
+    shares.tell(beside, []);
+    assert.equal(shares.mark(beside)[0]!.limitShare, 0.78);
     learnt["me"] = 15 / 18;
     assert.equal(shares.hasNews(beside, [], 60_000), false);
     learnt["me"] = 10 / 18;
@@ -49,5 +51,16 @@
     const others = [upstream("a", 0.78)];
     assert.equal(shares.hasNews([upstream("me")], others, 0), false);
     assert.equal(shares.hasNews([upstream("me")], [upstream("a", 0.5)], 0), true);
-    assert.equal(sharesOf({}).mark([upstream("me")], others)[0]!.limitShare, 0.78);
+    const newcomer = sharesOf({});
+    newcomer.tell([upstream("me")], others);
+    assert.equal(newcomer.mark([upstream("me")])[0]!.limitShare, 0.78);
+});
+
+test("learned shares: reading the record tells nobody", () => {
+    const learnt: Record<string, number> = {};
+    const shares = sharesOf(learnt);
+    const beside = [upstream("me")];
+    learnt["me"] = 14 / 18;
+    shares.mark(beside);
+    assert.equal(shares.hasNews(beside, [], 0), true);
 });
--- a/src/membership/learnedshares.ts
+++ b/src/membership/learnedshares.ts
@@ -28,7 +28,8 @@
 
 /** Of one daemon. */
 export class LearnedShares {
-    readonly #told = new Map<UpstreamName, number>();
+    /** What the record says, by upstream. */
+    #told = new Map<UpstreamName, number>();
     #toldAt = -Infinity;
     #earlier: readonly HostedUpstream[] = [];
 
@@ -41,15 +42,23 @@
         }
     }
 
-    /** The upstreams beside this daemon with what is known of them, here or else of their service. */
-    mark(upstreams: readonly HostedUpstream[], others: readonly HostedUpstream[]): HostedUpstream[] {
-        return upstreams.map(upstream => {
-            const share = this.parts.learnedShare(upstream.name) ?? this.usual(upstream.service, others);
-            if (share === undefined) {
-                return upstream;
+    /** Settles what the next version of the record says of the upstreams here: what is known of each, or else of its service. */
+    tell(upstreams: readonly HostedUpstream[], others: readonly HostedUpstream[]): void {
+        const told = new Map<UpstreamName, number>();
+        for (const { name, service } of upstreams) {
+            const share = this.parts.learnedShare(name) ?? this.usual(service, others);
+            if (share !== undefined) {
+                told.set(name, Math.round(share * HUNDREDTHS) / HUNDREDTHS);
             }
-            this.#told.set(upstream.name, share);
-            return { ...upstream, limitShare: Math.round(share * HUNDREDTHS) / HUNDREDTHS };
+        }
+        this.#told = told;
+    }
+
+    /** The upstreams with what the record says of them. */
+    mark(upstreams: readonly HostedUpstream[]): HostedUpstream[] {
+        return upstreams.map(upstream => {
+            const limitShare = this.#told.get(upstream.name);
+            return limitShare === undefined ? upstream : { ...upstream, limitShare };
         });
     }
 
--- a/src/membership/memberlist.ts
+++ b/src/membership/memberlist.ts
@@ -9,6 +9,7 @@
 import { isNews } from "../policy/membership/isnews.js";
 import { judgeMember } from "../policy/membership/judgemember.js";
 import type { MemberSource } from "../policy/membership/membersource.js";
+import type { HostedUpstream } from "../wire/hostedupstream.js";
 import type { Member } from "../wire/member.js";
 import { upstreamsOf } from "./upstreamsof.js";
 
@@ -31,6 +32,11 @@
         return [...this.#entries.values()].map(entry => entry.member);
     }
 
+    /** What their records say of the upstreams beside them. */
+    get hosted(): HostedUpstream[] {
+        return this.members.flatMap(member => member.upstreams);
+    }
+
     get upstreams(): Upstream[] {
         return this.members.flatMap(upstreamsOf);
     }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -18,7 +18,6 @@
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
-import type { HostedUpstream } from "../wire/hostedupstream.js";
 import type { Member } from "../wire/member.js";
 import type { Announcement } from "./announcement.js";
 import { AnnouncementServer } from "./announcementserver.js";
@@ -118,7 +117,7 @@
     get member(): Member {
         const { self: gate, incarnation, settings } = this.parts;
         const { host, hall, region } = settings;
-        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#local.all, this.#hostedElsewhere);
+        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#local.all);
         return { gate, host, hall, region, incarnation, version: this.#version, upstreams };
     }
 
@@ -132,13 +131,9 @@
         return [...upstreamsOf({ ...this.member, upstreams: this.#local.all }), ...this.#others.upstreams];
     }
 
-    get #hostedElsewhere(): HostedUpstream[] {
-        return this.#others.members.flatMap(member => member.upstreams);
-    }
-
     /** Where upstreams of the service were found to slow down, of their slots; undefined while that is not known. */
     usualShare(service: ServiceName): number | undefined {
-        return this.#shares.usual(service, this.#hostedElsewhere);
+        return this.#shares.usual(service, this.#others.hosted);
     }
 
     /** Calls the listener at each change of the upstreams that there are. */
@@ -158,7 +153,10 @@
             await this.#announcements.listen(announce);
         }
         this.#watcher.start();
-        void Promise.all([this.#findUpstream(), this.#watcher.begun]).then(() => this.#publisher.start());
+        void Promise.all([this.#findUpstream(), this.#watcher.begun]).then(() => {
+            this.#nextVersion();
+            this.#publisher.start();
+        });
         this.parts.watcher.set(true);
         this.gossip.start();
         this.#sweep.start();
@@ -219,7 +217,7 @@
         if (this.#local.removeSilent(now).length > 0) {
             this.#changed();
         }
-        else if (!this.#isLeaving && this.#shares.hasNews(this.#local.all, this.#hostedElsewhere, now)) {
+        else if (!this.#isLeaving && this.#shares.hasNews(this.#local.all, this.#others.hosted, now)) {
             this.#tell();
         }
     }
@@ -232,11 +230,16 @@
 
     /** A new version of this daemon's record, to peers and to the store. */
     #tell(): void {
-        this.#version += 1;
+        this.#nextVersion();
         this.gossip.announceRecord();
         this.#publisher.publishSoon();
     }
 
+    #nextVersion(): void {
+        this.#version += 1;
+        this.#shares.tell(this.#local.all, this.#others.hosted);
+    }
+
     /** Watches that were waiting when the store failed may wait for ever. */
     #storeAnswered(): void {
         if (this.#storeFailed) {
