--- a/bench/model.ts
+++ b/bench/model.ts
@@ -6,9 +6,11 @@
 import { writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { table } from "../src/cli/table.js";
+import type { ClassTally } from "../src/policy/model/classtally.js";
 import { layered } from "../src/policy/model/layered.js";
-import { type ClassTally, type ModelTally, worthShare } from "../src/policy/model/modeltally.js";
+import type { ModelTally } from "../src/policy/model/modeltally.js";
 import { runModel } from "../src/policy/model/runmodel.js";
+import { worthShare } from "../src/policy/model/worthshare.js";
 import { seededRandom } from "../standin/seededrandom.js";
 import { modelSettings } from "./modelsettings.js";
 import { plotSeconds } from "./plotseconds.js";
--- a/bench/modelsettings.ts
+++ b/bench/modelsettings.ts
@@ -1,7 +1,8 @@
 /** What an operator of the model asks for; a wrong flag is named with its value and what is allowed. */
 import { z } from "zod";
-import { usualPolicy } from "../src/policy/model/layered.js";
-import type { ModelPolicy, ModelTrouble } from "../src/policy/model/scenario.js";
+import type { ModelPolicy } from "../src/policy/model/modelpolicy.js";
+import type { ModelTrouble } from "../src/policy/model/modeltrouble.js";
+import { usualPolicy } from "../src/policy/model/usualpolicy.js";
 
 /** Policies by name: all parts, and each with one part switched off. */
 const policies: Readonly<Record<string, ModelPolicy>> = {
@@ -43,7 +44,7 @@
 });
 
 /** Checked. */
-export type ModelSettings = Omit<z.infer<typeof Flags>, "policy" | "trouble"> & {
+type ModelSettings = Omit<z.infer<typeof Flags>, "policy" | "trouble"> & {
     readonly policy: ModelPolicy;
     readonly troubles: readonly ModelTrouble[];
 };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,16 @@
     },
 };
 
+/** The house rule: one export a file. Several `export` lines, or one that names several values, are more than one. */
+const oneExport = {
+    create: context => ({
+        Program(program) {
+            const exported = program.body.filter(node => node.type.startsWith("Export"));
+            exported.slice(1).forEach(node => context.report({ node, message: "One export a file." }));
+        },
+    }),
+};
+
 export default tseslint.config(
     { ignores: ["dist", "target", "node_modules", "src/gen"] },
     ...tseslint.configs.recommended,
@@ -41,6 +51,12 @@
             "max-lines": ["error", { max: 250 }],
         },
     },
+    {
+        files: ["src/**/*.ts", "platform/**/*.ts", "standin/**/*.ts", "demo/**/*.ts", "bench/**/*.ts", "test/**/*.ts"],
+        ignores: ["src/gen/**"],
+        plugins: { house: { rules: { "one-export": oneExport } } },
+        rules: { "house/one-export": "error" },
+    },
     { files: ["build/*.cjs"], rules: { "@typescript-eslint/no-require-imports": "off" } },
     pureCore,
 );
--- a/src/policy/admission/findknee.ts
+++ b/src/policy/admission/findknee.ts
@@ -4,10 +4,9 @@
  * The levels are parted in two where that explains most of what times differ by (a regression tree of one split, Breiman and
  * others 1984). The lower part must be clearly faster, and so much that fewer requests at once get more done.
  */
+import { leastLimit } from "./leastlimit.js";
 import type { LevelRates } from "./levelrates.js";
 
-/** Of the slots: lower levels are not limits, so that a mistake never costs more than half. */
-const LEAST_SHARE = 0.5;
 /** Answers on each side below which nothing is said; chosen. */
 const MIN_SIDE = 6;
 /** The same at the level itself: what was never run is no limit. */
@@ -20,9 +19,6 @@
 /** `level`: the most that run without taking longer. `gain`: how many times as much is done then as with all slots. */
 type Knee = { readonly level: number; readonly gain: number; };
 
-/** The lowest limit for so many levels. */
-export const leastLimit = (levels: number): number => Math.max(1, Math.ceil(levels * LEAST_SHARE));
-
 /** Undefined where no level is clearly better than all slots. */
 export function findKnee(rates: LevelRates, levels: number): Knee | undefined {
     let best: Knee | undefined;
--- a/src/policy/admission/learnedlimit.ts
+++ b/src/policy/admission/learnedlimit.ts
@@ -13,9 +13,11 @@
  * best fixed limit, in the first 6 s and the next 14 s: 0.80 to 0.83 and 0.89 to 0.91 where work takes 1.7 times as long with over four fifths
  * of the slots in use (all slots: 0.72 and 0.73 to 0.78); 0.84 to 0.90 and 0.89 to 0.96 where all slots are best.
  */
-import { findKnee, leastLimit } from "./findknee.js";
-import { levelOf, levelSize } from "./levelcount.js";
+import { findKnee } from "./findknee.js";
+import { leastLimit } from "./leastlimit.js";
+import { levelOf } from "./levelof.js";
 import { LevelRates } from "./levelrates.js";
+import { levelSize } from "./levelsize.js";
 import { RampLimit } from "./ramplimit.js";
 import { SlotLimit } from "./slotlimit.js";
 
--- a/src/policy/admission/levelclock.ts
+++ b/src/policy/admission/levelclock.ts
@@ -1,5 +1,5 @@
 /** For how long has an upstream run how many requests at once? */
-import { levelOf } from "./levelcount.js";
+import { levelOf } from "./levelof.js";
 
 /** Of one upstream; the present time, in milliseconds, is an argument. */
 export class LevelClock {
--- a/src/policy/admission/levelcount.ts
+++ b/src/policy/admission/levelsize.ts
@@ -5,7 +5,3 @@
 
 /** So many requests more are the next level: one, unless there are more slots than levels. */
 export const levelSize = (slots: number): number => Math.ceil(slots / MOST_LEVELS);
-
-/** The level of so many requests; 0 where none runs. */
-export const levelOf = (running: number, slots: number): number =>
-    Math.ceil(Math.min(running, slots) / levelSize(slots));
--- a/src/policy/admission/worktime.test.ts
+++ b/src/policy/admission/worktime.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { LevelClock } from "./levelclock.js";
-import { levelOf, levelSize } from "./levelcount.js";
+import { levelOf } from "./levelof.js";
+import { levelSize } from "./levelsize.js";
 import { WorkTime } from "./worktime.js";
 
 test("work time: by the number that ran, without the calls that were waited for", () => {
--- a/src/policy/model/layered.ts
+++ b/src/policy/model/layered.ts
@@ -4,29 +4,13 @@
  * At 13 hosts and load 1 the engine and the pages' service are about half used at their usual pace; its shape (slots, work, noise,
  * a knee at four fifths) is that of a mesh of users whose rush days and restarts winglock was measured on.
  */
-import type { ModelPolicy, ModelTrouble, Scenario } from "./scenario.js";
+import type { Layered } from "./layeredoptions.js";
+import type { Scenario } from "./scenario.js";
 
 const HOSTS = 13;
 const SLOTS = { slots: 18, knee: 0.8, kneeTimes: 1.7 };
 
-/** `hosts` share out as 6 to 4 to 3, and the load grows with them. */
-export type Layered = {
-    readonly hosts: number;
-    readonly load: number;
-    readonly lengthMs: number;
-    readonly troubles: readonly ModelTrouble[];
-    readonly policy: ModelPolicy;
-};
-
-/** All parts as the daemon has them. */
-export const usualPolicy: ModelPolicy = {
-    limit: "learned",
-    waitsForPace: true,
-    remembers: true,
-    calls: "own",
-    moves: true,
-};
-
+/** The load grows with the hosts. */
 export function layered({ hosts, load, lengthMs, troubles, policy }: Layered): Scenario {
     const times = hosts / HOSTS * load;
     return {
--- /dev/null
+++ b/src/policy/model/layeredoptions.ts
@@ -0,0 +1,12 @@
+/** What may be varied of the layered scenario. */
+import type { ModelPolicy } from "./modelpolicy.js";
+import type { ModelTrouble } from "./modeltrouble.js";
+
+/** `hosts` share out as 6 to 4 to 3, and the load grows with them. */
+export type Layered = {
+    readonly hosts: number;
+    readonly load: number;
+    readonly lengthMs: number;
+    readonly troubles: readonly ModelTrouble[];
+    readonly policy: ModelPolicy;
+};
--- a/src/policy/model/model.test.ts
+++ b/src/policy/model/model.test.ts
@@ -9,10 +9,13 @@
 import { test } from "node:test";
 import { seededRandom } from "../../../standin/seededrandom.js";
 import { EventLoop } from "./eventloop.js";
-import { layered, usualPolicy } from "./layered.js";
-import { type ModelTally, worthShare } from "./modeltally.js";
+import { layered } from "./layered.js";
+import type { ModelPolicy } from "./modelpolicy.js";
+import type { ModelTally } from "./modeltally.js";
+import type { ModelTrouble } from "./modeltrouble.js";
 import { runModel } from "./runmodel.js";
-import type { ModelPolicy, ModelTrouble } from "./scenario.js";
+import { usualPolicy } from "./usualpolicy.js";
+import { worthShare } from "./worthshare.js";
 
 const SEEDS = [1, 2, 3];
 const BURST: readonly ModelTrouble[] = [{ type: "burst", at: 8000, forMs: 5000, times: 1.7 }];
--- /dev/null
+++ b/src/policy/model/modelend.ts
@@ -0,0 +1,11 @@
+/** What becomes of a request in a model. */
+
+/** How an attempt or a request ends. */
+export type ModelEnd =
+    | { readonly outcome: "served"; }
+    | { readonly outcome: "failed"; }
+    | {
+        readonly outcome: "refused";
+        readonly reason: "busy" | "slow" | "wait-too-long" | "queue-full" | "deadline";
+        readonly retryAfterMs: number;
+    };
--- a/src/policy/model/modelgate.ts
+++ b/src/policy/model/modelgate.ts
@@ -9,9 +9,11 @@
 import type { LoadReport } from "../placement/loadreport.js";
 import type { RandomSource } from "../randomsource.js";
 import type { EventLoop } from "./eventloop.js";
-import type { ModelEnd, ModelRequest, ModelSent } from "./modelrequest.js";
+import type { ModelEnd } from "./modelend.js";
+import type { ModelPolicy } from "./modelpolicy.js";
+import type { ModelRequest } from "./modelrequest.js";
+import type { ModelSent } from "./modelsent.js";
 import type { ModelUpstream } from "./modelupstream.js";
-import type { ModelPolicy } from "./scenario.js";
 
 /** A gate asks for the pace so often while it keeps a slot free. */
 const ASK_EVERY_MS = 20;
--- a/src/policy/model/modelhost.ts
+++ b/src/policy/model/modelhost.ts
@@ -1,17 +1,10 @@
 /** A host of a model: an upstream, the gate beside it, and an ingress. */
-import type { ModelGate } from "./modelgate.js";
 import type { ModelIngress } from "./modelingress.js";
-import type { ModelUpstream } from "./modelupstream.js";
+import type { ModelTarget } from "./modeltarget.js";
 
-/** Its gate and ingress are replaced when it restarts. */
-export type ModelHost = {
-    readonly name: string;
-    readonly service: string;
-    readonly hall: number;
-    readonly upstream: ModelUpstream;
-    gate: ModelGate;
+/** Its ingress is replaced when it restarts. */
+export type ModelHost = ModelTarget & {
     ingress: ModelIngress;
-    isUp: boolean;
     /** What its record says that its gate has learnt; it outlasts restarts. */
     told: number | undefined;
 };
--- a/src/policy/model/modelingress.ts
+++ b/src/policy/model/modelingress.ts
@@ -5,9 +5,13 @@
 import type { RandomSource } from "../randomsource.js";
 import { maxMoves } from "../retry/maxmoves.js";
 import type { EventLoop } from "./eventloop.js";
-import type { ModelHost } from "./modelhost.js";
-import { type ModelEnd, type ModelRequest, type ModelSent, ruleOf, TEAM } from "./modelrequest.js";
+import type { ModelEnd } from "./modelend.js";
+import type { ModelRequest } from "./modelrequest.js";
+import type { ModelSent } from "./modelsent.js";
+import type { ModelTarget } from "./modeltarget.js";
+import { modelTeam } from "./modelteam.js";
 import { ModelView } from "./modelview.js";
+import { ruleOf } from "./ruleof.js";
 
 /** Between hosts, one way, in milliseconds. */
 const HOP_MS = 0.5;
@@ -23,12 +27,12 @@
 /** Forgets what it knew of upstreams at a restart, since it is made anew. */
 export class ModelIngress {
     readonly #placement = new ExpectedTime(PLACEMENT);
-    readonly #views = new Map<ModelHost, ModelView>();
+    readonly #views = new Map<ModelTarget, ModelView>();
 
     constructor(private readonly parts: IngressParts) {}
 
     /** `done` is called once. */
-    serve(sent: ModelSent, hosts: readonly ModelHost[], done: (end: ModelEnd) => void): void {
+    serve(sent: ModelSent, hosts: readonly ModelTarget[], done: (end: ModelEnd) => void): void {
         const views = hosts.filter(host => host.service === sent.kind.service).map(host => this.#viewOf(host));
         this.#try(sent, views, { tried: new Set<ModelView>(), moves: 0, refusals: 0 }, done);
     }
@@ -80,7 +84,7 @@
         return {
             sent,
             priority,
-            team: TEAM,
+            team: modelTeam,
             deadline,
             maxWaitMs: maxWait(wait, loop.now),
             rule: ruleOf(kind.name),
@@ -91,7 +95,7 @@
         };
     }
 
-    #viewOf(host: ModelHost): ModelView {
+    #viewOf(host: ModelTarget): ModelView {
         const known = this.#views.get(host);
         if (known !== undefined) {
             return known;
--- /dev/null
+++ b/src/policy/model/modelsent.ts
@@ -0,0 +1,13 @@
+/** A request in a model, as its ingress sends it. */
+import type { Priority } from "../../config/priority.js";
+import type { ModelCall } from "./modelcall.js";
+
+/** What the ingress knows of it. */
+export type ModelSent = {
+    readonly kind: ModelCall & { readonly calls?: { readonly name: string; readonly share: number; }; };
+    readonly priority: Priority;
+    /** When its caller tried first. */
+    readonly firstAt: number;
+    readonly deadline: number;
+    readonly depth: number;
+};
--- /dev/null
+++ b/src/policy/model/modeltrouble.ts
@@ -0,0 +1,7 @@
+/** What goes wrong in a model. Times in milliseconds. */
+
+/** `times` the load for a while; a share of a service's upstreams gone for good; all hosts restarted, their upstreams cold. */
+export type ModelTrouble =
+    | { readonly type: "burst"; readonly at: number; readonly forMs: number; readonly times: number; }
+    | { readonly type: "loss"; readonly at: number; readonly service: string; readonly count: number; }
+    | { readonly type: "restart"; readonly at: number; readonly downMs: number; };
--- a/src/policy/model/modelupstream.ts
+++ b/src/policy/model/modelupstream.ts
@@ -2,7 +2,8 @@
 import type { RandomSource } from "../randomsource.js";
 import type { EventLoop } from "./eventloop.js";
 import { lognormal } from "./lognormal.js";
-import type { ModelService, Scenario } from "./scenario.js";
+import type { ModelService } from "./modelservice.js";
+import type { Scenario } from "./scenario.js";
 
 /** Its slots are counted by its gate. */
 export class ModelUpstream {
--- a/src/policy/model/modelview.ts
+++ b/src/policy/model/modelview.ts
@@ -4,7 +4,7 @@
 import type { Candidate } from "../placement/candidate.js";
 import type { LoadReport } from "../placement/loadreport.js";
 import type { Selectable } from "../placement/selectable.js";
-import type { ModelHost } from "./modelhost.js";
+import type { ModelTarget } from "./modeltarget.js";
 
 /** Reports come with answers only. */
 export class ModelView implements Candidate, Selectable {
@@ -16,7 +16,7 @@
     readonly penaltyMs = 0;
     readonly penaltyAt = 0;
 
-    constructor(readonly host: ModelHost, readonly near: boolean) {}
+    constructor(readonly host: ModelTarget, readonly near: boolean) {}
 
     get upstream(): UpstreamName {
         return this.host.name as UpstreamName;
--- a/src/policy/model/runmodel.ts
+++ b/src/policy/model/runmodel.ts
@@ -6,14 +6,18 @@
 import { usualShare } from "../admission/usualshare.js";
 import type { RandomSource } from "../randomsource.js";
 import { classOfCall } from "./classofcall.js";
+import type { ClassTally } from "./classtally.js";
 import { EventLoop } from "./eventloop.js";
+import type { ModelClass } from "./modelclass.js";
+import type { ModelEnd } from "./modelend.js";
 import { ModelGate } from "./modelgate.js";
 import type { ModelHost } from "./modelhost.js";
 import { ModelIngress } from "./modelingress.js";
-import type { ModelEnd, ModelSent } from "./modelrequest.js";
-import type { ClassTally, ModelTally } from "./modeltally.js";
+import type { ModelSent } from "./modelsent.js";
+import type { ModelTally } from "./modeltally.js";
+import type { ModelTrouble } from "./modeltrouble.js";
 import { ModelUpstream } from "./modelupstream.js";
-import type { ModelClass, ModelTrouble, Scenario } from "./scenario.js";
+import type { Scenario } from "./scenario.js";
 
 const HALLS = 3;
 const SECOND_MS = 1000;
