An upstream that starts again under its name is told from its earlier life by its birth

Words of an earlier life that come late change nothing, one of a later life begins its numbers anew.

--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -4,6 +4,7 @@
 import { Address } from "../ids/address.js";
 import { HallName } from "../ids/hallname.js";
 import { ServiceName } from "../ids/servicename.js";
+import { Born } from "./born.js";
 
 const Announcement = z.object({
     service: ServiceName,
@@ -13,7 +14,9 @@
     state: z.enum(["ready", "draining"]),
     /** How much longer it is slow from its start. */
     coldMs: z.number().min(0).default(0),
-    /** Rises with each announcement, so that a late one can be known. */
+    /** When this life of it began, in Unix milliseconds; one that starts again under its name has a later one. */
+    born: Born.optional(),
+    /** Rises with each announcement of one life, so that a late one can be known. */
     sequence: z.int().min(0),
 });
 type Announcement = z.infer<typeof Announcement>;
--- a/src/membership/localupstreams.ts
+++ b/src/membership/localupstreams.ts
@@ -1,8 +1,10 @@
 /** The upstreams beside this daemon, by their own announcements. */
 import type { Address } from "../ids/address.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
+import { compareLives } from "../policy/membership/comparelives.js";
 import type { HostedUpstream } from "../wire/hostedupstream.js";
 import type { Announcement } from "./announcement.js";
+import type { Born } from "./born.js";
 
 /** An upstream that has announced nothing for so long has ended; milliseconds, three of its announcements and more. */
 const SILENT_MS = 7000;
@@ -14,7 +16,8 @@
 /** Pure; all times are milliseconds on the daemon's clock. */
 export class LocalUpstreams {
     readonly #entries = new Map<UpstreamName, Entry>();
-    readonly #ended = new Set<UpstreamName>();
+    /** By name, the life that has ended as far as it was told. */
+    readonly #ended = new Map<UpstreamName, Born | undefined>();
 
     get all(): HostedUpstream[] {
         return [...this.#entries].map(([name, { announcement }]) => ({
@@ -28,15 +31,19 @@
 
     /** Records an announcement; false when it changes nothing. */
     record(name: UpstreamName, announcement: Announcement, now: number): boolean {
-        if (this.#ended.has(name)) {
+        if (this.#hasEnded(name, announcement.born)) {
             return false;
         }
         const entry = this.#entries.get(name);
         if (entry === undefined) {
             this.#replace(announcement.address);
+            this.#ended.delete(name);
             this.#entries.set(name, { announcement, heardAt: now });
             return true;
         }
+        if (compareLives(announcement.born, entry.announcement.born) === "earlier") {
+            return false;
+        }
         entry.heardAt = now;
         if (announcement.sequence <= entry.announcement.sequence) {
             return false;
@@ -53,12 +60,23 @@
         return isNew && [...this.#entries.values()].some(({ announcement }) => announcement.address === address);
     }
 
-    /** Removes an upstream that is about to end, or has ended; false when it was not known. */
-    remove(name: UpstreamName): boolean {
-        this.end(name);
+    /** Removes an upstream that is about to end, or has ended; false when it was not known, or a later life of it is. */
+    remove(name: UpstreamName, born?: Born): boolean {
+        const known = this.#entries.get(name)?.announcement.born;
+        if (compareLives(born, known) === "earlier") {
+            return false;
+        }
+        this.end(name, born ?? known);
         return this.#entries.delete(name);
     }
 
+    /** Removes an upstream that has started again under its name, whatever the earlier life held; false when it has not. */
+    removeEarlierLife(name: UpstreamName, born: Born | undefined): boolean {
+        const entry = this.#entries.get(name);
+        return entry !== undefined && compareLives(born, entry.announcement.born) === "later"
+            && this.#entries.delete(name);
+    }
+
     /** Ends upstreams that have been silent for too long; they may come back with a later announcement. */
     removeSilent(now: number): UpstreamName[] {
         const silent = [...this.#entries].filter(([, { heardAt }]) => now - heardAt >= SILENT_MS).map(([name]) => name);
@@ -75,11 +93,18 @@
         }
     }
 
-    /** Takes no later word of an upstream that has ended. */
-    end(name: UpstreamName): void {
-        this.#ended.add(name);
+    /** Takes no later word of an upstream that has ended, unless of a later life. */
+    end(name: UpstreamName, born?: Born): void {
+        if (compareLives(born, this.#ended.get(name)) === "earlier") {
+            return;
+        }
+        this.#ended.set(name, born ?? this.#ended.get(name));
         if (this.#ended.size > MAX_ENDED) {
-            this.#ended.delete(this.#ended.values().next().value!);
+            this.#ended.delete(this.#ended.keys().next().value!);
         }
     }
+
+    #hasEnded(name: UpstreamName, born: Born | undefined): boolean {
+        return this.#ended.has(name) && compareLives(born, this.#ended.get(name)) !== "later";
+    }
 }
