--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -128,7 +128,7 @@
             const [before, after] = changed(count);
             parse(Document, after);
             makePatch(before, after);
-            rank(hallMembers(after, hall), hall);
+            rank(hallMembers(after.upstreams, hall), hall);
         })),
     await measureSlope("finding a rule, by upstream (0.3 rules each)", "us", COUNTS, count => {
         const document = makeDocument(count);
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -4,11 +4,15 @@
 import type { GateIdentity } from "../gate/gateidentity.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
+import type { Membership } from "../membership/membership.js";
+import { MembershipError } from "../membership/membershiperror.js";
 import type { GateStatus } from "../peer/gatestatus.js";
 import { PeerService } from "../peer/peerservice.js";
 import type { RevokeInput } from "../peer/revokeinput.js";
 import type { Clock } from "../time/clock.js";
 import type { Member } from "../wire/member.js";
+import type { RecordChanges } from "../wire/recordchanges.js";
+import type { RecordsMark } from "../wire/recordsmark.js";
 import type { GateSet } from "./gateset.js";
 import { gateStatus } from "./gatestatus.js";
 
@@ -19,7 +23,8 @@
     readonly configuration: CurrentConfiguration;
     readonly gates: GateSet;
     readonly clock: Clock;
-    readonly members: () => Member[];
+    /** Undefined where the document names the upstreams. */
+    readonly membership: Membership | undefined;
 };
 
 /** Answers from the daemon's own state. */
@@ -48,8 +53,12 @@
         return this.parts.configuration.updateFor(have);
     }
 
-    members(): Member[] {
-        return this.parts.members();
+    member(): Member {
+        return this.#membership.member;
+    }
+
+    records(have: RecordsMark | undefined): RecordChanges {
+        return this.#membership.changesSince(have);
     }
 
     status(): GateStatus[] {
@@ -57,4 +66,12 @@
         const now = clock();
         return [...gates.all].map(gate => gateStatus(gate, configuration, now));
     }
+
+    get #membership(): Membership {
+        const { membership } = this.parts;
+        if (membership === undefined) {
+            throw new MembershipError("no upstreams announce themselves here: there are no records");
+        }
+        return membership;
+    }
 }
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -1,7 +1,9 @@
 /** How this daemon knows the others, in the way that its environment asks for; docs/DESIGN.md says why there are two. */
 import type { Upstream } from "../config/upstream.js";
+import { ConfigurationWatch } from "../distribution/configurationwatch.js";
 import { HallHeartbeats } from "../distribution/hallheartbeats.js";
 import { LeavingHosts } from "../distribution/leavinghosts.js";
+import type { Place } from "../distribution/place.js";
 import { WatcherElection } from "../distribution/watcherelection.js";
 import { Membership } from "../membership/membership.js";
 import type { Member } from "../wire/member.js";
@@ -9,61 +11,24 @@
 import type { DaemonContext } from "./daemoncontext.js";
 import type { GateGroup } from "./gategroup.js";
 
-/** By heartbeats where the document names the upstreams, by announcements and gossip where there is a registry. */
+/** From the document where it names the upstreams, by announcements where there is a registry; heartbeats carry both. */
 export class MembershipGroup {
     readonly heartbeats: HallHeartbeats;
     readonly announced: Membership | undefined;
+    #listener: () => void = () => {};
 
     constructor(
         private readonly context: DaemonContext,
         private readonly configuration: ConfigurationGroup,
-        gates: GateGroup,
+        private readonly gates: GateGroup,
     ) {
-        const { settings, environment, clock, random, self, send } = context;
-        const { current, puller, watcher } = configuration;
-        this.heartbeats = new HallHeartbeats({
-            self,
-            clock,
-            random,
-            send,
-            hall: settings.hall,
-            host: settings.host,
-            configuration: current,
-            puller,
-            election: new WatcherElection(self, clock()),
-            watcher,
-            leavingHosts: new LeavingHosts(environment.store),
-            onHostLeaving: leaving => gates.gates.setClosed("host-leaving", leaving),
-        });
+        this.announced = this.#makeMembership();
+        this.heartbeats = this.#makeHeartbeats();
         context.silentConnections.onFound(() => this.#renewStore());
-        this.announced = environment.registry && new Membership({
-            self,
-            incarnation: context.incarnation,
-            peer: context.peer,
-            settings,
-            registry: environment.registry,
-            dialect: environment.dialect,
-            healthPath: service => gates.probes.healthPath(service),
-            learnedShare: name => gates.gates.find(name)?.learnedShare,
-            watcher,
-            configuration: current,
-            puller,
-            clock,
-            random,
-            send,
-        });
         gates.onUsualShare(service => this.announced?.usualShare(service));
-    }
-
-    /** Calls of the store and watches of it go on over new connections: the old ones may have gone silent. */
-    #renewStore(): void {
-        this.context.environment.store.renewConnections();
-        if (this.announced === undefined) {
-            this.configuration.watcher.renew();
-        }
-        else {
-            this.announced.renewWatches();
-        }
+        context.metrics.showMembership(() => this.members.length, () => this.heartbeats.watching);
+        configuration.current.onChange(() => this.#changed());
+        this.announced?.onChange(() => this.#changed());
     }
 
     /** The upstreams of the document, and those that have announced themselves. */
@@ -78,16 +43,79 @@
 
     /** Calls the listener when the upstreams have changed. */
     onChange(listener: () => void): void {
-        this.configuration.current.onChange(listener);
-        this.announced?.onChange(listener);
+        this.#listener = listener;
     }
 
     async start(): Promise<void> {
-        await (this.announced ?? this.heartbeats).start();
+        await this.announced?.start();
+        this.heartbeats.followPlaces();
+        this.heartbeats.start();
     }
 
     stop(): void {
         this.heartbeats.stop();
         this.announced?.stop();
     }
+
+    #changed(): void {
+        this.heartbeats.followPlaces();
+        this.#listener();
+    }
+
+    #places(): readonly Place[] {
+        return [...this.configuration.current.document.upstreams, ...this.members];
+    }
+
+    /** Calls of the store and watches of it go on over new connections: the old ones may have gone silent. */
+    #renewStore(): void {
+        this.context.environment.store.renewConnections();
+        if (this.announced === undefined) {
+            this.configuration.watcher.renew();
+        }
+        else {
+            this.announced.renewWatches();
+        }
+    }
+
+    #makeMembership(): Membership | undefined {
+        const { settings, environment, clock, random, self, send, incarnation, peer } = this.context;
+        const { current, puller, watcher } = this.configuration;
+        const { gates, probes } = this.gates;
+        return environment.registry && new Membership({
+            self,
+            incarnation,
+            peer,
+            settings,
+            registry: environment.registry,
+            dialect: environment.dialect,
+            healthPath: service => probes.healthPath(service),
+            learnedShare: name => gates.find(name)?.learnedShare,
+            watcher,
+            configuration: current,
+            puller,
+            clock,
+            random,
+            send,
+        });
+    }
+
+    #makeHeartbeats(): HallHeartbeats {
+        const { settings, environment, clock, random, self, send } = this.context;
+        const { current, puller, watcher } = this.configuration;
+        return new HallHeartbeats({
+            self,
+            clock,
+            random,
+            send,
+            hall: settings.hall,
+            host: settings.host,
+            configuration: current,
+            puller,
+            election: new WatcherElection(self, clock()),
+            watch: this.announced?.watch ?? new ConfigurationWatch(watcher),
+            places: () => this.#places(),
+            leavingHosts: new LeavingHosts(environment.store),
+            onHostLeaving: leaving => this.gates.gates.setClosed("host-leaving", leaving),
+        });
+    }
 }
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -5,7 +5,6 @@
 import { Planner } from "../ingress/planner.js";
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
-import type { Member } from "../wire/member.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -69,7 +68,6 @@
         const { clock, settings } = context;
         const { rules, current } = configuration;
         const { identity, ledger } = gates;
-        const members = (): Member[] => this.membership.members;
         return new PeerServer({
             key: settings.peerKey,
             clock,
@@ -78,7 +76,7 @@
                 identity,
                 ledger,
                 clock,
-                members,
+                membership: this.membership.announced,
                 configuration: current,
                 gates: gates.gates,
             }),
--- a/src/datagram/message.ts
+++ b/src/datagram/message.ts
@@ -7,6 +7,7 @@
 import { UpstreamName } from "../ids/upstreamname.js";
 import { loadReportSchema } from "../wire/loadreportschema.js";
 import { Member } from "../wire/member.js";
+import { RecordsMark } from "../wire/recordsmark.js";
 
 /** In one datagram: bounds its size, and what a broken peer can ask for. */
 const MAX_ITEMS = 64;
@@ -15,7 +16,10 @@
 const from = Address;
 
 const Message = z.discriminatedUnion("type", [
-    /** From a daemon that watches the store: its revision, how long ago it was confirmed, hosts that leave. */
+    /**
+     * From a daemon that watches the store: its revision, how long ago it was confirmed, hosts that leave, and how far its list of
+     * daemons has come.
+     */
     z.object({
         type: z.literal("beat"),
         from,
@@ -23,6 +27,7 @@
         ageMs: z.number().min(0),
         watching: z.boolean(),
         leaving: z.array(HostName).max(MAX_ITEMS),
+        records: RecordsMark.optional(),
     }),
     z.object({ type: z.literal("ping"), from, sentAt: z.number() }),
     /** The answer to a ping. */
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -1,25 +1,27 @@
 /**
- * Heartbeats of those daemons of a hall that watch the store: they carry the revision, and how long ago the store confirmed it.
+ * Heartbeats of those daemons of a hall that watch the store: they carry the revision, how long ago the store confirmed it, and how
+ * far their list of daemons has come.
  *
  * Owns the timers; who watches is decided by watcherelection.ts, who is told when by heartbeatsender.ts. A daemon that receives a
- * higher revision pulls it from the sender.
+ * higher revision pulls it from the sender, and from its own watcher what has changed in the list.
  */
-import type { Document } from "../config/document.js";
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
 import type { HostName } from "../ids/hostname.js";
+import { sample } from "../policy/placement/sample.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
 import type { ConfigurationPuller } from "./configurationpuller.js";
 import type { CurrentConfiguration } from "./currentconfiguration.js";
-import type { DocumentWatcher } from "./documentwatcher.js";
 import { hallMembers } from "./hallmembers.js";
 import { HeartbeatSender } from "./heartbeatsender.js";
 import type { LeavingHosts } from "./leavinghosts.js";
 import { otherHalls } from "./otherhalls.js";
+import type { Place } from "./place.js";
 import { rank } from "./rank.js";
+import type { StoreWatch } from "./storewatch.js";
 import type { WatcherElection } from "./watcherelection.js";
 
 /** How often heartbeats that are due are sent: a round of 2 s in 40 parts. */
@@ -28,6 +30,13 @@
 const HOSTS_EVERY_MS = 1000;
 /** An age is sent as a number, and this stands for never. */
 const NEVER_MS = 1e9;
+/**
+ * Changes of the list of daemons are told at most so often, in milliseconds: where many daemons start at once, each of its part of the
+ * hall asks a watcher for some of them at a time. Chosen: four times in the two seconds that such a start takes.
+ */
+const TELL_RECORDS_EVERY_MS = 500;
+/** Of another hall, one of so many is told in each round: those that watch there. */
+const RELAYS = 2;
 
 /** The tasks that heartbeats go between. */
 type HeartbeatParts = {
@@ -39,7 +48,9 @@
     readonly configuration: CurrentConfiguration;
     readonly puller: ConfigurationPuller;
     readonly election: WatcherElection;
-    readonly watcher: DocumentWatcher;
+    readonly watch: StoreWatch;
+    /** Where all daemons are, this one too. */
+    readonly places: () => readonly Place[];
     readonly leavingHosts: LeavingHosts;
     readonly send: (to: Address, message: Message) => boolean;
     /** Told whether this daemon's own host is on the platform's list of those that leave. */
@@ -53,10 +64,18 @@
         new Ticker(TICK_MS, () => this.#tick()),
         new Ticker(HOSTS_EVERY_MS, () => void this.#askHosts()),
     ];
+    /** The list of daemons that was told last, and when. */
+    #toldRecords = 0;
+    #toldAt = -Infinity;
 
     constructor(private readonly parts: HeartbeatParts) {
         this.#sender = new HeartbeatSender(() => this.#audience(), to => parts.send(to, this.#beat()));
-        parts.configuration.onChange(document => this.#follow(document));
+        parts.configuration.onChange(() => this.#sender.sendSoon());
+    }
+
+    /** True while it is this daemon's turn to watch the store. */
+    get watching(): boolean {
+        return this.parts.watch.watching;
     }
 
     start(): void {
@@ -65,33 +84,69 @@
 
     stop(): void {
         this.#tickers.forEach(ticker => ticker.stop());
-        this.parts.watcher.set(false);
+        this.parts.watch.set(false);
+    }
+
+    /** Applies who is where; to be called when that has changed. */
+    followPlaces(): void {
+        const { election, hall, places } = this.parts;
+        election.setMembers(rank(hallMembers(places(), hall), hall));
     }
 
     /** Applies a heartbeat that was received. */
     receive(beat: Extract<Message, { type: "beat"; }>): void {
-        const { clock, configuration, election, puller, host } = this.parts;
+        const { clock, configuration, election, puller, host, watch } = this.parts;
         const now = clock();
         election.recordHeartbeat(beat.from, beat.watching, now);
         configuration.confirm(beat.revision, now - beat.ageMs);
         void puller.pull(beat.revision, beat.from).then(() => configuration.confirm(beat.revision, now - beat.ageMs));
-        if (beat.watching && !this.parts.watcher.watching) {
+        if (beat.watching && !watch.watching) {
             this.parts.onHostLeaving(beat.leaving.includes(host));
         }
+        this.#followRecords(beat, now);
+    }
+
+    #followRecords({ from, records }: Extract<Message, { type: "beat"; }>, now: number): void {
+        const { election, watch, self } = this.parts;
+        const source = election.sourceOf(self, now) ?? from;
+        if (records !== undefined && source === from && !this.#isWatching(now)) {
+            watch.follow(from, records);
+        }
+    }
+
+    #isWatching(now: number): boolean {
+        const { watch } = this.parts;
+        return watch.watching && watch.isReached(now);
     }
 
     #tick(): void {
-        const { clock, election, watcher } = this.parts;
+        const { clock, election, watch, self } = this.parts;
         const now = clock();
-        watcher.set(election.shouldWatch(now));
-        if (watcher.watching) {
-            this.#sender.tick(now);
+        watch.set(election.shouldWatch(now, watch.isReached(now)));
+        if (!watch.watching) {
+            return;
         }
+        election.recordHeartbeat(self, this.#isWatching(now), now);
+        this.#tellRecords(now);
+        this.#sender.tick(now);
+    }
+
+    /** Each watcher tells its part of the hall at once; the rest get to know with their next heartbeat. */
+    #tellRecords(now: number): void {
+        const { election, hall, places, self, watch } = this.parts;
+        const at = watch.records?.at ?? 0;
+        if (at === this.#toldRecords || now - this.#toldAt < TELL_RECORDS_EVERY_MS) {
+            return;
+        }
+        this.#toldRecords = at;
+        this.#toldAt = now;
+        const told = hallMembers(places(), hall).filter(gate => election.sourceOf(gate, now) === self);
+        this.#sender.sendSoon(told.filter(gate => gate !== self));
     }
 
     async #askHosts(): Promise<void> {
-        const { watcher, leavingHosts, host, onHostLeaving } = this.parts;
-        if (!watcher.watching) {
+        const { watch, leavingHosts, host, onHostLeaving } = this.parts;
+        if (!watch.watching) {
             return;
         }
         const before = leavingHosts.names.join();
@@ -102,30 +157,24 @@
         }
     }
 
-    #follow(document: Document): void {
-        const { election, hall } = this.parts;
-        election.setMembers(rank(hallMembers(document, hall), hall));
-        this.#sender.sendSoon();
-    }
-
     #audience(): Address[] {
-        const { configuration, hall, random, self } = this.parts;
-        const gates = [
-            ...hallMembers(configuration.document, hall),
-            ...otherHalls(configuration.document, hall, random),
-        ];
-        return gates.filter(gate => gate !== self);
+        const { hall, random, self, places } = this.parts;
+        const all = places();
+        const elsewhere = otherHalls(all, hall, RELAYS).flatMap(relays => sample(relays, 1, random));
+        return [...hallMembers(all, hall), ...elsewhere].filter(gate => gate !== self);
     }
 
     #beat(): Message {
-        const { self, configuration, clock, watcher, leavingHosts } = this.parts;
+        const { self, configuration, clock, watch, leavingHosts } = this.parts;
+        const now = clock();
         return {
             type: "beat",
             from: self,
             revision: configuration.revision,
-            ageMs: Math.min(NEVER_MS, Math.max(0, Math.round(configuration.ageMs(clock())))),
-            watching: watcher.watching,
+            ageMs: Math.min(NEVER_MS, Math.max(0, Math.round(configuration.ageMs(now)))),
+            watching: this.#isWatching(now),
             leaving: leavingHosts.names.slice(0, 64),
+            ...watch.records !== undefined && { records: watch.records },
         };
     }
 }
--- a/src/distribution/hallmembers.ts
+++ b/src/distribution/hallmembers.ts
@@ -1,10 +1,10 @@
 /** Who is in a data hall. */
-import type { Document } from "../config/document.js";
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
+import type { Place } from "./place.js";
 
 /** The gates of a hall, each once. */
-export function hallMembers(document: Document, hall: HallName): Address[] {
-    const inHall = document.upstreams.filter(upstream => upstream.hall === hall);
-    return [...new Set(inHall.map(upstream => upstream.gate))];
+export function hallMembers(places: readonly Place[], hall: HallName): Address[] {
+    const inHall = places.filter(place => place.hall === hall);
+    return [...new Set(inHall.map(place => place.gate))];
 }
--- a/src/distribution/heartbeatsender.ts
+++ b/src/distribution/heartbeatsender.ts
@@ -11,16 +11,16 @@
 
 /** Holds to whom this round has not been sent yet. */
 export class HeartbeatSender {
+    /** First come, first sent: who has waited since an earlier change is not put back by a later one. */
+    readonly #urgent = new Set<Address>();
     #pending: Address[] = [];
     #roundAt = -Infinity;
-    #urgent = false;
 
     constructor(private readonly members: () => Address[], private readonly send: SendBeat) {}
 
-    /** Starts a new round that goes as fast as the budget allows. */
-    sendSoon(): void {
-        this.#pending = this.members();
-        this.#urgent = true;
+    /** Sends to these, or to all, as fast as the budget allows. */
+    sendSoon(to = this.members()): void {
+        to.forEach(gate => this.#urgent.add(gate));
     }
 
     /** Sends what is due; call it several times a round. */
@@ -29,12 +29,17 @@
             this.#roundAt = now;
             this.#pending = this.members();
         }
+        for (const gate of this.#urgent) {
+            if (!this.send(gate)) {
+                return;
+            }
+            this.#urgent.delete(gate);
+        }
         const left = Math.max(1, this.#roundAt + ROUND_MS / 2 - now);
-        let due = this.#urgent ? this.#pending.length : Math.ceil(this.#pending.length * TICK_MS / left);
+        let due = Math.ceil(this.#pending.length * TICK_MS / left);
         while (due > 0 && this.#pending.length > 0 && this.send(this.#pending[0]!)) {
             this.#pending.shift();
             due -= 1;
         }
-        this.#urgent = this.#urgent && this.#pending.length > 0;
     }
 }
--- a/src/distribution/otherhalls.ts
+++ b/src/distribution/otherhalls.ts
@@ -1,14 +1,13 @@
-/** Who is elsewhere. */
-import type { Document } from "../config/document.js";
+/** Who is elsewhere, and tells the rest of its hall. */
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
-import { sample } from "../policy/placement/sample.js";
-import type { RandomSource } from "../policy/randomsource.js";
 import { hallMembers } from "./hallmembers.js";
+import type { Place } from "./place.js";
+import { rank } from "./rank.js";
 
-/** One gate, at random, of each hall but `hall`. */
-export function otherHalls(document: Document, hall: HallName, random: RandomSource): Address[] {
-    const halls = new Set(document.upstreams.map(upstream => upstream.hall));
+/** Of each hall but `hall`, the gates that are first in rank, as many as asked for: those that watch while they can. */
+export function otherHalls(places: readonly Place[], hall: HallName, count: number): Address[][] {
+    const halls = new Set(places.map(place => place.hall));
     halls.delete(hall);
-    return [...halls].flatMap(other => sample(hallMembers(document, other), 1, random));
+    return [...halls].map(other => rank(hallMembers(places, other), other).slice(0, count));
 }
--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -1,8 +1,9 @@
 /**
  * Who of a hall watches the store: the first few in rank whose heartbeats arrive.
  *
- * Nothing guards the role. Two too many cost the store two more waiting watches for a while; two too few are replaced
- * after a lapse. So no lease is needed, and one that wakes from a pause does no harm.
+ * Nothing guards the role. Two too many cost the store some more waiting watches for a while; two too few are replaced
+ * after a lapse. So no lease is needed, and one that wakes from a pause does no harm. Whoever does not watch is told by one of
+ * those that do; each of them tells its part of the hall.
  */
 import type { Address } from "../ids/address.js";
 
@@ -14,20 +15,24 @@
 const GRACE_MS = 2500;
 /** Those further back in rank wait longer, so that a whole hall does not rush to the store; milliseconds each. */
 const STAGGER_MS = 200;
+/** A new daemon that knows nobody waits so long: where a whole hall starts, the others are known by then; milliseconds, chosen. */
+const ALONE_MS = 1000;
 
 /** Decides for one daemon; `startedAt` and all times are on its clock. */
 export class WatcherElection {
     readonly #heartbeats = new Map<Address, number>();
     #ranked: readonly Address[] = [];
+    #ownRank = -1;
     #enoughAt: number;
 
-    constructor(private readonly self: Address, startedAt: number) {
+    constructor(private readonly self: Address, private readonly startedAt: number) {
         this.#enoughAt = startedAt + GRACE_MS;
     }
 
     /** Sets the hall's members, in rank. */
     setMembers(ranked: readonly Address[]): void {
         this.#ranked = ranked;
+        this.#ownRank = ranked.indexOf(this.self);
         const known = new Set(ranked);
         [...this.#heartbeats.keys()].filter(gate => !known.has(gate)).forEach(gate => this.#heartbeats.delete(gate));
     }
@@ -42,15 +47,33 @@
         }
     }
 
-    /** True when this daemon should watch. */
-    shouldWatch(now: number): boolean {
-        const at = this.#ranked.indexOf(this.self);
-        const better = at < 0 ? this.#ranked : this.#ranked.slice(0, at);
-        const watching = better.filter(gate => now - (this.#heartbeats.get(gate) ?? -Infinity) < LAPSE_MS);
-        if (watching.length >= WATCHERS) {
+    /** True when this daemon should watch; one whom the store does not answer steps in for nobody. */
+    shouldWatch(now: number, isStoreReached = true): boolean {
+        if (this.#ranked.length <= 1 && now - this.startedAt < ALONE_MS) {
+            return false;
+        }
+        const better = this.#ownRank < 0 ? this.#ranked : this.#ranked.slice(0, this.#ownRank);
+        if (this.#fresh(better, now).length >= WATCHERS) {
             this.#enoughAt = now;
             return false;
         }
-        return better.length < WATCHERS || now - this.#enoughAt >= better.length * STAGGER_MS;
+        return better.length < WATCHERS || isStoreReached && now - this.#enoughAt >= better.length * STAGGER_MS;
+    }
+
+    /** The watcher that tells a daemon of the hall what it has seen, or undefined while none is known. */
+    sourceOf(gate: Address, now: number): Address | undefined {
+        const watchers = this.#fresh(this.#ranked, now);
+        return watchers[Math.max(0, this.#ranked.indexOf(gate)) % watchers.length];
+    }
+
+    /** The watchers among them, as many as are needed. */
+    #fresh(among: readonly Address[], now: number): Address[] {
+        const fresh: Address[] = [];
+        for (const gate of among) {
+            if (now - (this.#heartbeats.get(gate) ?? -Infinity) < LAPSE_MS && fresh.push(gate) === WATCHERS) {
+                break;
+            }
+        }
+        return fresh;
     }
 }
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -1,8 +1,9 @@
 /**
  * Keeps daemons in touch with each other without the store.
  *
- * Each says now and then, to a bounded number of peers, who it is and which revision it has. Whoever is behind asks:
- * for the sender's record, for those of others when it knows few, and for the configuration.
+ * A change of a daemon's record goes to those that watch the store in each hall, which tell their halls (distribution/hallheartbeats.ts).
+ * Besides, each says now and then, to a few peers, who it is and which revision it has. Whoever is behind asks: for the sender's record,
+ * for those of others when it knows nobody, and for the configuration.
  */
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
@@ -12,6 +13,7 @@
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
 import type { Member } from "../wire/member.js";
+import type { RecordChanges } from "../wire/recordchanges.js";
 import type { MemberList } from "./memberlist.js";
 
 const logger = log("roster");
@@ -21,20 +23,23 @@
 /** Milliseconds; docs/CAPACITY.md reckons with it. */
 const HELLO_EVERY_MS = 3000;
 /** Greeted in each round, at random; docs/CAPACITY.md reckons with it. */
-const MAX_PEERS = 24;
+const MAX_PEERS = 4;
 /** A peer that is behind is answered at most so often; milliseconds. */
 const ANSWER_EVERY_MS = 500;
 
 type Hello = Extract<Message, { type: "hello"; }>;
 
-/** What gossip needs of its daemon; `ask` gets the records that a peer has, its own first. */
+/** What gossip needs of its daemon; `askAll` gets the records that a peer has, `askOwn` its own. */
 type GossipParts = {
     readonly self: Address;
     readonly members: MemberList;
     readonly member: () => Member;
+    /** Those that tell a hall of what they get to know: of this daemon's own hall, and of the others. */
+    readonly relays: () => Address[];
     readonly revision: () => number;
     readonly pull: (revision: number, from: Address) => Promise<void>;
-    readonly ask: (peer: Address) => Promise<Member[]>;
+    readonly askOwn: (peer: Address) => Promise<Member>;
+    readonly askAll: (peer: Address) => Promise<RecordChanges>;
     readonly send: (to: Address, message: Message) => boolean;
     readonly clock: Clock;
     readonly random: RandomSource;
@@ -59,17 +64,17 @@
         this.#tickers.forEach(ticker => ticker.stop());
     }
 
-    /** Announces a change of this daemon's own record, to all peers that are known; the rest learn it from the store. */
+    /** Announces a change of this daemon's own record to those that tell the rest. */
     announceRecord(): void {
-        const { members, send, self, member } = this.parts;
+        const { relays, send, self, member } = this.parts;
         const own = member();
-        members.members.forEach(peer => send(peer.gate, { type: "member", from: self, member: own }));
+        relays().forEach(peer => send(peer, { type: "member", from: self, member: own }));
     }
 
-    /** Announces to all peers that this daemon stops. */
+    /** Announces to those that tell the rest that this daemon stops. */
     announceStop(): void {
-        const { members, send, self } = this.parts;
-        members.members.forEach(peer => send(peer.gate, { type: "going", from: self }));
+        const { relays, send, self } = this.parts;
+        relays().forEach(peer => send(peer, { type: "going", from: self }));
     }
 
     receive(message: Extract<Message, { type: "hello" | "member" | "going"; }>): void {
@@ -109,34 +114,45 @@
         }
     }
 
+    /** One that knows nobody asks for all that the peer knows. */
     async #learn(peer: Address): Promise<void> {
         if (this.#asking.has(peer)) {
             return;
         }
         this.#asking.add(peer);
         try {
-            const [own, ...others] = await this.parts.ask(peer);
-            const now = this.parts.clock();
-            if (own !== undefined) {
-                this.parts.members.record(own, "itself", now);
-            }
-            others.forEach(member => this.parts.members.record(member, "peer", now));
+            await (this.parts.members.size === 0 ? this.#learnAll(peer) : this.#learnOwn(peer));
         }
         catch (err) {
-            logger.warn("The peer did not return its members.", err, { peer });
+            logger.warn("The peer did not return its record.", err, { peer });
         }
         finally {
             this.#asking.delete(peer);
         }
     }
 
+    async #learnOwn(peer: Address): Promise<void> {
+        const own = await this.parts.askOwn(peer);
+        this.parts.members.record(own, "itself", this.parts.clock());
+    }
+
+    async #learnAll(peer: Address): Promise<void> {
+        const { members, clock, askAll } = this.parts;
+        const changes = await askAll(peer);
+        const now = clock();
+        members.inOne(() =>
+            changes.members.forEach(member => members.record(member, member.gate === peer ? "itself" : "peer", now))
+        );
+    }
+
     #sweep(): void {
         const { members, clock } = this.parts;
-        members.removeGone(clock()).forEach(gate => {
+        const now = clock();
+        members.removeGone(now).forEach(gate => {
             this.#answeredAt.delete(gate);
             logger.change("A peer is given up: its record is gone and it is silent.", { peer: gate });
         });
-        members.doubtful(clock()).forEach(gate => this.#greet(gate));
+        members.doubtful(now).forEach(gate => this.#greet(gate));
     }
 
     #greetSome(): void {
@@ -147,8 +163,7 @@
     #greet(to: Address): void {
         const { self, member, revision, send, members, clock } = this.parts;
         const { incarnation, version } = member();
-        const peer = members.find(to);
-        const doubted = peer === undefined || members.doubtful(clock()).includes(to);
-        send(to, { type: "hello", from: self, incarnation, version, revision: revision(), knowsYou: !doubted });
+        const knowsYou = members.find(to) !== undefined && !members.isDoubtful(to, clock());
+        send(to, { type: "hello", from: self, incarnation, version, revision: revision(), knowsYou });
     }
 }
--- a/src/membership/memberlist.test.ts
+++ b/src/membership/memberlist.test.ts
@@ -64,6 +64,51 @@
     assert.deepEqual(all.doubtful(1200), []);
 });
 
+test("members: a peer gets what it lacks, and all where that is no longer known", () => {
+    const all = roster();
+    all.record(member("one", 0), "store", 0);
+    const seen = all.changes;
+    assert.deepEqual(all.changesSince(undefined), { complete: true, members: [member("one", 0)], gone: [] });
+    assert.deepEqual(all.changesSince(seen), { complete: false, members: [], gone: [] });
+    all.record(member("one", 1), "store", 0);
+    assert.deepEqual(all.changesSince(seen), { complete: false, members: [member("one", 1)], gone: [] });
+    all.remove(PEER);
+    assert.deepEqual(all.changesSince(seen), { complete: false, members: [], gone: [PEER] });
+    all.record(member("two", 0), "store", 0);
+    assert.deepEqual(all.changesSince(seen), { complete: false, members: [member("two", 0)], gone: [] });
+    for (let at = 0; at < 300; at++) {
+        const gate = `10.0.1.${at}:7620` as Address;
+        all.record({ ...member("one", 0), gate }, "store", 0);
+        all.remove(gate);
+    }
+    assert.equal(all.changesSince(seen).complete, true, "more have gone than are remembered");
+    assert.equal(all.changesSince(all.changes + 1).complete, true, "the mark of another list");
+});
+
+test("members: many changes at once are one for listeners", () => {
+    const all = roster();
+    let changes = 0;
+    all.onChange(() => changes += 1);
+    all.inOne(() => {
+        all.record(member("one", 0), "store", 0);
+        all.inOne(() => all.record(member("one", 1), "store", 0));
+        assert.equal(changes, 0);
+    });
+    all.inOne(() => all.record(member("one", 1), "store", 0));
+    assert.equal(changes, 1);
+});
+
+test("members: one that a peer has given up goes, unless it has just spoken here itself", () => {
+    const all = roster();
+    all.record(member("one", 0), "store", 0);
+    all.recordAlive(PEER, 1000);
+    all.recordGone(PEER, 2000);
+    assert.equal(all.members.length, 1);
+    assert.equal(all.isDoubtful(PEER, 2000), true);
+    all.recordGone(PEER, 6000);
+    assert.equal(all.members.length, 0);
+});
+
 test("members: listeners are called at changes only, and the daemon itself is no member", () => {
     const all = roster();
     let changes = 0;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,8 +1,8 @@
 /**
  * How daemons know each other where upstreams announce themselves.
  *
- * Owns this daemon's own record (the upstreams beside it) and the list of the others. The record goes to the registry and, by
- * gossip, to peers; others' records come the same two ways.
+ * Owns this daemon's own record (the upstreams beside it) and the list of the others. The record goes to the registry and to those that
+ * tell the rest; others' records come from the registry while it is this daemon's turn to watch it, and else from a watcher.
  */
 import type { Upstream } from "../config/upstream.js";
 import type { Message } from "../datagram/message.js";
@@ -10,6 +10,7 @@
 import type { ConfigurationPuller } from "../distribution/configurationpuller.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import type { DocumentWatcher } from "../distribution/documentwatcher.js";
+import type { StoreWatch } from "../distribution/storewatch.js";
 import type { Address } from "../ids/address.js";
 import type { Incarnation } from "../ids/incarnation.js";
 import type { ServiceName } from "../ids/servicename.js";
@@ -17,26 +18,22 @@
 import type { PeerClient } from "../peer/peerclient.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
-import { Ticker } from "../time/ticker.js";
 import type { Member } from "../wire/member.js";
-import type { Announcement } from "./announcement.js";
-import { AnnouncementServer } from "./announcementserver.js";
-import { Claims } from "./claims.js";
-import { findUpstream } from "./findupstream.js";
+import type { RecordChanges } from "../wire/recordchanges.js";
+import type { RecordsMark } from "../wire/recordsmark.js";
 import { Gossip } from "./gossip.js";
 import { LearnedShares } from "./learnedshares.js";
-import { LocalUpstreams } from "./localupstreams.js";
 import { MemberList } from "./memberlist.js";
 import type { MembershipSettings } from "./membershipsettings.js";
-import { occupantOf } from "./occupantof.js";
+import { MembershipWatch } from "./membershipwatch.js";
+import { OwnUpstreams } from "./ownupstreams.js";
+import { RecordFollower } from "./recordfollower.js";
 import { RecordPublisher } from "./recordpublisher.js";
 import type { Registry } from "./registry.js";
 import { RegistryWatcher } from "./registrywatcher.js";
+import { relaysOf } from "./relaysof.js";
 import { upstreamsOf } from "./upstreamsof.js";
 
-/** How often upstreams that have fallen silent are looked for, in milliseconds: a fraction of the silence that ends one. */
-const SWEEP_EVERY_MS = 1000;
-
 /** What membership needs of the rest of the daemon. */
 type MembershipParts = {
     readonly self: Address;
@@ -59,65 +56,41 @@
 /** Started once, stopped once; `startLeaving` comes before the stop. */
 export class Membership {
     readonly gossip: Gossip;
-    readonly #local = new LocalUpstreams();
-    readonly #claims: Claims;
+    readonly #own: OwnUpstreams;
     readonly #others: MemberList;
     readonly #publisher: RecordPublisher;
-    readonly #watcher: RegistryWatcher;
-    readonly #announcements: AnnouncementServer;
+    readonly #records: RegistryWatcher;
+    readonly #watch: MembershipWatch;
     readonly #shares: LearnedShares;
-    readonly #sweep = new Ticker(SWEEP_EVERY_MS, () => this.#look());
     #listener: () => void = () => {};
     #version = 0;
     #isLeaving = false;
-    #storeFailed = false;
 
     constructor(private readonly parts: MembershipParts) {
-        const { self, registry, clock, random, send, configuration, puller, peer } = parts;
-        const member = (): Member => this.member;
         this.#shares = new LearnedShares(parts);
-        this.#claims = new Claims(
-            this.#local,
-            ({ address, service }) => occupantOf(address, parts.healthPath(service), parts.dialect),
-        );
-        this.#others = new MemberList(self);
-        this.#others.onChange(() => this.#listener());
-        this.#publisher = new RecordPublisher({
-            registry,
-            member,
-            onTrouble: () => this.#storeFailed = true,
-            onSuccess: () => this.#storeAnswered(),
-        });
-        this.#watcher = new RegistryWatcher({
-            self,
-            registry,
-            members: this.#others,
-            clock,
-            onOwnGone: () => this.#publisher.publishSoon(),
-            onOwn: own => this.#shares.recordOwn(own),
-        });
-        this.gossip = new Gossip({
-            self,
-            members: this.#others,
-            member,
-            revision: () => configuration.revision,
-            pull: (revision, from) => puller.pull(revision, from),
-            ask: address => peer.members(address),
-            send,
-            clock,
-            random,
-        });
-        this.#announcements = new AnnouncementServer({
-            onAnnounced: (name, announcement) => this.#record(name, announcement),
-            onLeft: name => this.#remove(name),
+        this.#own = new OwnUpstreams({
+            ...parts,
+            onChange: () => this.#changed(),
+            onSweep: () => this.#tellNews(),
         });
+        this.#others = new MemberList(parts.self);
+        this.#others.onChange(() => this.#listener());
+        this.#publisher = this.#makePublisher();
+        this.#records = this.#makeRecords();
+        this.#watch = this.#makeWatch();
+        this.gossip = this.#makeGossip();
+    }
+
+    /** What is watched in the store while it is this daemon's turn. */
+    get watch(): StoreWatch {
+        return this.#watch;
     }
 
     /** This daemon's own record. */
     get member(): Member {
         const { self: gate, incarnation, settings } = this.parts;
         const { host, hall, region } = settings;
-        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#local.all);
+        const upstreams = this.#isLeaving ? [] : this.#shares.mark(this.#own.all);
         return { gate, host, hall, region, incarnation, version: this.#version, upstreams };
     }
 
@@ -128,7 +101,14 @@
 
     /** All upstreams that there are, those beside this daemon too. */
     get upstreams(): Upstream[] {
-        return [...upstreamsOf({ ...this.member, upstreams: this.#local.all }), ...this.#others.upstreams];
+        return [...upstreamsOf({ ...this.member, upstreams: this.#own.all }), ...this.#others.upstreams];
+    }
+
+    /** What a peer lacks whose copy of this list has come so far, or has none; this daemon's own record is always there. */
+    changesSince(have: RecordsMark | undefined): RecordChanges {
+        const { incarnation: life } = this.parts;
+        const { complete, members, gone } = this.#others.changesSince(have?.life === life ? have.at : undefined);
+        return { mark: { life, at: this.#others.changes }, complete, members: [this.member, ...members], gone };
     }
 
     /** Where upstreams of the service were found to slow down, of their slots; undefined while that is not known. */
@@ -143,81 +123,87 @@
 
     /** Watches the store anew: what waits may wait on a connection that carries nothing any more. */
     renewWatches(): void {
-        this.#watcher.renew();
-        this.parts.watcher.renew();
+        this.#watch.renew();
     }
 
     async start(): Promise<void> {
-        const { announce } = this.parts.settings;
-        if (announce !== undefined) {
-            await this.#announcements.listen(announce);
-        }
-        this.#watcher.start();
-        void Promise.all([this.#findUpstream(), this.#watcher.begun]).then(() => {
+        await this.#own.listen();
+        void Promise.all([this.#own.find(), this.#records.readOld()]).then(() => {
             this.#nextVersion();
             this.#publisher.start();
         });
-        this.parts.watcher.set(true);
         this.gossip.start();
-        this.#sweep.start();
     }
 
     /** Tells peers and the store that this daemon serves no upstream any more; the daemon itself goes on. */
     async startLeaving(): Promise<void> {
         this.#isLeaving = true;
-        this.#version += 1;
+        this.#own.startLeaving();
+        this.#nextVersion();
         this.gossip.announceRecord();
         await this.#publisher.stop();
     }
 
     stop(): void {
-        this.#sweep.stop();
         this.gossip.announceStop();
         this.gossip.stop();
-        this.#watcher.stop();
-        this.parts.watcher.set(false);
-        this.#announcements.close();
+        this.#watch.set(false);
+        this.#own.stop();
     }
 
-    /** Resolves when an upstream is known, or none was found for a while: no record without one is published before. */
-    async #findUpstream(): Promise<void> {
-        const { settings, dialect, healthPath, clock } = this.parts;
-        const { upstream: address, callerService: service } = settings;
-        if (address === undefined || service === undefined) {
-            return;
-        }
-        const isWanted = (): boolean => this.#local.all.length === 0 && !this.#isLeaving;
-        const found = await findUpstream({
-            address,
-            service,
-            dialect,
-            path: () => healthPath(service),
-            isWanted,
+    #makePublisher(): RecordPublisher {
+        const { registry, clock } = this.parts;
+        return new RecordPublisher({
+            registry,
+            member: () => this.member,
+            onTrouble: () => this.#watch.recordFailure(),
+            onSuccess: () => this.#watch.recordAnswer(clock()),
+        });
+    }
+
+    #makeRecords(): RegistryWatcher {
+        const { self, registry, clock } = this.parts;
+        return new RegistryWatcher({
+            self,
+            registry,
+            members: this.#others,
             clock,
+            onOwnGone: () => this.#publisher.publishSoon(),
+            onOwn: own => this.#shares.recordOwn(own),
         });
-        if (found !== undefined && isWanted()) {
-            await this.#record(found.name, found.announcement);
-        }
     }
 
-    async #record(name: UpstreamName, announcement: Announcement): Promise<void> {
-        if (await this.#claims.record(name, announcement, this.parts.clock())) {
-            this.#changed();
-        }
+    #makeWatch(): MembershipWatch {
+        const { incarnation, watcher, clock, peer } = this.parts;
+        const members = this.#others;
+        return new MembershipWatch({
+            incarnation,
+            members,
+            records: this.#records,
+            configuration: watcher,
+            follower: new RecordFollower({ members, clock, ask: (address, have) => peer.records(address, have) }),
+        });
     }
 
-    #remove(name: UpstreamName): void {
-        if (this.#local.remove(name)) {
-            this.#changed();
-        }
+    #makeGossip(): Gossip {
+        const { self, settings, configuration, puller, peer, send, clock, random } = this.parts;
+        return new Gossip({
+            self,
+            members: this.#others,
+            member: () => this.member,
+            relays: () => relaysOf(this.members, settings.hall, self),
+            revision: () => configuration.revision,
+            pull: (revision, from) => puller.pull(revision, from),
+            askOwn: address => peer.member(address),
+            askAll: address => peer.records(address, undefined),
+            send,
+            clock,
+            random,
+        });
     }
 
-    #look(): void {
-        const now = this.parts.clock();
-        if (this.#local.removeSilent(now).length > 0) {
-            this.#changed();
-        }
-        else if (!this.#isLeaving && this.#shares.hasNews(this.#local.all, this.#others.hosted, now)) {
+    #tellNews(): void {
+        if (this.#shares.hasNews(this.#own.all, this.#others.hosted, this.parts.clock())) {
             this.#tell();
         }
     }
@@ -237,14 +223,7 @@
 
     #nextVersion(): void {
         this.#version += 1;
-        this.#shares.tell(this.#local.all, this.#others.hosted);
-    }
-
-    /** Watches that were waiting when the store failed may wait for ever. */
-    #storeAnswered(): void {
-        if (this.#storeFailed) {
-            this.#storeFailed = false;
-            this.renewWatches();
-        }
+        this.#others.countOwnChange();
+        this.#shares.tell(this.#own.all, this.#others.hosted);
     }
 }
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -10,8 +10,8 @@
     abstract renew(): Promise<boolean>;
     /** Takes the record back. */
     abstract withdraw(): Promise<void>;
-    /** All records, and where to watch from. */
-    abstract list(): Promise<{ readonly members: Member[]; readonly at: number; }>;
+    /** All records, and where to watch from; stale ones cost the store less and may be seconds old: nothing is watched from there. */
+    abstract list(age: "newest" | "stale"): Promise<{ readonly members: Member[]; readonly at: number; }>;
     /** Waits for changes after `after`; throws a HistoryError when they are no longer kept. */
     abstract watch(
         after: number,
--- a/src/membership/registrywatcher.ts
+++ b/src/membership/registrywatcher.ts
@@ -1,4 +1,4 @@
-/** Follows the records of all daemons. */
+/** Follows the records of all daemons in the store. */
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
 import { HistoryError } from "../store/historyerror.js";
@@ -24,16 +24,12 @@
     readonly onOwn: (member: Member) => void;
 };
 
-/** One loop: reads all records, then what changes. */
+/** Reads all records once; then, while it is this daemon's turn, all records and what changes. */
 export class RegistryWatcher {
     readonly #loop: StoreLoop;
-    /** Resolves when the records have been read for the first time, or could not be. */
-    readonly begun: Promise<void>;
-    #begin: () => void = () => {};
     #at: number | undefined;
 
     constructor(private readonly parts: WatcherParts) {
-        this.begun = new Promise(resolve => this.#begin = resolve);
         this.#loop = new StoreLoop({
             step: signal => this.#step(signal),
             failed: err => logger.warn("The records could not be followed.", err),
@@ -41,12 +37,19 @@
         });
     }
 
-    start(): void {
-        this.#loop.start();
+    /** True when the list of daemons is the store's, as far as it has answered. */
+    get isFollowing(): boolean {
+        return this.#loop.running && this.#at !== undefined;
     }
 
-    stop(): void {
-        this.#loop.stop();
+    /** Starts or ends the watch. */
+    set(watch: boolean): void {
+        if (watch) {
+            this.#loop.start();
+        }
+        else {
+            this.#loop.stop();
+        }
     }
 
     /** Watches anew: what waits may wait on a connection that carries nothing any more. */
@@ -54,10 +57,26 @@
         this.#loop.renew();
     }
 
+    /**
+     * Reads what the store has at a start, maybe seconds old, for a tenth of a call: who was there before is enough to find a watcher of
+     * the hall, which tells the rest. Resolves when the store has answered or failed.
+     */
+    async readOld(): Promise<void> {
+        try {
+            const { members } = await this.parts.registry.list("stale");
+            this.#applyAll(members, false);
+        }
+        catch (err) {
+            logger.warn("The records could not be read at the start.", err);
+        }
+    }
+
     async #step(signal: AbortSignal): Promise<void> {
         if (this.#at === undefined || !await this.#watch(this.#at, signal)) {
             this.#at = undefined;
-            await this.#readAll().finally(() => this.#begin());
+            const { members, at } = await this.parts.registry.list("newest");
+            this.#applyAll(members, true);
+            this.#at = at;
         }
     }
 
@@ -65,7 +84,7 @@
     async #watch(after: number, signal: AbortSignal): Promise<boolean> {
         try {
             const { events, at } = await this.parts.registry.watch(after, signal);
-            events.forEach(event => this.#apply(event));
+            this.parts.members.inOne(() => events.forEach(event => this.#apply(event)));
             this.#at = at;
             return true;
         }
@@ -77,18 +96,23 @@
         }
     }
 
-    async #readAll(): Promise<void> {
-        const { members: known, clock } = this.parts;
-        const { members, at } = await this.parts.registry.list();
+    /** A member that is not among the newest has no record any more. */
+    #applyAll(members: readonly Member[], areNewest: boolean): void {
+        const { members: known, clock, self, onOwn } = this.parts;
         const now = clock();
-        const own = members.find(member => member.gate === this.parts.self);
+        const own = members.find(member => member.gate === self);
         if (own !== undefined) {
-            this.parts.onOwn(own);
+            onOwn(own);
         }
-        const listed = new Set(members.map(member => member.gate));
-        members.forEach(member => known.record(member, "store", now));
-        known.members.filter(member => !listed.has(member.gate)).forEach(member => known.recordLapse(member.gate, now));
-        this.#at = at;
+        known.inOne(() => {
+            members.forEach(member => known.record(member, "store", now));
+            if (areNewest) {
+                const listed = new Set(members.map(member => member.gate));
+                known.members.filter(({ gate }) => !listed.has(gate)).forEach(({ gate }) =>
+                    known.recordLapse(gate, now)
+                );
+            }
+        });
     }
 
     #apply(event: RegistryEvent): void {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -5,6 +5,7 @@
 import type { TeamName } from "../ids/teamname.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { ConnectionKind } from "./connectionkind.js";
+import type { StoreCallKind } from "./storecallkind.js";
 
 /** Milliseconds. */
 const MS_PER_SECOND = 1000;
@@ -46,6 +47,12 @@
         labelNames: ["kind"] as const,
         registers: [this.registry],
     });
+    readonly #storeCalls = new Counter({
+        name: "winglock_store_calls_total",
+        help: "Calls of the store, by what they ask for.",
+        labelNames: ["kind"] as const,
+        registers: [this.registry],
+    });
     readonly #messages = new Counter({
         name: "winglock_control_messages_total",
         help: "Messages and calls sent for control.",
@@ -61,14 +68,21 @@
 
     /** Shows how long ago the store confirmed the configuration, asked for at each scrape; in milliseconds. */
     showAge(ageMs: () => number): void {
-        new Gauge({
-            name: "winglock_configuration_age_seconds",
-            help: "Time since the store last confirmed the revision.",
-            registers: [this.registry],
-            collect() {
-                this.set(ageMs() / MS_PER_SECOND);
-            },
-        });
+        this.#show(
+            "winglock_configuration_age_seconds",
+            "Time since the store last confirmed the revision.",
+            () => ageMs() / MS_PER_SECOND,
+        );
+    }
+
+    /** Shows how many daemons are known, this one too, and whether this one watches the store; asked for at each scrape. */
+    showMembership(members: () => number, watches: () => boolean): void {
+        this.#show("winglock_members", "Daemons that are known, this one too.", members);
+        this.#show(
+            "winglock_watches_store",
+            "1 while this daemon watches the store for its hall.",
+            () => Number(watches()),
+        );
     }
 
     /** Records the end of a caller's request; the label is `tenant`, by which dashboards know teams. */
@@ -95,12 +109,28 @@
         this.#silent.inc({ kind });
     }
 
+    /** Records a call of the store. */
+    storeCalled(kind: StoreCallKind): void {
+        this.#storeCalls.inc({ kind });
+    }
+
     /** Records what was sent for control. */
     spent(kind: Spending, bytes: number): void {
         this.#messages.inc({ kind });
         this.#bytes.inc({ kind }, bytes);
     }
 
+    #show(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+
     #gauge(name: string, help: string): Gauge {
         return new Gauge({ name, help, registers: [this.registry] });
     }
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,15 +1,16 @@
 /** Calls a peer; every call is bounded in time. */
-import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { createTRPCClient, type TRPCClient } from "@trpc/client";
 import { Agent } from "undici";
-import { z } from "zod";
 import { parse } from "../config/parse.js";
 import type { Update } from "../config/update.js";
 import { headerName } from "../dialect/headername.js";
-import { httpStatus } from "../http/httpstatus.js";
 import type { Address } from "../ids/address.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import { log } from "../log/log.js";
 import { Member } from "../wire/member.js";
+import { RecordChanges } from "../wire/recordchanges.js";
+import type { RecordsMark } from "../wire/recordsmark.js";
+import { callLink } from "./calllink.js";
 import type { GateStatus } from "./gatestatus.js";
 import type { PeerOptions } from "./peeroptions.js";
 import type { peerRouter } from "./peerrouter.js";
@@ -27,10 +28,6 @@
 
 type Client = TRPCClient<typeof peerRouter>;
 
-/** What trpc asks of a fetch, and all that it reads of the answer. */
-type CallOptions = Pick<RequestInit, "body" | "headers" | "method" | "signal">;
-type CallAnswer = { readonly ok: boolean; readonly status: number; readonly json: () => Promise<unknown>; };
-
 /** One client for all peers. */
 export class PeerClient {
     #agent: Agent;
@@ -69,9 +66,14 @@
         return await this.#client(address).update.query({ have }, this.#bound()) as Update | undefined;
     }
 
-    /** The daemons that the peer knows, itself first. */
-    async members(address: Address): Promise<Member[]> {
-        return parse(z.array(Member), await this.#client(address).members.query(undefined, this.#bound()));
+    /** The peer's own record. */
+    async member(address: Address): Promise<Member> {
+        return parse(Member, await this.#client(address).member.query(undefined, this.#bound()));
+    }
+
+    /** What the peer's list of daemons has beyond a mark, or all of it. */
+    async records(address: Address, have: RecordsMark | undefined): Promise<RecordChanges> {
+        return parse(RecordChanges, await this.#client(address).records.query({ have }, this.#bound()));
     }
 
     status(address: Address): Promise<GateStatus[]> {
@@ -94,32 +96,16 @@
         return { signal: AbortSignal.timeout(timeoutMs) };
     }
 
-    async #fetch(url: URL, { body, headers, method, signal }: CallOptions): Promise<CallAnswer> {
-        const answer = await this.#agent.request({
-            origin: url.origin,
-            path: url.pathname + url.search,
-            method: method as "GET",
-            headers: headers as Record<string, string>,
-            body: body as string | undefined,
-            signal,
-        });
-        return {
-            ok: answer.statusCode < httpStatus.multipleChoices,
-            status: answer.statusCode,
-            json: () => answer.body.json(),
-        };
-    }
-
     #client(address: Address): Client {
         const known = this.#clients.get(address);
         if (known !== undefined) {
             return known;
         }
         const client = createTRPCClient<typeof peerRouter>({
-            links: [httpLink({
-                url: `http://${address}/trpc`,
-                headers: { [headerName.key]: this.options.key },
-                fetch: (url, init) => this.#fetch(new URL(String(url)), init as CallOptions),
+            links: [callLink(async (call, signal) => {
+                const headers = { [headerName.key]: this.options.key, "content-type": "application/json" };
+                const { body } = await this.#agent.request({ origin: `http://${address}`, ...call, headers, signal });
+                return await body.json();
             })],
         });
         this.#clients.set(address, client);
--- a/src/peer/peerrouter.ts
+++ b/src/peer/peerrouter.ts
@@ -1,18 +1,22 @@
 /** The calls between daemons that carry no bodies. */
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import { RecordsMark } from "../wire/recordsmark.js";
 import type { PeerService } from "./peerservice.js";
 import { RevokeInput } from "./revokeinput.js";
 
 const t = initTRPC.context<{ service: PeerService; }>().create();
 
-/** hello, revoke, update, members, status. */
+/** hello, revoke, update, member, records, status. */
 export const peerRouter = t.router({
     hello: t.procedure.query(({ ctx }) => ctx.service.hello()),
     revoke: t.procedure.input(RevokeInput).mutation(({ ctx, input }) => ctx.service.revoke(input)),
     update: t.procedure
         .input(z.object({ have: z.int().min(0) }))
         .query(({ ctx, input }) => ctx.service.update(input.have)),
-    members: t.procedure.query(({ ctx }) => ctx.service.members()),
+    member: t.procedure.query(({ ctx }) => ctx.service.member()),
+    records: t.procedure
+        .input(z.object({ have: RecordsMark.optional() }))
+        .query(({ ctx, input }) => ctx.service.records(input.have)),
     status: t.procedure.query(({ ctx }) => ctx.service.status()),
 });
--- a/src/peer/peerservice.ts
+++ b/src/peer/peerservice.ts
@@ -3,6 +3,8 @@
 import type { Incarnation } from "../ids/incarnation.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import type { Member } from "../wire/member.js";
+import type { RecordChanges } from "../wire/recordchanges.js";
+import type { RecordsMark } from "../wire/recordsmark.js";
 import type { GateStatus } from "./gatestatus.js";
 import type { RevokeInput } from "./revokeinput.js";
 
@@ -14,7 +16,9 @@
     abstract revoke(input: RevokeInput): RevokeResult;
     /** What is newer than the revision `have`. */
     abstract update(have: number): Update | undefined;
-    /** The daemons that are known, this one first; none where the document names the upstreams. */
-    abstract members(): Member[];
+    /** This daemon's own record. */
+    abstract member(): Member;
+    /** What the list of daemons has beyond a mark, or all of it. Throws, as `member` does, where the document names the upstreams. */
+    abstract records(have: RecordsMark | undefined): RecordChanges;
     abstract status(): GateStatus[];
 }
--- a/src/store/countstoreevents.ts
+++ b/src/store/countstoreevents.ts
@@ -2,9 +2,10 @@
 import type { Metrics } from "../metrics/metrics.js";
 import type { StoreEvents } from "./storeevents.js";
 
-/** Bytes as spent for control, silent connections by their kind. */
+/** Calls by their kind, bytes as spent for control, silent connections by their kind. */
 export function countStoreEvents(metrics: Metrics): StoreEvents {
     return {
+        called: kind => metrics.storeCalled(kind),
         counted: bytes => metrics.spent("store", bytes),
         onSilent: () => metrics.silentConnection("store"),
     };
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -31,18 +31,30 @@
     }
 
     async read(): Promise<Stored> {
-        return await this.#client.call(StoredValue, { method: "GET", path: KEY_PATH, empty: [httpStatus.notFound] })
+        return await this.#client.call(StoredValue, {
+            kind: "find",
+            method: "GET",
+            path: KEY_PATH,
+            empty: [httpStatus.notFound],
+        })
             ?? NOTHING;
     }
 
     async write(value: string, version: number): Promise<boolean> {
         const path = `${KEY_PATH}?version=${version}`;
-        return await this.#client.isDone({ method: "PUT", path, body: value, empty: [httpStatus.conflict] });
+        return await this.#client.isDone({
+            kind: "write",
+            method: "PUT",
+            path,
+            body: value,
+            empty: [httpStatus.conflict],
+        });
     }
 
     watch(version: number, signal: AbortSignal): Promise<Stored | undefined> {
         const path = `${KEY_PATH}?after=${version}&waitMs=${WATCH_MS}`;
         return this.#client.call(StoredValue, {
+            kind: "watch-configuration",
             method: "GET",
             path,
             waitMs: WATCH_MS,
@@ -52,7 +64,7 @@
     }
 
     async hosts(): Promise<StoredHost[]> {
-        return (await this.#client.call(z.array(StoredHost), { method: "GET", path: HOSTS_PATH }))!;
+        return (await this.#client.call(z.array(StoredHost), { kind: "hosts", method: "GET", path: HOSTS_PATH }))!;
     }
 
     renewConnections(): void {
--- a/src/store/storeclient.ts
+++ b/src/store/storeclient.ts
@@ -9,6 +9,7 @@
 import { httpStatus } from "../http/httpstatus.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
+import type { StoreCallKind } from "../metrics/storecallkind.js";
 import { HistoryError } from "./historyerror.js";
 import { StoreError } from "./storeerror.js";
 import type { StoreEvents } from "./storeevents.js";
@@ -31,6 +32,7 @@
 };
 
 type Call = {
+    readonly kind: StoreCallKind;
     readonly method: "GET" | "PUT" | "POST" | "DELETE";
     readonly path: string;
     readonly headers?: Record<string, string>;
@@ -92,7 +94,8 @@
     }
 
     async #send(call: Call): Promise<{ readonly status: number; readonly text: string; }> {
-        const { method, path, headers, body } = call;
+        const { kind, method, path, headers, body } = call;
+        this.options.called(kind);
         try {
             const signal = this.#bound(call);
             const answer = await this.#pool.request({ method, path, headers, body, signal });
--- a/standin/store.ts
+++ b/standin/store.ts
@@ -33,7 +33,7 @@
             refuse: 0,
             silent: false,
             muteOpen: false,
-            from: "",
+            from: [],
             loseAnswers: 0,
             delayMs: 0,
             ratePerSecond: RATE_PER_SECOND,
@@ -122,7 +122,7 @@
 
     #strikes(req: IncomingMessage, res: ServerResponse): boolean {
         const { refuse, silent, from } = this.control;
-        if (from !== "" && req.socket.remoteAddress !== from) {
+        if (from.length > 0 && !from.includes(req.socket.remoteAddress ?? "")) {
             return false;
         }
         if (refuse !== 0) {
--- a/standin/storecontrol.ts
+++ b/standin/storecontrol.ts
@@ -11,8 +11,8 @@
     silent: boolean;
     /** Connections that are open now carry nothing more, without an end; once for each call. */
     muteOpen: boolean;
-    /** `refuse` and `silent` strike only callers with this IP; empty for all. */
-    from: string;
+    /** `refuse` and `silent` strike only callers with these IPs; empty for all. */
+    from: readonly string[];
     /** So many of the next writes are done and not answered. */
     loseAnswers: number;
     delayMs: number;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -38,7 +38,7 @@
 
 test("platform: a configuration is in force everywhere, also at a daemon that the store turns away", async () => {
     await withPlatform(async mesh => {
-        await mesh.strikeStore({ refuse: 503, from: mesh.host("pages-1").ip });
+        await mesh.strikeStore({ refuse: 503, from: [mesh.host("pages-1").ip] });
         await mesh.configure(platformConfiguration(5, [added]));
         await eventually("the rule serves at the others", () => serves(mesh, "/added/1", ["pages-2", "fees-1"]), 2000);
         await eventually("the rule serves everywhere", () => serves(mesh, "/added/1"), 6000);
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -30,15 +30,19 @@
         this.#store = new Child(script("standin/storemain.js"), [this.storeAddress], () => {});
     }
 
-    /** One instance of each service on each of three hosts a service. */
-    static async start(services: readonly string[] = ["pages", "fees"], each = 2): Promise<PlatformMesh> {
+    /** One instance of a service on each of so many hosts a service, in these halls by turns. */
+    static async start(
+        services: readonly string[] = ["pages", "fees"],
+        each = 2,
+        halls: readonly string[] = HALLS,
+    ): Promise<PlatformMesh> {
         const { run, lock } = await takeRunNumber();
         const hosts = services.flatMap((service, at) =>
             Array.from({ length: each }, (_, number) => ({
                 name: `${service}-${number + 1}`,
                 ip: `127.${run}.2.${1 + at * each + number}`,
                 service,
-                hall: HALLS[number % HALLS.length]!,
+                hall: halls[number % halls.length]!,
             }))
         );
         const mesh = new PlatformMesh(run, lock, hosts);
