--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -1,5 +1,4 @@
 /** The listener that peers send requests and calls to; it takes daemons only. Requests have a protocol of their own. */
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -22,7 +21,7 @@
 import { listen } from "../time/listen.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import type { CallHead } from "../wire/callhead.js";
-import { peerRouter } from "./peerrouter.js";
+import { answerCall } from "./answercall.js";
 import type { PeerService } from "./peerservice.js";
 
 /** A refusal has a note only. */
@@ -55,17 +54,11 @@
     readonly #server: Server;
     readonly #key: Buffer;
     readonly #sessions = new Set<LinkSession>();
-    readonly #trpc: (req: IncomingMessage, res: ServerResponse) => void;
     #calls = 0;
     #isClosing = false;
 
     constructor(private readonly parts: PeerServerParts) {
         this.#key = Buffer.from(parts.key);
-        this.#trpc = createHTTPHandler({
-            router: peerRouter,
-            basePath: "/trpc/",
-            createContext: () => ({ service: parts.service }),
-        });
         this.#server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, (req, res) => {
             this.#handle(req, res);
         });
@@ -129,7 +122,7 @@
             res.writeHead(httpStatus.forbidden).end();
             return;
         }
-        this.#trpc(req, res);
+        void answerCall(req, res, this.parts.service);
     }
 
     #isPeer(req: IncomingMessage): boolean {
