--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -19,7 +19,7 @@
  * One that knows nobody waits so long after the store has its own record: where a whole hall starts, the store has those of the others by
  * then, and one list tells of all; milliseconds, chosen.
  */
-const ALONE_MS = 1000;
+const ALONE_MS = 2500;
 
 /** Decides for one daemon; `startedAt` and all times are on its clock. */
 export class WatcherElection {
