--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -16,10 +16,10 @@
 /** Those further back in rank wait longer, so that a whole hall does not rush to the store; milliseconds each. */
 const STAGGER_MS = 200;
 /**
- * One that knows nobody waits so long after the store has its own record: where a whole hall starts, the store has those of the others by
- * then, and one list tells of all; milliseconds, chosen.
+ * One that knows nobody waits so long after the store has its own record: where a whole hall starts, it has found the others by then
+ * (membership/membership.ts), and need not watch to meet them. Milliseconds, chosen: four looks and one record that comes late.
  */
-const ALONE_MS = 2500;
+const ALONE_MS = 4000;
 
 /** Decides for one daemon; `startedAt` and all times are on its clock. */
 export class WatcherElection {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -18,6 +18,7 @@
 import type { PeerClient } from "../peer/peerclient.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
+import { sleep } from "../time/sleep.js";
 import type { Member } from "../wire/member.js";
 import type { RecordChanges } from "../wire/recordchanges.js";
 import type { RecordsMark } from "../wire/recordsmark.js";
@@ -34,6 +35,11 @@
 import { relaysOf } from "./relaysof.js";
 import { upstreamsOf } from "./upstreamsof.js";
 
+/** How often one that knows nobody looks for others, at a tenth of a call each, before it watches the store by itself. */
+const ALONE_LOOKS = 3;
+/** Milliseconds; all looks are over before a daemon that knows nobody watches (distribution/watcherelection.ts). */
+const ALONE_LOOK_EVERY_MS = 1000;
+
 /** What membership needs of the rest of the daemon. */
 type MembershipParts = {
     readonly self: Address;
@@ -128,13 +134,21 @@
 
     async start(): Promise<void> {
         await this.#own.listen();
-        void Promise.all([this.#own.find(), this.#records.readOld()]).then(() => {
-            this.#nextVersion();
-            this.#publisher.start();
-        });
+        void this.#begin();
         this.gossip.start();
     }
 
+    /** Publishes the own record; where nobody is known yet, the others may just have started too. */
+    async #begin(): Promise<void> {
+        await Promise.all([this.#own.find(), this.#records.readOld()]);
+        this.#nextVersion();
+        this.#publisher.start();
+        for (let look = 0; look < ALONE_LOOKS && this.#others.size === 0 && !this.#isLeaving; look++) {
+            await sleep(ALONE_LOOK_EVERY_MS);
+            await this.#records.readOld();
+        }
+    }
+
     /** Tells peers and the store that this daemon serves no upstream any more; the daemon itself goes on. */
     async startLeaving(): Promise<void> {
         this.#isLeaving = true;
