--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -16,8 +16,9 @@
 /** Those further back in rank wait longer, so that a whole hall does not rush to the store; milliseconds each. */
 const STAGGER_MS = 200;
 /**
- * One that knows nobody waits so long after the store has its own record: where a whole hall starts, it has found the others by then
- * (membership/membership.ts), and need not watch to meet them. Milliseconds, chosen: four looks and one record that comes late.
+ * One that knows nobody when the store has its own record waits so long: where a whole hall starts, all have found each other by then
+ * (membership/membership.ts), and those that need not watch never do. Milliseconds, chosen: the time within which records are written
+ * that are written at the start.
  */
 const ALONE_MS = 4000;
 
@@ -28,7 +29,7 @@
     #ownRank = -1;
     #enoughAt: number;
 
-    #reachedAt: number | undefined;
+    #mayWatchFrom: number | undefined;
 
     constructor(private readonly self: Address, startedAt: number) {
         this.#enoughAt = startedAt + GRACE_MS;
@@ -54,9 +55,12 @@
 
     /** True when this daemon should watch; one whom the store does not answer steps in for nobody. */
     shouldWatch(now: number, isStoreReached = true): boolean {
-        this.#reachedAt ??= isStoreReached ? now : undefined;
-        if (this.#ranked.length <= 1) {
-            return this.#reachedAt !== undefined && now - this.#reachedAt >= ALONE_MS;
+        const isAlone = this.#ranked.length <= 1;
+        if (isStoreReached) {
+            this.#mayWatchFrom ??= isAlone ? now + ALONE_MS : now;
+        }
+        if (isAlone && this.#mayWatchFrom === undefined || now < (this.#mayWatchFrom ?? now)) {
+            return false;
         }
         const better = this.#ownRank < 0 ? this.#ranked : this.#ranked.slice(0, this.#ownRank);
         if (this.#fresh(better, now).length >= WATCHERS) {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -35,7 +35,7 @@
 import { relaysOf } from "./relaysof.js";
 import { upstreamsOf } from "./upstreamsof.js";
 
-/** How often one that knows nobody looks for others, at a tenth of a call each, before it watches the store by itself. */
+/** How often one that knew nobody looks for others, at a tenth of a call each, before it watches the store by itself. */
 const ALONE_LOOKS = 3;
 /** Milliseconds; all looks are over before a daemon that knows nobody watches (distribution/watcherelection.ts). */
 const ALONE_LOOK_EVERY_MS = 1000;
@@ -138,12 +138,13 @@
         this.gossip.start();
     }
 
-    /** Publishes the own record; where nobody is known yet, the others may just have started too. */
+    /** Publishes the own record; where nobody was known before, the others may just have started too. */
     async #begin(): Promise<void> {
         await Promise.all([this.#own.find(), this.#records.readOld()]);
         this.#nextVersion();
         this.#publisher.start();
-        for (let look = 0; look < ALONE_LOOKS && this.#others.size === 0 && !this.#isLeaving; look++) {
+        const isAlone = this.#others.size === 0;
+        for (let look = 0; look < ALONE_LOOKS && isAlone && !this.#isLeaving; look++) {
             await sleep(ALONE_LOOK_EVERY_MS);
             await this.#records.readOld();
         }
