--- a/src/daemon/bootstrap.ts
+++ b/src/daemon/bootstrap.ts
@@ -1,4 +1,9 @@
-/** Gets a configuration at start: the highest of what the store and the seeds give. */
+/**
+ * Gets a configuration at start: the highest of what the store and the seeds give.
+ *
+ * What the store gives may be some seconds old, which a daemon that has just started is anyhow to its peers: the next heartbeat of a
+ * watcher, or the watch itself, brings what is newer.
+ */
 import type { ConfigurationPuller } from "../distribution/configurationpuller.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import { decodeDocument } from "../distribution/decodedocument.js";
@@ -12,9 +17,11 @@
 const readStore = async (store: Store, configuration: CurrentConfiguration, clock: Clock): Promise<void> => {
     const askedAt = clock();
     try {
-        const { value } = await store.read();
-        configuration.apply(decodeDocument(value));
-        configuration.confirm(configuration.revision, askedAt);
+        const { stored, isNewest } = await store.readOld();
+        configuration.apply(decodeDocument(stored.value));
+        if (isNewest) {
+            configuration.confirm(configuration.revision, askedAt);
+        }
     }
     catch (err) {
         logger.warn("The store gave no configuration.", err);
--- a/src/distribution/documentwatcher.ts
+++ b/src/distribution/documentwatcher.ts
@@ -22,7 +22,7 @@
             step: signal => this.#watchOnce(signal),
             failed: err =>
                 logger.warn("The watch of the configuration failed.", err, { revision: configuration.revision }),
-            pauseMs: 0,
+            pauseMs: () => 0,
         });
     }
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -171,6 +171,7 @@
         return new RecordPublisher({
             registry,
             member: () => this.member,
+            isWatching: () => this.#watch.watching,
             onTrouble: () => this.#watch.recordFailure(),
             onSuccess: () => this.#watch.recordAnswer(clock()),
         });
--- a/src/membership/membershipwatch.ts
+++ b/src/membership/membershipwatch.ts
@@ -12,7 +12,7 @@
 import type { RecordFollower } from "./recordfollower.js";
 import type { RegistryWatcher } from "./registrywatcher.js";
 
-/** Two renewals of the own record and a call's time limit, in milliseconds: by then the store does not answer this daemon. */
+/** Two renewals of the own record, a watcher's (recordpublisher.ts), and half a second: by then the store does not answer. Milliseconds. */
 const REACHED_MS = 4500;
 
 type WatchParts = {
--- a/src/membership/recordpublisher.ts
+++ b/src/membership/recordpublisher.ts
@@ -6,13 +6,17 @@
 
 const logger = log("roster");
 
-/** A quarter of the lease, in milliseconds. */
-const RENEW_EVERY_MS = 2000;
+/** A third of the lease, in milliseconds. */
+const RENEW_EVERY_MS = 3000;
+/** Others rely on a watcher's contact with the store, and each renewal shows whether it has any; milliseconds. */
+const RENEW_WATCHING_EVERY_MS = 2000;
 
 /** What the publisher needs; `onTrouble` is called when the store has failed, `onSuccess` when it has answered. */
 type PublisherParts = {
     readonly registry: Registry;
     readonly member: () => Member;
+    /** Whether this daemon watches the store for others. */
+    readonly isWatching: () => boolean;
     readonly onTrouble: () => void;
     readonly onSuccess: () => void;
 };
@@ -27,7 +31,7 @@
         this.#loop = new StoreLoop({
             step: () => this.#step(),
             failed: err => this.#failed(err),
-            pauseMs: RENEW_EVERY_MS,
+            pauseMs: () => parts.isWatching() ? RENEW_WATCHING_EVERY_MS : RENEW_EVERY_MS,
         });
     }
 
--- a/src/membership/registrywatcher.ts
+++ b/src/membership/registrywatcher.ts
@@ -33,7 +33,7 @@
         this.#loop = new StoreLoop({
             step: signal => this.#step(signal),
             failed: err => logger.warn("The records could not be followed.", err),
-            pauseMs: GATHER_MS,
+            pauseMs: () => GATHER_MS,
         });
     }
 
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -5,6 +5,10 @@
 /** All calls throw a StoreError. */
 export abstract class Store {
     abstract read(): Promise<Stored>;
+    /** What the store had, maybe seconds ago, where that costs it less; else the newest. */
+    async readOld(): Promise<{ readonly stored: Stored; readonly isNewest: boolean; }> {
+        return { stored: await this.read(), isNewest: true };
+    }
     /** Writes if the version is still `version`; false when it is not. */
     abstract write(value: string, version: number): Promise<boolean>;
     /** Waits for a version above `version`; undefined when none came in time. */
--- a/src/store/storeloop.ts
+++ b/src/store/storeloop.ts
@@ -9,7 +9,7 @@
     /** Told of each step that failed; the next one follows after a pause that grows with each failure in a row. */
     readonly failed: (err: unknown) => void;
     /** The pause after a step that did not fail. */
-    readonly pauseMs: number;
+    readonly pauseMs: () => number;
 };
 
 /** One loop at a time; it may be started again after a stop. */
@@ -72,8 +72,9 @@
 
     async #rest(): Promise<void> {
         this.#pause = new AbortController();
-        if (!this.#isWoken && this.parts.pauseMs > 0) {
-            await sleep(this.parts.pauseMs, this.#pause.signal);
+        const pauseMs = this.parts.pauseMs();
+        if (!this.#isWoken && pauseMs > 0) {
+            await sleep(pauseMs, this.#pause.signal);
         }
     }
 }
