Failure detection looks at who is sent to, and only a watcher has a tick of 50 ms

Cause: a look at each upstream 20 times a second, 4,000 a second at a daemon among 195, most of which are sent nothing for seconds.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -73,7 +73,7 @@
     makeDocument(count).upstreams.map(upstream => {
         const options = { localIp: "127.0.0.1", key: "k", clock: () => performance.now(), onSilent: () => {} };
         const hop = new RemoteHop(upstream.gate, undefined as never, options);
-        const view = new UpstreamView(upstream, hop, upstream.hall === hall, false);
+        const view = new UpstreamView(upstream, { hop, near: upstream.hall === hall, local: false, onSent: () => {} });
         view.recordReport({ running: 3, waiting: 0, limit: 12, serviceMs: 10, baseMs: 10 }, 0);
         return view;
     });
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -24,8 +24,10 @@
 import type { StoreWatch } from "./storewatch.js";
 import type { WatcherElection } from "./watcherelection.js";
 
-/** How often heartbeats that are due are sent: a round of 2 s in 40 parts. */
+/** How often heartbeats that are due are sent by one that watches: a round of 2 s in 40 parts. */
 const TICK_MS = 50;
+/** How often it is asked whose turn it is: about the time by which those further back in rank wait longer each. Milliseconds. */
+const ELECT_EVERY_MS = 200;
 /** How often a watcher reads the platform's list of hosts, which lags by more than that; docs/CAPACITY.md reckons with it. */
 const HOSTS_EVERY_MS = 1000;
 /** An age is sent as a number, and this stands for never. */
@@ -61,9 +63,10 @@
 export class HallHeartbeats {
     readonly #sender: HeartbeatSender;
     readonly #tickers = [
-        new Ticker(TICK_MS, () => this.#tick()),
+        new Ticker(ELECT_EVERY_MS, () => this.#elect()),
         new Ticker(HOSTS_EVERY_MS, () => void this.#askHosts()),
     ];
+    readonly #beats = new Ticker(TICK_MS, () => this.#tick());
     /** The list of daemons that was told last, and when. */
     #toldRecords = 0;
     #toldAt = -Infinity;
@@ -84,7 +87,7 @@
 
     stop(): void {
         this.#tickers.forEach(ticker => ticker.stop());
-        this.parts.watch.set(false);
+        this.#watch(false);
     }
 
     /** Applies who is where; to be called when that has changed. */
@@ -119,13 +122,28 @@
         return watch.watching && watch.isReached(now);
     }
 
-    #tick(): void {
-        const { clock, election, watch, self } = this.parts;
+    #elect(): void {
+        const { clock, election, watch } = this.parts;
         const now = clock();
-        watch.set(election.shouldWatch(now, watch.isReached(now)));
-        if (!watch.watching) {
+        this.#watch(election.shouldWatch(now, watch.isReached(now)));
+    }
+
+    #watch(watch: boolean): void {
+        if (this.watching === watch) {
             return;
         }
+        this.parts.watch.set(watch);
+        if (watch) {
+            this.#beats.start();
+        }
+        else {
+            this.#beats.stop();
+        }
+    }
+
+    #tick(): void {
+        const { clock, election, self } = this.parts;
+        const now = clock();
         election.recordHeartbeat(self, this.#isWatching(now), now);
         this.#tellRecords(now);
         this.#sender.tick(now);
--- a/src/failuredetection/failuredetector.ts
+++ b/src/failuredetection/failuredetector.ts
@@ -24,7 +24,10 @@
     readonly send: (to: Address, message: Message) => boolean;
 };
 
-/** Looks at all upstreams but those beside this daemon. */
+/**
+ * Looks at the upstreams that requests are sent to, but those beside this daemon: where there are hundreds, most are sent nothing for
+ * seconds, and a look at each one 20 times a second was 4,000 looks a second at a daemon among 195.
+ */
 export class FailureDetector {
     readonly #answersPings = new Set<Address>();
     readonly #ticker = new Ticker(TICK_MS, () => this.#tick());
@@ -52,20 +55,23 @@
 
     #tick(): void {
         const now = this.parts.clock();
-        for (const view of this.parts.upstreams.all) {
-            if (!view.local) {
-                this.#check(view, now);
-            }
+        for (const view of this.parts.upstreams.unsettled) {
+            this.#check(view, now);
         }
     }
 
     #check(view: UpstreamView, now: number): void {
-        const action = view.silence.decide({
+        const known = {
             outstanding: view.outstanding,
             serviceMs: view.report?.serviceMs ?? 0,
             answersPings: this.#answersPings.has(view.settings.gate),
             isSuspected: view.suspicion.suspected,
-        }, now);
+        };
+        if (view.local || view.silence.isSettled(known)) {
+            this.parts.upstreams.settle(view);
+            return;
+        }
+        const action = view.silence.decide(known, now);
         if (action.type === "suspect") {
             view.suspect(now, this.#hasAlternative(view, now));
         }
--- a/src/ingress/attempt.test.ts
+++ b/src/ingress/attempt.test.ts
@@ -11,7 +11,12 @@
 const refusedFor = async (reason: Reason): Promise<UpstreamView> => {
     const hop = { send: () => Promise.reject(new HopError("not-run", reason)) };
     const settings = { name: "u", service: "s", gate: "127.0.0.1:1", slots: 4, draining: false };
-    const target = new UpstreamView(settings as never, hop as never, true, false);
+    const target = new UpstreamView(settings as never, {
+        hop: hop as never,
+        near: true,
+        local: false,
+        onSent: () => {},
+    });
     const attempt = new Attempt(target, { offer: undefined, arrival: "first" }, {
         ingress: { clock: () => 0, newId: () => "id", revision: () => 1, from: "127.0.0.1:2" },
         plan: { kind: "repeatable", rule: {}, service: { name: "s", maxWaitMs: 10 }, deadline: 1000, depth: 0 },
--- a/src/ingress/upstreamtable.ts
+++ b/src/ingress/upstreamtable.ts
@@ -13,12 +13,20 @@
 export class UpstreamTable {
     readonly #byName = new Map<UpstreamName, UpstreamView>();
     readonly #byService = new Map<ServiceName, UpstreamView[]>();
+    /** Those that requests have been sent to, until failure detection has nothing to ask there. */
+    readonly #unsettled = new Set<UpstreamView>();
     #upstreams: readonly Upstream[] = [];
 
     constructor(private readonly openHop: OpenHop) {}
 
-    get all(): Iterable<UpstreamView> {
-        return this.#byName.values();
+    /** Those that requests have been sent to since `settle`. */
+    get unsettled(): Iterable<UpstreamView> {
+        return this.#unsettled;
+    }
+
+    /** Leaves one out until the next request is sent there. */
+    settle(view: UpstreamView): void {
+        this.#unsettled.delete(view);
     }
 
     /** Applies which upstreams there are; what is known of those that stay is kept. */
@@ -33,6 +41,7 @@
             }
             else {
                 this.#byName.delete(name);
+                this.#unsettled.delete(view);
             }
         }
     }
@@ -63,7 +72,7 @@
             return known;
         }
         const { hop, near, local } = this.openHop(upstream);
-        const view = new UpstreamView(upstream, hop, near, local);
+        const view = new UpstreamView(upstream, { hop, near, local, onSent: sent => this.#unsettled.add(sent) });
         this.#byName.set(upstream.name, view);
         return view;
     }
--- a/src/ingress/upstreamview.ts
+++ b/src/ingress/upstreamview.ts
@@ -21,6 +21,14 @@
 import type { ReasonFacts } from "../policy/retry/reasonfacts.js";
 import type { AnswerNote } from "../wire/answernote.js";
 
+/** `near`: in this daemon's own data hall; `local`: beside this daemon; `onSent` is called with each request that is sent. */
+type ViewParts = {
+    readonly hop: Hop;
+    readonly near: boolean;
+    readonly local: boolean;
+    readonly onSent: (view: UpstreamView) => void;
+};
+
 /** One for each upstream of a service that requests are sent to. */
 export class UpstreamView implements Candidate, Selectable {
     /** Requests of this daemon that were sent there and have not ended. */
@@ -37,8 +45,19 @@
     /** Attempts that may be given up when the gate falls silent. */
     readonly #abandonable = new Set<Cancel>();
 
-    /** `near`: in this daemon's own data hall; `local`: beside this daemon. */
-    constructor(public settings: Upstream, readonly hop: Hop, readonly near: boolean, readonly local: boolean) {}
+    constructor(public settings: Upstream, private readonly way: ViewParts) {}
+
+    get hop(): Hop {
+        return this.way.hop;
+    }
+
+    get near(): boolean {
+        return this.way.near;
+    }
+
+    get local(): boolean {
+        return this.way.local;
+    }
 
     get upstream(): UpstreamName {
         return this.settings.name;
@@ -78,6 +97,7 @@
         this.outstanding += 1;
         this.suspicion.probe(now);
         this.silence.sent(now);
+        this.way.onSent(this);
         if (cancel !== undefined) {
             this.#abandonable.add(cancel);
         }
--- a/src/policy/failure/silence.test.ts
+++ b/src/policy/failure/silence.test.ts
@@ -28,6 +28,19 @@
     assert.deepEqual(silence.decide({ ...known, serviceMs: 400 }, 601), { type: "ping", why: "silent" });
 });
 
+test("silence: nothing is due where nothing is owed, asked or doubted", () => {
+    const silence = new Silence();
+    const quiet = { ...known, outstanding: 0 };
+    assert.equal(silence.isSettled(quiet), true);
+    assert.equal(silence.isSettled(known), false);
+    assert.equal(silence.isSettled({ ...quiet, isSuspected: true }), false);
+    silence.pinged(0);
+    assert.equal(silence.isSettled(quiet), false);
+    silence.heard(0, 10);
+    assert.equal(silence.isSettled(quiet), true);
+    assert.equal(silence.isSettled({ ...quiet, answersPings: false }), false, "heard, and never asked");
+});
+
 test("silence: a sign of life ends it, and a gate that never answered a ping is not suspected", () => {
     const silence = new Silence();
     silence.sent(0);
--- a/src/policy/failure/silence.ts
+++ b/src/policy/failure/silence.ts
@@ -65,6 +65,12 @@
         this.#pingedAt = now;
     }
 
+    /** True while nothing is due here, until the next request is sent. */
+    isSettled({ outstanding, answersPings, isSuspected }: SilenceInput): boolean {
+        const isKnown = answersPings || this.#heardAt === undefined;
+        return outstanding === 0 && isKnown && !isSuspected && this.#pingedAt === undefined;
+    }
+
     /** What to do now; a ping that timed out is counted. */
     decide(input: SilenceInput, now: number): SilenceAction {
         if (this.#pingedAt !== undefined) {
