--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -21,6 +21,7 @@
 export class InstanceStandin extends StandinServer<InstanceControl> {
     #running = 0;
     #sequence = 0;
+    readonly #born = Date.now();
 
     constructor(private readonly options: InstanceOptions) {
         super({ state: "ready", workMs: 5, pace: 100, fault: "none", silent: false });
@@ -83,12 +84,20 @@
         }
         const { id, service, address, slots, daemon } = this.options;
         const { state } = this.control;
-        const body = JSON.stringify({ service, address, slots, state, coldMs: 0, sequence: this.#sequence++ });
+        const body = JSON.stringify({
+            service,
+            address,
+            slots,
+            state,
+            coldMs: 0,
+            born: this.#born,
+            sequence: this.#sequence++,
+        });
         try {
             const method = state === "left" ? "DELETE" : "POST";
             const answer = await fetch(`http://${daemon}/v1/upstreams/${id}`, {
                 method,
-                body: method === "POST" ? body : undefined,
+                body: method === "POST" ? body : JSON.stringify({ born: this.#born }),
             });
             return answer.ok;
         }
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
@@ -44,6 +44,20 @@
     }
 });
 
+test("days: those that hunts play have a comment, a name as their file, and troubles with a kind and a time", () => {
+    const folder = join(ROOT, "deploy/days");
+    const files = readdirSync(folder);
+    assert.ok(files.length >= 6);
+    for (const file of files) {
+        const text = readFileSync(join(folder, file), "utf8");
+        assert.match(text, /^# .+\.$|^# .+\?$/m, file);
+        assert.ok(text.includes(`name = "${file.replace(".toml", "")}"`), file);
+        const troubles = text.split("\n").filter(line => line.startsWith("    {"));
+        assert.ok(troubles.length >= 2, `${file}: what meets`);
+        troubles.forEach(line => assert.match(line, /kind = "[a-z_]+", at = [\d.]+/, file));
+    }
+});
+
 test("days: the player tells what came of each, and fails when a rule was broken or a day was not played", () => {
     const kept = play("site", "burst");
     assert.equal(kept.status, 0);
