Where the document names the upstreams, a daemon that knows nobody watches at once

Cause: the wait for others that start at the same moment held where the watch is the only way to the document: eight tests with meshes of the document's way red (503, no configuration yet).

--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -11,6 +11,13 @@
 import type { DaemonContext } from "./daemoncontext.js";
 import type { GateGroup } from "./gategroup.js";
 
+/**
+ * One that knows nobody when the store has its own record waits so long before it watches: where a whole hall starts, all have found each
+ * other by then (RegistryWatcher.lookAgain), and those that need not watch never do. Milliseconds, chosen: the time within which records
+ * are written that are written at the start.
+ */
+const ALONE_MS = 4000;
+
 /** From the document where it names the upstreams, by announcements where there is a registry; heartbeats carry both. */
 export class MembershipGroup {
     readonly heartbeats: HallHeartbeats;
@@ -111,7 +118,7 @@
             host: settings.host,
             configuration: current,
             puller,
-            election: new WatcherElection(self, clock()),
+            election: new WatcherElection(self, clock(), this.announced === undefined ? 0 : ALONE_MS),
             watch: this.announced?.watch ?? new ConfigurationWatch(watcher),
             places: () => this.#places(),
             leavingHosts: new LeavingHosts(environment.store),
--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -15,14 +15,11 @@
 const GRACE_MS = 2500;
 /** Those further back in rank wait longer, so that a whole hall does not rush to the store; milliseconds each. */
 const STAGGER_MS = 200;
+
 /**
- * One that knows nobody when the store has its own record waits so long: where a whole hall starts, all have found each other by then
- * (membership/membership.ts), and those that need not watch never do. Milliseconds, chosen: the time within which records are written
- * that are written at the start.
+ * Decides for one daemon; `startedAt` and all times are on its clock. One that knows nobody when the store has answered it waits for
+ * `aloneMs`, where there is another way to meet others that have just started; 0 where the watch is the only one.
  */
-const ALONE_MS = 4000;
-
-/** Decides for one daemon; `startedAt` and all times are on its clock. */
 export class WatcherElection {
     readonly #heartbeats = new Map<Address, number>();
     #ranked: readonly Address[] = [];
@@ -31,7 +28,7 @@
 
     #mayWatchFrom: number | undefined;
 
-    constructor(private readonly self: Address, startedAt: number) {
+    constructor(private readonly self: Address, startedAt: number, private readonly aloneMs = 0) {
         this.#enoughAt = startedAt + GRACE_MS;
     }
 
@@ -57,7 +54,7 @@
     shouldWatch(now: number, isStoreReached = true): boolean {
         const isAlone = this.#ranked.length <= 1;
         if (isStoreReached) {
-            this.#mayWatchFrom ??= isAlone ? now + ALONE_MS : now;
+            this.#mayWatchFrom ??= isAlone ? now + this.aloneMs : now;
         }
         if (isAlone && this.#mayWatchFrom === undefined || now < (this.#mayWatchFrom ?? now)) {
             return false;
--- a/src/membership/registrywatcher.ts
+++ b/src/membership/registrywatcher.ts
@@ -17,7 +17,7 @@
 
 /** How often one that knew nobody looks for others, at a tenth of a call each, before it watches the store by itself. */
 const ALONE_LOOKS = 3;
-/** Milliseconds; all looks are over before a daemon that knows nobody watches (distribution/watcherelection.ts). */
+/** Milliseconds; all looks are over before a daemon that knows nobody watches (daemon/membershipgroup.ts). */
 const ALONE_LOOK_EVERY_MS = 1000;
 
 /** What the watcher needs; `onOwnGone` is called when this daemon's own record is gone, `onOwn` with one that is found. */
