Status: instances that announce themselves, and a table by hall and service where there are many

An operator of a fleet whose upstreams announce themselves saw an empty status: it listed those that the document names. Of more than 40 upstreams there is a line for each service in each hall, who watches the store, who knows fewer daemons than others, and each one that needs a look.

--- /dev/null
+++ b/src/cli/halltable.ts
@@ -0,0 +1,48 @@
+/** The status of many upstreams, by hall and service. */
+import type { GetStatusResponse, UpstreamStatus } from "../gen/winglock/operator/v1/operator_pb.js";
+import { table } from "./table.js";
+
+const heads = ["hall", "service", "upstreams", "up", "leaving", "silent", "behind", "running", "waiting", "limit"];
+
+const sum = (lines: readonly UpstreamStatus[], read: (line: UpstreamStatus) => number): string =>
+    String(lines.reduce((total, line) => total + read(line), 0));
+
+const row = (lines: readonly UpstreamStatus[], revision: bigint): string[] => {
+    const count = (test: (line: UpstreamStatus) => boolean): string => String(lines.filter(test).length);
+    return [
+        lines[0]!.hall,
+        lines[0]!.service,
+        String(lines.length),
+        count(line => line.state === "up"),
+        count(line => line.state === "leaving"),
+        count(line => line.state === "silent"),
+        count(line => line.state !== "silent" && line.revision < revision),
+        sum(lines, line => line.running),
+        sum(lines, line => line.waiting),
+        sum(lines, line => line.limit),
+    ];
+};
+
+/** Who watches, and who knows fewer daemons than others do: 0 where the configuration names the upstreams. */
+const membershipLines = (upstreams: readonly UpstreamStatus[]): string[] => {
+    const halls = [...new Set(upstreams.map(line => line.hall))].sort();
+    const hosts = (lines: readonly UpstreamStatus[]): string => [...new Set(lines.map(line => line.host))].join(", ");
+    const watchers = halls.map(hall => {
+        const watching = upstreams.filter(line => line.hall === hall && line.watchesStore);
+        return `hall ${hall}: the store is watched by ${watching.length > 0 ? hosts(watching) : "none that serves"}`;
+    });
+    const most = Math.max(...upstreams.map(line => line.members));
+    const fewer = upstreams.filter(line => line.state !== "silent" && line.members < most);
+    return fewer.length === 0 ? watchers : [...watchers, `fewer daemons than ${most} are known to ${hosts(fewer)}`];
+};
+
+/** A line for each service in each hall, who watches the store, who knows less than others. */
+export function hallTable({ upstreams, revision }: GetStatusResponse): string {
+    const groups = new Map<string, UpstreamStatus[]>();
+    upstreams.forEach(line => {
+        const key = `${line.hall} ${line.service}`;
+        groups.set(key, [...groups.get(key) ?? [], line]);
+    });
+    const sorted = [...groups].sort(([a], [b]) => a < b ? -1 : 1).map(([, lines]) => row(lines, revision));
+    return [table(heads, sorted), ...membershipLines(upstreams)].join("\n");
+}
--- a/src/cli/statuscommand.ts
+++ b/src/cli/statuscommand.ts
@@ -1,5 +1,5 @@
 /** `winglock status`. */
-import { command } from "cmd-ts";
+import { command, flag } from "cmd-ts";
 import { commonArgs } from "./commonargs.js";
 import { OperatorClient } from "./operatorclient.js";
 import { output } from "./output.js";
@@ -9,9 +9,12 @@
 export const statusCommand = command({
     name: "status",
     description: "Shows each upstream's state, load and revision. Example: winglock status --json",
-    args: commonArgs,
-    handler: async ({ daemons, json }) => {
+    args: {
+        all: flag({ long: "all", description: "Shows each upstream, however many there are." }),
+        ...commonArgs,
+    },
+    handler: async ({ all, daemons, json }) => {
         const status = await new OperatorClient(daemons).call(operator => operator.getStatus({}));
-        output(json, status, statusTable(status));
+        output(json, status, statusTable(status, all));
     },
 });
--- /dev/null
+++ b/src/cli/statustable.test.ts
@@ -0,0 +1,61 @@
+import { create } from "@bufbuild/protobuf";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    type GetStatusResponse,
+    GetStatusResponseSchema,
+    type UpstreamStatus,
+    UpstreamStatusSchema,
+} from "../gen/winglock/operator/v1/operator_pb.js";
+import { statusTable } from "./statustable.js";
+
+const REVISION = 7n;
+
+/** An upstream on a host of its own; halls and services by turns. */
+const line = (at: number): UpstreamStatus =>
+    create(UpstreamStatusSchema, {
+        upstream: `i-${at}`,
+        host: `h${at}`,
+        hall: `hall-${at % 5}`,
+        service: ["splits", "results"][at % 2],
+        state: "up",
+        revision: REVISION,
+        running: 2,
+        limit: 6,
+        members: 195,
+        watchesStore: at < 10,
+    });
+
+const fleet = (count: number, change: (lines: UpstreamStatus[]) => void = () => {}): GetStatusResponse => {
+    const upstreams = Array.from({ length: count }, (_, at) => line(at));
+    change(upstreams);
+    return create(GetStatusResponseSchema, { revision: REVISION, fresh: true, upstreams });
+};
+
+test("status table: of many upstreams a line for each service in each hall, and who watches", () => {
+    const lines = statusTable(fleet(195)).split("\n");
+    assert.equal(lines.length, 1 + 1 + 10 + 5);
+    assert.match(lines[0]!, /^revision 7, confirmed by the store$/);
+    assert.match(lines[1]!, /^HALL +SERVICE +UPSTREAMS +UP +LEAVING +SILENT +BEHIND +RUNNING +WAITING +LIMIT$/);
+    assert.match(lines[2]!, /^hall-0 +results +19 +19 +0 +0 +0 +38 +0 +114$/);
+    assert.equal(lines.at(-5), "hall hall-0: the store is watched by h0, h5");
+});
+
+test("status table: of many, those that need a look are listed, and who knows fewer daemons", () => {
+    const text = statusTable(fleet(195, lines => {
+        lines[20]!.state = "silent";
+        lines[21]!.revision = 6n;
+        lines[22]!.members = 150;
+    }));
+    assert.match(text, /^hall-0 +splits +20 +19 +0 +1 +0 /m);
+    assert.match(text, /^hall-1 +results +20 +20 +0 +0 +1 /m);
+    assert.match(text, /^fewer daemons than 195 are known to h22$/m);
+    assert.match(text, /^i-20 +splits +hall-0 +silent +- /m);
+    assert.match(text, /^i-21 +results +hall-1 +up +6 \(behind\) /m);
+    assert.doesNotMatch(text, /^i-23 /m);
+});
+
+test("status table: few are listed each, and many where all are asked for", () => {
+    assert.equal(statusTable(fleet(13)).split("\n").length, 2 + 13);
+    assert.equal(statusTable(fleet(195), true).split("\n").length, 2 + 195);
+});
--- a/src/cli/statustable.ts
+++ b/src/cli/statustable.ts
@@ -1,5 +1,6 @@
 /** The status as a table. */
-import type { GetStatusResponse } from "../gen/winglock/operator/v1/operator_pb.js";
+import type { GetStatusResponse, UpstreamStatus } from "../gen/winglock/operator/v1/operator_pb.js";
+import { hallTable } from "./halltable.js";
 import { table } from "./table.js";
 
 const heads = [
@@ -15,9 +16,18 @@
     "refused",
 ];
 
-/** A line on the configuration, then one for each upstream. */
-export function statusTable(status: GetStatusResponse): string {
-    const rows = status.upstreams.map(line => [
+/** More lines than a screen holds: a table by hall and service is read instead, and then the lines that need a look. */
+const MANY = 40;
+
+/**
+ * A line on the configuration, then one for each upstream. Of many, unless `all` are asked for, a line for each service in each hall, and
+ * one for each upstream that is not up or is behind.
+ */
+export function statusTable(status: GetStatusResponse, all = false): string {
+    const isLong = !all && status.upstreams.length > MANY;
+    const needsLook = (line: UpstreamStatus): boolean => line.state !== "up" || line.revision < status.revision;
+    const shown = isLong ? status.upstreams.filter(needsLook) : status.upstreams;
+    const rows = shown.map(line => [
         line.upstream,
         line.service,
         line.hall,
@@ -26,5 +36,12 @@
         ...[line.running, line.waiting, line.limit, line.finished, line.refused].map(String),
     ]);
     const freshness = status.fresh ? "confirmed by the store" : "not confirmed by the store";
-    return `revision ${status.revision}, ${freshness}\n${table(heads, rows)}`;
+    const parts = [`revision ${status.revision}, ${freshness}`];
+    if (isLong) {
+        parts.push(hallTable(status));
+    }
+    if (!isLong || rows.length > 0) {
+        parts.push(table(heads, rows));
+    }
+    return parts.join("\n");
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -42,7 +42,7 @@
         this.#gates = new GateGroup(context, this.#configuration);
         this.#membership = new MembershipGroup(context, this.#configuration, this.#gates);
         this.#path = new RequestPathGroup(context, this.#configuration, this.#gates, this.#membership);
-        this.#operators = new OperatorGroup(context, this.#configuration, this.#path);
+        this.#operators = new OperatorGroup(context, this.#configuration, this.#path, this.#membership);
         this.#router = new DatagramRouter({
             self: context.self,
             clock: context.clock,
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -25,6 +25,7 @@
     readonly clock: Clock;
     /** Undefined where the document names the upstreams. */
     readonly membership: Membership | undefined;
+    readonly watchesStore: () => boolean;
 };
 
 /** Answers from the daemon's own state. */
@@ -62,9 +63,10 @@
     }
 
     status(): GateStatus[] {
-        const { gates, configuration, clock } = this.parts;
+        const { gates, configuration, clock, membership, watchesStore } = this.parts;
         const now = clock();
-        return [...gates.all].map(gate => gateStatus(gate, configuration, now));
+        const daemon = { watchesStore: watchesStore(), members: membership?.members.length ?? 0 };
+        return [...gates.all].map(gate => gateStatus(gate, configuration, daemon, now));
     }
 
     get #membership(): Membership {
--- a/src/daemon/gatestatus.ts
+++ b/src/daemon/gatestatus.ts
@@ -3,8 +3,16 @@
 import type { Gate } from "../gate/gate.js";
 import type { GateStatus } from "../peer/gatestatus.js";
 
+/** What its daemon adds to the line. */
+type DaemonStatus = Pick<GateStatus, "watchesStore" | "members">;
+
 /** One line of `winglock status`. */
-export function gateStatus(gate: Gate, configuration: CurrentConfiguration, now: number): GateStatus {
+export function gateStatus(
+    gate: Gate,
+    configuration: CurrentConfiguration,
+    daemon: DaemonStatus,
+    now: number,
+): GateStatus {
     const { running, waiting, limit } = gate.report();
     return {
         upstream: gate.upstream.name,
@@ -16,5 +24,6 @@
         limit,
         finished: gate.finished,
         refused: gate.refused,
+        ...daemon,
     };
 }
--- a/src/daemon/operatorgroup.ts
+++ b/src/daemon/operatorgroup.ts
@@ -3,6 +3,7 @@
 import { OperatorServer } from "../operator/operatorserver.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
+import type { MembershipGroup } from "./membershipgroup.js";
 import { ReadinessServer } from "./readinessserver.js";
 import type { RequestPathGroup } from "./requestpathgroup.js";
 
@@ -15,9 +16,17 @@
         private readonly context: DaemonContext,
         { current, publisher }: ConfigurationGroup,
         { table }: RequestPathGroup,
+        membership: MembershipGroup,
     ) {
         const { clock, peer, metrics } = context;
-        const api = new OperatorApi({ clock, peer, publisher, configuration: current, upstreams: table });
+        const api = new OperatorApi({
+            clock,
+            peer,
+            publisher,
+            configuration: current,
+            upstreams: table,
+            known: () => membership.upstreams,
+        });
         this.server = new OperatorServer(api, metrics, () => current.revision > 0);
         this.#readiness = new ReadinessServer(() => this.server.ready);
     }
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -77,6 +77,7 @@
                 ledger,
                 clock,
                 membership: this.membership.announced,
+                watchesStore: () => this.membership.heartbeats.watching,
                 configuration: current,
                 gates: gates.gates,
             }),
--- a/src/operator/collectstatus.ts
+++ b/src/operator/collectstatus.ts
@@ -1,5 +1,5 @@
 /** Asks every daemon for the state of its gates. */
-import type { Document } from "../config/document.js";
+import type { Upstream } from "../config/upstream.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
 import type { GateStatus } from "../peer/gatestatus.js";
@@ -24,12 +24,12 @@
 };
 
 /** One line for each upstream; asks a bounded number of daemons at once, and only when an operator asks. */
-export async function collectStatus(document: Document, peer: PeerClient): Promise<StatusLine[]> {
-    const gates = [...new Set(document.upstreams.map(upstream => upstream.gate))];
+export async function collectStatus(upstreams: readonly Upstream[], peer: PeerClient): Promise<StatusLine[]> {
+    const gates = [...new Set(upstreams.map(upstream => upstream.gate))];
     const said = new Map<string, GateStatus>();
     for (let at = 0; at < gates.length; at += AT_ONCE) {
         const asked = gates.slice(at, at + AT_ONCE).map(gate => askGate(peer, gate));
         (await Promise.all(asked)).flat().forEach(status => said.set(status.upstream, status));
     }
-    return document.upstreams.map(upstream => ({ upstream, gate: said.get(upstream.name) }));
+    return upstreams.map(upstream => ({ upstream, gate: said.get(upstream.name) }));
 }
--- a/src/operator/operatorapi.ts
+++ b/src/operator/operatorapi.ts
@@ -1,5 +1,6 @@
 /** What operators can ask of a daemon, in the types of the product. */
 import type { Document } from "../config/document.js";
+import type { Upstream } from "../config/upstream.js";
 import type { ChangePublisher } from "../distribution/changepublisher.js";
 import type { ChangeRequest } from "../distribution/changerequest.js";
 import type { ChangeResult } from "../distribution/changeresult.js";
@@ -18,6 +19,8 @@
     readonly configuration: CurrentConfiguration;
     readonly publisher: ChangePublisher;
     readonly upstreams: UpstreamTable;
+    /** All upstreams that there are: those of the document, and those that announce themselves. */
+    readonly known: () => readonly Upstream[];
     readonly peer: PeerClient;
 };
 
@@ -43,7 +46,7 @@
     }
 
     status(): ReturnType<typeof collectStatus> {
-        return collectStatus(this.document, this.parts.peer);
+        return collectStatus(this.parts.known(), this.parts.peer);
     }
 
     explain(method: string, url: URL): Explanation {
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -72,6 +72,7 @@
         upstream: upstream.name,
         service: upstream.service,
         hall: upstream.hall,
+        host: upstream.host,
         state: gate?.state ?? "silent",
         revision: BigInt(gate?.revision ?? 0),
         finished: BigInt(gate?.finished ?? 0),
--- a/src/peer/gatestatus.ts
+++ b/src/peer/gatestatus.ts
@@ -12,4 +12,8 @@
     readonly limit: number;
     readonly finished: number;
     readonly refused: number;
+    /** Its daemon watches the store for its hall. */
+    readonly watchesStore: boolean;
+    /** Daemons that its daemon knows, itself too; 0 where the document names the upstreams. */
+    readonly members: number;
 };
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { OperatorClient } from "../src/cli/operatorclient.js";
 import { eventually } from "./eventually.js";
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
@@ -92,6 +93,19 @@
     });
 });
 
+test("platform: an operator's status has the instances that announce themselves, and who watches the store", async () => {
+    await withPlatform(async mesh => {
+        const client = new OperatorClient([`${mesh.host("fees-1").ip}:7105`]);
+        const { upstreams } = await client.call(operator => operator.getStatus({}));
+        assert.deepEqual(upstreams.map(line => line.upstream).sort(), mesh.hosts.map(host => `i-${host.name}`).sort());
+        assert.ok(upstreams.every(line => line.state === "up" && line.members === mesh.hosts.length));
+        await eventually("two of each hall of two watch", async () => {
+            const now = await client.call(operator => operator.getStatus({}));
+            return now.upstreams.every(line => line.watchesStore);
+        }, 6000);
+    });
+});
+
 test("platform: an instance that drains gets no new work once it is told so", async () => {
     await withPlatform(async mesh => {
         await mesh.strikeInstance("pages-1", { state: "draining" });
