--- a/src/policy/placement/fullness.ts
+++ b/src/policy/placement/fullness.ts
@@ -3,7 +3,7 @@
  *
  * One that sheds answers at once, so nothing runs or waits there and it looks idle: each next try would go to it. What it turned
  * away is load that it could not take, whatever its reports say. Each try there costs a repeat of the budget, so one that sheds again
- * when it is tried next is left alone for twice as long. Of 333 payments in a service of three where one sheds all, 5 were refused with
+ * when it is tried next is left out for twice as long. Of 333 payments in a service of three where one sheds all, 5 were refused with
  * the budget spent while it was tried again every 200 ms, and 2 to 5 while only a penalty in time told of it; none with this.
  */
 
--- a/src/policy/placement/selecttargets.test.ts
+++ b/src/policy/placement/selecttargets.test.ts
@@ -26,7 +26,7 @@
     assert.deepEqual(selectTargets([full, alsoFull, draining], new Set([full]), 0), [full, alsoFull]);
 });
 
-test("fullness: one that turns away again is left alone for longer, one that has served is not", () => {
+test("fullness: one that turns away again is left out for longer, one that has served is not", () => {
     const fullness = new Fullness();
     const lastsUntil = (from: number): number => {
         let now = from;
--- a/test/followers.test.ts
+++ b/test/followers.test.ts
@@ -4,6 +4,7 @@
 import { rank } from "../src/distribution/rank.js";
 import type { Address } from "../src/ids/address.js";
 import type { HallName } from "../src/ids/hallname.js";
+import { allServe } from "./allserve.js";
 import { eventually } from "./eventually.js";
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
@@ -25,15 +26,6 @@
     });
 };
 
-const allServe = async (
-    mesh: PlatformMesh,
-    path: string,
-    names = mesh.hosts.map(host => host.name),
-): Promise<boolean> => {
-    const told = await Promise.all(names.map(name => mesh.send(name, "GET", path, `${name}${path}`)));
-    return told.every(item => item.status === 200);
-};
-
 /** Those that watch first, by the rank that daemons compute. */
 const ranked = (mesh: PlatformMesh): string[] => {
     const gates = mesh.hosts.map(host => `${host.ip}:7100` as Address);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,24 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { OperatorClient } from "../src/cli/operatorclient.js";
+import { allServe } from "./allserve.js";
 import { eventually } from "./eventually.js";
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
-import type { PlatformMesh } from "./platformmesh.js";
 import type { PlatformTold } from "./platformtold.js";
 import { withPlatform } from "./withplatform.js";
 
 const added = { name: "added", host: "site.example", pathPrefix: "/added/", kind: "repeatable", service: "pages" };
 
-const serves = async (
-    mesh: PlatformMesh,
-    path: string,
-    names = mesh.hosts.map(host => host.name),
-): Promise<boolean> => {
-    const told = await Promise.all(names.map(name => mesh.send(name, "GET", path, `${name}${path}`)));
-    return told.every(item => item.status === 200);
-};
-
 const isFromFirst = (told: PlatformTold): boolean => told.headers["server-signature"] === "of-i-pages-1";
 
 test("platform: a request keeps its id and path, and carries the service of its host", async () => {
@@ -41,14 +32,18 @@
     await withPlatform(async mesh => {
         await mesh.strikeStore({ refuse: 503, from: [mesh.host("pages-1").ip] });
         await mesh.configure(platformConfiguration(5, [added]));
-        await eventually("the rule serves at the others", () => serves(mesh, "/added/1", ["pages-2", "fees-1"]), 2000);
-        await eventually("the rule serves everywhere", () => serves(mesh, "/added/1"), 6000);
+        await eventually(
+            "the rule serves at the others",
+            () => allServe(mesh, "/added/1", ["pages-2", "fees-1"]),
+            2000,
+        );
+        await eventually("the rule serves everywhere", () => allServe(mesh, "/added/1"), 6000);
         await mesh.configure(platformConfiguration(4));
         await pause(500);
-        assert.equal(await serves(mesh, "/added/1"), true, "an older one is not taken");
+        assert.equal(await allServe(mesh, "/added/1"), true, "an older one is not taken");
         await mesh.configure({ revision: 9, rules: "none" });
         await pause(500);
-        assert.equal(await serves(mesh, "/added/1"), true, "one that can't be read is not taken");
+        assert.equal(await allServe(mesh, "/added/1"), true, "one that can't be read is not taken");
     });
 });
 
@@ -57,7 +52,7 @@
         await mesh.strikeStore({ forget: true });
         await mesh.configure(platformConfiguration(5, [added]));
         await mesh.strikeStore({ forget: true });
-        await eventually("the rule serves", () => serves(mesh, "/added/1"), 2000);
+        await eventually("the rule serves", () => allServe(mesh, "/added/1"), 2000);
     });
 });
 
@@ -65,11 +60,11 @@
     await withPlatform(async mesh => {
         await mesh.strikeStore({ silent: true });
         await pause(4000);
-        assert.equal(await serves(mesh, "/pages/1"), true);
+        assert.equal(await allServe(mesh, "/pages/1"), true);
         await mesh.strikeStore({ silent: false });
         await pause(3000);
         await mesh.configure(platformConfiguration(5, [added]));
-        await eventually("the rule serves", () => serves(mesh, "/added/1"), 2000);
+        await eventually("the rule serves", () => allServe(mesh, "/added/1"), 2000);
     });
 });
 
@@ -77,9 +72,9 @@
     await withPlatform(async mesh => {
         await mesh.strikeStore({ revoke: true });
         await pause(200);
-        assert.equal(await serves(mesh, "/pages/1"), true);
+        assert.equal(await allServe(mesh, "/pages/1"), true);
         await pause(3500);
-        assert.equal(await serves(mesh, "/pages/1"), true);
+        assert.equal(await allServe(mesh, "/pages/1"), true);
     });
 });
 
@@ -89,7 +84,7 @@
         await mesh.daemons.get("fees-1")!.end("SIGKILL");
         await mesh.startDaemon("fees-1").ready();
         await eventually("it is ready", () => mesh.isReady("fees-1"), 6000);
-        await eventually("it serves", () => serves(mesh, "/pages/1", ["fees-1"]), 3000);
+        await eventually("it serves", () => allServe(mesh, "/pages/1", ["fees-1"]), 3000);
     });
 });
 
@@ -155,7 +150,7 @@
         daemon.signal("SIGHUP");
         await eventually("it says so", async () => mesh.log.some(line => line.includes("those in force stay")), 2000);
         assert.equal(daemon.running, true);
-        assert.equal(await serves(mesh, "/pages/1"), true);
+        assert.equal(await allServe(mesh, "/pages/1"), true);
     });
 });
 
@@ -164,7 +159,7 @@
         await Promise.all(["pages-1", "pages-2"].map(name => mesh.strikeInstance(name, { silent: true })));
         await Promise.all(["pages-1", "pages-2"].map(name => mesh.daemons.get(name)!.end("SIGKILL")));
         await Promise.all(["pages-1", "pages-2"].map(name => mesh.startDaemon(name).ready()));
-        await eventually("it serves", () => serves(mesh, "/pages/1"), 1500);
+        await eventually("it serves", () => allServe(mesh, "/pages/1"), 1500);
         await mesh.strikeInstance("pages-1", { silent: false, state: "left" });
         await pause(100);
         const told = await mesh.send("pages-1", "GET", "/pages/1", "after-leave");
