One constant for how long a daemon's own word goes first; an answer's comment says what is written

The five seconds stood in isnews.ts and in memberlist.ts. An error between daemons has message and code only, not all that trpc's own handler writes; the comment said otherwise. No change of behaviour.

--- a/src/membership/memberlist.ts
+++ b/src/membership/memberlist.ts
@@ -7,6 +7,7 @@
 import type { Upstream } from "../config/upstream.js";
 import type { Address } from "../ids/address.js";
 import type { Incarnation } from "../ids/incarnation.js";
+import { directMs } from "../policy/membership/directms.js";
 import { isNews } from "../policy/membership/isnews.js";
 import { judgeMember } from "../policy/membership/judgemember.js";
 import type { MemberSource } from "../policy/membership/membersource.js";
@@ -16,8 +17,6 @@
 
 /** Daemons that have gone, remembered for peers that are behind; who lacks more gets the whole list. */
 const KEPT_GONE = 256;
-/** A daemon's own word that came so lately goes before that of another one, in milliseconds: as in policy/membership/isnews.ts. */
-const SPOKEN_MS = 5000;
 
 /** `changedAt` is the number of the change that brought this record. */
 type Entry = { member: Member; heardAt: number; lapsedAt: number | undefined; changedAt: number; };
@@ -158,7 +157,7 @@
      */
     recordGone(gate: Address, now: number): void {
         const heardAt = this.#entries.get(gate)?.heardAt ?? -Infinity;
-        if (now - heardAt < SPOKEN_MS) {
+        if (now - heardAt < directMs) {
             this.recordLapse(gate, now);
         }
         else {
--- a/src/peer/answercall.ts
+++ b/src/peer/answercall.ts
@@ -1,8 +1,8 @@
 /**
  * Answers trpc's calls on Node's own listener.
  *
- * trpc's own handler makes a `Request` of each call, and so has Node.js load its fetch; see calllink.ts for what that costs. The bytes on
- * the wire are those of trpc's own handler.
+ * trpc's own handler makes a `Request` of each call, and so has Node.js load its fetch; see calllink.ts for what that costs. A result
+ * is written as trpc's own handler writes it; an error has its message and code, which is all that is read of one.
  */
 import { callTRPCProcedure, getTRPCErrorFromUnknown, TRPCError } from "@trpc/server";
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
--- a/src/policy/membership/isnews.ts
+++ b/src/policy/membership/isnews.ts
@@ -5,11 +5,9 @@
  * third daemon fills gaps only. Within one life of a daemon the higher version is the newer one, whoever says it.
  */
 import type { Incarnation } from "../../ids/incarnation.js";
+import { directMs } from "./directms.js";
 import type { MemberSource } from "./membersource.js";
 
-/** A daemon's own word that came so lately goes before the store, in milliseconds: more than two of its signs of life. */
-const DIRECT_MS = 5000;
-
 type Version = { readonly incarnation: Incarnation; readonly version: number; };
 
 /** What is known of the daemon; times are on this daemon's clock. */
@@ -29,7 +27,7 @@
         case "itself":
             return true;
         case "store":
-            return now - known.heardAt > DIRECT_MS;
+            return now - known.heardAt > directMs;
         case "peer":
             return known.lapsed;
     }
