Sight: a gate tells that its upstream has ended, and which requests were under way

Before, an end was 'upstream-broke' like a reset, and a request had a new id with each try, so that no line told which of them ended what. Now a run that breaks off is settled by one question of the upstream; where nobody takes connections a line names the upstream and a digest of each request under way (method, host, path, caller, body), and winglock_upstream_crashes_total counts it. Decides nothing yet. Ruled out: sending the digest with each request between daemons (12 to 19 bytes each; both ends can find it in 5 us). gate.ts parted: what runs at the upstream is in gateruns.ts.

--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -48,6 +48,7 @@
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
+            onCrash: (service: Gate["upstream"]["service"]) => metrics.crashed(service),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
             repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -23,6 +23,8 @@
     abstract readonly upstreamLoad: string;
     /** From upstreams, on their health endpoints: their own names. */
     abstract readonly ownName: string;
+    /** From callers: whose request it is, as far as they say. */
+    readonly callerFields: readonly string[] = ["authorization", "cookie"];
     /** To callers: `not-run` or `unknown`. */
     abstract readonly outcome: string;
 
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -6,12 +6,10 @@
  * policy/admission and policy/failure.
  */
 import type { Upstream } from "../config/upstream.js";
+import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
-import type { HopError } from "../hop/hoperror.js";
-import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
-import { log } from "../log/log.js";
 import { Admission } from "../policy/admission/admission.js";
 import { LevelClock } from "../policy/admission/levelclock.js";
 import { makeLimit } from "../policy/admission/makelimit.js";
@@ -27,13 +25,9 @@
 import type { GateParts } from "./gateparts.js";
 import { GateRefusals } from "./gaterefusals.js";
 import { GateRequest } from "./gaterequest.js";
-import { RunningRequests } from "./runningrequests.js";
+import { GateRuns } from "./gateruns.js";
 import { SlotQueue } from "./slotqueue.js";
 import { UpstreamClient } from "./upstreamclient.js";
-import { UpstreamError } from "./upstreamerror.js";
-import { UpstreamRun } from "./upstreamrun.js";
-
-const logger = log("gate");
 
 /** A question of the pace holds a request up: half of the time for which its answer is believed. */
 const ASK_TIMEOUT_MS = 15;
@@ -46,12 +40,11 @@
     readonly #admission: Admission<GateRequest>;
     readonly #refusals: GateRefusals;
     readonly #queue: SlotQueue;
-    readonly #running = new RunningRequests();
-    readonly #levels: LevelClock;
+    readonly #runs: GateRuns;
 
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
         const { clock, ledger, localIp, dialect } = parts;
-        this.#levels = new LevelClock(upstream.slots, clock());
+        const levels = new LevelClock(upstream.slots, clock());
         const onLoad = ({ pace }: { readonly pace: number; }): void => this.#checks.recordPace(pace);
         this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad, clock, onSilent: parts.onSilent });
         this.#log = new GateLog(upstream.name, dialect);
@@ -63,12 +56,12 @@
             workMs: rule => times.longMs(rule),
             upstream: upstream.name,
             ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_TIMEOUT_MS),
-            repeatsUnderWay: () => this.#running.repeated,
+            repeatsUnderWay: () => this.#runs.repeated,
         });
         this.#admission = new Admission(
             makeLimit(parts.limit, upstream.slots, () => parts.usualShare(upstream.service)),
             times,
-            this.#levels,
+            levels,
             pace,
         );
         this.#refusals = new GateRefusals(more => this.note(more));
@@ -79,10 +72,21 @@
             refusals: this.#refusals,
             refreshPace: () => this.#checks.refreshPace(),
         });
+        this.#runs = new GateRuns(upstream, {
+            ...parts,
+            client: this.#client,
+            levels,
+            checks: this.#checks,
+            queue: this.#queue,
+            refusals: this.#refusals,
+            log: this.#log,
+            report: () => this.report(),
+            note: more => this.note(more),
+        });
     }
 
     get finished(): number {
-        return this.#running.finished;
+        return this.#runs.finished;
     }
 
     get refused(): number {
@@ -116,7 +120,7 @@
     /** The load as peers are told it. */
     report(): LoadReport {
         const report = { ...this.#admission.report(), pace: this.#checks.pace };
-        return atLeast(report, this.#running.meanAgeMs(this.parts.clock()));
+        return atLeast(report, this.#runs.meanAgeMs(this.parts.clock()));
     }
 
     /** Takes no new requests for a reason; what waits and runs is finished. */
@@ -132,7 +136,7 @@
     /** Acts on the finding that open connections of this daemon may carry nothing any more. */
     suspectConnections(): void {
         this.#client.dropIdle();
-        this.#running.suspect(silentAfter(this.report().baseMs));
+        this.#runs.suspect(silentAfter(this.report().baseMs));
     }
 
     /** Ends the connections to the upstream, after what is in flight. */
@@ -142,11 +146,12 @@
 
     /** Serves a request; throws a HopError. */
     async serve(call: GateCall): Promise<GateAnswer> {
-        const request = new GateRequest(call, this.parts.identity, this.parts.clock());
+        const { identity, clock, dialect } = this.parts;
+        const request = new GateRequest(call, identity, clock(), requestKeyOf(call, dialect));
         try {
             await this.#admit(request);
             await this.#queue.enter(request);
-            return await this.#run(request);
+            return await this.#runs.run(request);
         }
         catch (err) {
             this.#log.refused(request, err, this.report());
@@ -194,55 +199,4 @@
         }
         this.parts.onChange();
     }
-
-    async #run(request: GateRequest): Promise<GateAnswer> {
-        const { clock } = this.parts;
-        if (!this.#queue.start(request)) {
-            throw this.#refusals.make("deadline-or-revoked");
-        }
-        const onEnd = (
-            serviceMs: number | undefined,
-            work: Float64Array,
-            made: ReadonlyMap<ServiceName, number>,
-        ): void => {
-            this.#checks.recordCalls(made);
-            this.#running.remove(run);
-            this.#queue.release(serviceMs, { rule: request.rule, work, pace });
-            this.parts.onChange();
-        };
-        const startedAt = clock();
-        const { pace } = this.#checks;
-        const run = new UpstreamRun(request, { ...this.parts, client: this.#client, levels: this.#levels, onEnd });
-        this.#running.add(run);
-        try {
-            const { leaving, calls, retriedBelow, unframed, ...answer } = await run.send();
-            this.#recordArrival(request);
-            this.#checks.recordAnswer(leaving);
-            const tookMs = clock() - request.arrivedAt;
-            const report = this.report();
-            this.#log.answered(request, answer.status, startedAt - request.arrivedAt, tookMs, report);
-            return { ...answer, note: this.note({ tookMs, calls, retriedBelow, unframed, report }) };
-        }
-        catch (err) {
-            const arrived = !(err instanceof UpstreamError && err.reason === "unreachable");
-            if (arrived) {
-                this.#recordArrival(request);
-            }
-            throw this.#toHopError(err, arrived);
-        }
-    }
-
-    #recordArrival({ call: { head } }: GateRequest): void {
-        this.parts.onArrival(this.upstream.service, head.arrival);
-    }
-
-    /** `arrived`: the upstream has received the request. */
-    #toHopError(err: unknown, arrived: boolean): HopError {
-        const reason = err instanceof UpstreamError ? err.reason : "gate-error";
-        if (reason === "gate-error") {
-            logger.warn("A request failed at its gate.", err, { upstream: this.upstream.name });
-        }
-        this.#checks.recordFailure(reason);
-        return this.#refusals.make(reason, { arrived });
-    }
 }
--- a/src/gate/gatelog.ts
+++ b/src/gate/gatelog.ts
@@ -33,6 +33,7 @@
             choices: request.choices,
             arrival: request.call.head.arrival,
             arrived: note?.arrived ?? false,
+            request: request.key,
             ...this.#state(report),
         });
     }
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -1,6 +1,8 @@
 /** What a gate shares with the rest of its daemon. */
 import type { Dialect } from "../dialect/dialect.js";
 import type { Address } from "../ids/address.js";
+import type { CrashId } from "../ids/crashid.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { LimitName } from "../policy/admission/limitname.js";
@@ -30,5 +32,7 @@
     readonly onSilent: (address: Address) => void;
     readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
     readonly repeatsLeft: (service: ServiceName) => number;
+    /** Told of an unplanned end of an upstream, and of the requests that were under way. */
+    readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
     readonly healthPath: (service: ServiceName) => string;
 };
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -3,6 +3,7 @@
 import type { GateCall } from "../hop/gatecall.js";
 import { HopError } from "../hop/hoperror.js";
 import type { Cancel } from "../http/cancel.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import type { RuleName } from "../ids/rulename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { Waiting } from "../policy/admission/waiting.js";
@@ -19,7 +20,13 @@
     #resolve: () => void = () => {};
     #reject: (err: HopError) => void = () => {};
 
-    constructor(readonly call: GateCall, identity: GateIdentity, now: number) {
+    /** `key` is what it is known by when its caller sends it again, where that can be told. */
+    constructor(
+        readonly call: GateCall,
+        identity: GateIdentity,
+        now: number,
+        readonly key: RequestKey | undefined = undefined,
+    ) {
         const { head } = call;
         this.arrivedAt = now;
         this.priority = head.priority;
--- /dev/null
+++ b/src/gate/gateruns.ts
@@ -0,0 +1,141 @@
+/**
+ * Runs requests at a gate's upstream that have a slot.
+ *
+ * Owns what is under way there, and the watch for an upstream that ends with it. Each error is a HopError that says what is proven.
+ */
+import type { Upstream } from "../config/upstream.js";
+import type { GateAnswer } from "../hop/gateanswer.js";
+import type { HopError } from "../hop/hoperror.js";
+import type { ServiceName } from "../ids/servicename.js";
+import { log } from "../log/log.js";
+import type { LevelClock } from "../policy/admission/levelclock.js";
+import type { LoadReport } from "../policy/placement/loadreport.js";
+import type { AnswerNote } from "../wire/answernote.js";
+import { CrashWatch } from "./crashwatch.js";
+import type { GateChecks } from "./gatechecks.js";
+import type { GateLog } from "./gatelog.js";
+import type { GateParts } from "./gateparts.js";
+import type { GateRefusals } from "./gaterefusals.js";
+import type { GateRequest } from "./gaterequest.js";
+import { RunningRequests } from "./runningrequests.js";
+import type { SlotQueue } from "./slotqueue.js";
+import type { UpstreamClient } from "./upstreamclient.js";
+import { UpstreamError } from "./upstreamerror.js";
+import { UpstreamRun } from "./upstreamrun.js";
+
+const logger = log("gate");
+
+/** An upstream on the same host takes a connection within milliseconds, or refuses it. */
+const CRASH_TIMEOUT_MS = 100;
+
+/** What the gate lends. */
+type RunsParts = GateParts & {
+    readonly client: UpstreamClient;
+    readonly levels: LevelClock;
+    readonly checks: GateChecks;
+    readonly queue: SlotQueue;
+    readonly refusals: GateRefusals;
+    readonly log: GateLog;
+    readonly report: () => LoadReport;
+    readonly note: (more: Partial<AnswerNote>) => AnswerNote;
+};
+
+/** One for each gate. */
+export class GateRuns {
+    readonly #running = new RunningRequests();
+    readonly #crashes: CrashWatch;
+
+    constructor(private readonly upstream: Upstream, private readonly parts: RunsParts) {
+        this.#crashes = this.#makeCrashWatch();
+    }
+
+    get finished(): number {
+        return this.#running.finished;
+    }
+
+    /** Those under way that are not the first of their request. */
+    get repeated(): number {
+        return this.#running.repeated;
+    }
+
+    /** How long what runs has run, on average; 0 while nothing runs. */
+    meanAgeMs(now: number): number {
+        return this.#running.meanAgeMs(now);
+    }
+
+    /** Has each given up that has no answer so long after its start. */
+    suspect(afterMs: number): void {
+        this.#running.suspect(afterMs);
+    }
+
+    /** Runs a request whose slot is free; throws a HopError. */
+    async run(request: GateRequest): Promise<GateAnswer> {
+        const { clock, checks, queue, refusals } = this.parts;
+        if (!queue.start(request)) {
+            throw refusals.make("deadline-or-revoked");
+        }
+        const startedAt = clock();
+        const { pace } = checks;
+        const run = this.#makeRun(request, pace);
+        this.#running.add(run);
+        try {
+            const { leaving, calls, retriedBelow, unframed, ...answer } = await run.send();
+            this.#recordArrival(request);
+            checks.recordAnswer(leaving);
+            const tookMs = clock() - request.arrivedAt;
+            const report = this.parts.report();
+            this.parts.log.answered(request, answer.status, startedAt - request.arrivedAt, tookMs, report);
+            return { ...answer, note: this.parts.note({ tookMs, calls, retriedBelow, unframed, report }) };
+        }
+        catch (err) {
+            const arrived = !(err instanceof UpstreamError && err.reason === "unreachable");
+            if (arrived) {
+                this.#recordArrival(request);
+            }
+            throw this.#toHopError(err, arrived);
+        }
+    }
+
+    /** `pace` is that of the upstream when the run begins. */
+    #makeRun(request: GateRequest, pace: number | undefined): UpstreamRun {
+        const { checks, queue, onChange } = this.parts;
+        const onEnd = (
+            serviceMs: number | undefined,
+            work: Float64Array,
+            made: ReadonlyMap<ServiceName, number>,
+        ): void => {
+            checks.recordCalls(made);
+            this.#running.remove(run);
+            queue.release(serviceMs, { rule: request.rule, work, pace });
+            onChange();
+        };
+        const run = new UpstreamRun(request, { ...this.parts, crashes: this.#crashes, onEnd });
+        return run;
+    }
+
+    /** One that ends as it had announced does not crash. */
+    #makeCrashWatch(): CrashWatch {
+        const { clock, healthPath, onCrash, client, checks } = this.parts;
+        const { name: upstream, service } = this.upstream;
+        return new CrashWatch({
+            upstream,
+            clock,
+            ask: async () => void await client.ask(healthPath(service), CRASH_TIMEOUT_MS),
+            onCrash: (crash, requests) => checks.isClosed || onCrash(service, crash, requests),
+        });
+    }
+
+    #recordArrival({ call: { head } }: GateRequest): void {
+        this.parts.onArrival(this.upstream.service, head.arrival);
+    }
+
+    /** `arrived`: the upstream has received the request. */
+    #toHopError(err: unknown, arrived: boolean): HopError {
+        const reason = err instanceof UpstreamError ? err.reason : "gate-error";
+        if (reason === "gate-error") {
+            logger.warn("A request failed at its gate.", err, { upstream: this.upstream.name });
+        }
+        this.parts.checks.recordFailure(reason);
+        return this.parts.refusals.make(reason, { arrived });
+    }
+}
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -12,6 +12,7 @@
 import { reasons } from "../policy/retry/reasons.js";
 import type { Clock } from "../time/clock.js";
 import type { CallContexts } from "./callcontexts.js";
+import type { CrashWatch } from "./crashwatch.js";
 import type { GateRequest } from "./gaterequest.js";
 import { isFramed } from "./isframed.js";
 import type { UpstreamClient } from "./upstreamclient.js";
@@ -28,6 +29,7 @@
     readonly dialect: Dialect;
     readonly client: UpstreamClient;
     readonly levels: LevelClock;
+    readonly crashes: CrashWatch;
     readonly onEnd: (
         serviceMs: number | undefined,
         work: Float64Array,
@@ -108,6 +110,7 @@
         try {
             const answer = await parts.client.send(request.call, this.#headers(), this.#cancel);
             this.#hasHead = true;
+            parts.crashes.lived(this.#startedAt);
             const streamed = request.call.head.answer === "streamed";
             if (streamed) {
                 this.#end(true);
@@ -126,15 +129,28 @@
             if (request.once && err instanceof UpstreamError && reasons[err.reason].proves === "not-run") {
                 parts.ledger.disprove(request.call.head.id);
             }
+            this.#recordBroken(err);
             forget?.();
             this.#end(false);
             throw err;
         }
     }
 
+    #recordBroken(err: unknown): void {
+        const { request: { key }, parts: { crashes } } = this;
+        const reason = err instanceof UpstreamError ? err.reason : undefined;
+        if (reason === "upstream-broke") {
+            crashes.ended(key, this.#cancel.aborted);
+        }
+        else if (reason === "unreachable") {
+            crashes.gone();
+        }
+    }
+
     /** Ends the run with the body; a `once` request's answer is read to its end whoever has left. */
     #watch(body: Readable): Readable {
         body.on("close", () => this.#end(true));
+        body.on("error", () => this.parts.crashes.ended(this.request.key, this.#cancel.aborted));
         if (!this.request.once) {
             return body;
         }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -41,6 +41,12 @@
         labelNames: ["service", "arrival"] as const,
         registers: [this.registry],
     });
+    readonly #crashes = new Counter({
+        name: "winglock_upstream_crashes_total",
+        help: "Unplanned ends of the upstreams beside this daemon with requests under way.",
+        labelNames: ["service"] as const,
+        registers: [this.registry],
+    });
     readonly #silent = new Counter({
         name: "winglock_silent_connections_total",
         help: "Open connections that were found to carry nothing any more.",
@@ -104,6 +110,11 @@
         this.#arrivals.inc({ service, arrival });
     }
 
+    /** Records that an upstream beside this daemon has ended with requests under way. */
+    crashed(service: ServiceName): void {
+        this.#crashes.inc({ service });
+    }
+
     /** Records a connection that was found to carry nothing any more. */
     silentConnection(kind: ConnectionKind): void {
         this.#silent.inc({ kind });
--- /dev/null
+++ b/src/policy/failure/brokenruns.test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { RequestKey } from "../../ids/requestkey.js";
+import { BrokenRuns } from "./brokenruns.js";
+
+const [a, b, c] = ["a", "b", "c"] as RequestKey[] as [RequestKey, RequestKey, RequestKey];
+
+test("broken runs: those that broke off shortly before the end were under way, each is told once", () => {
+    const runs = new BrokenRuns();
+    runs.record(a, false, 0);
+    runs.record(b, false, 1500);
+    runs.record(b, false, 1501);
+    runs.record(c, false, 1502);
+    assert.deepEqual(runs.takeUnderWay(2500), [b, c]);
+    assert.deepEqual(runs.takeUnderWay(2500), []);
+});
+
+test("broken runs: what was called off is under way for a while longer", () => {
+    const runs = new BrokenRuns();
+    runs.record(a, true, 0);
+    runs.record(b, true, 400);
+    assert.deepEqual(runs.takeUnderWay(800), [b]);
+});
+
+test("broken runs: an answer to what was sent later proves that the upstream had not ended", () => {
+    const runs = new BrokenRuns();
+    runs.record(a, false, 10);
+    runs.record(b, false, 30);
+    runs.lived(20);
+    assert.deepEqual(runs.takeUnderWay(40), [b]);
+});
--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -6,6 +6,8 @@
 import { StandinServer } from "./standinserver.js";
 
 const ANNOUNCE_EVERY_MS = 200;
+/** Of a run that ends its instance: about as long as those seen took. */
+const CRASH_AFTER_MS = 60;
 
 /** Where it is and what it serves. */
 type InstanceOptions = {
@@ -15,6 +17,8 @@
     readonly slots: number;
     /** The daemon's address for announcements. */
     readonly daemon: string;
+    /** A request with this path ends the process soon after it has begun to run; empty for none. */
+    readonly crashPath: string;
 };
 
 /** Prints `R id` for each request that it runs; `POST /control` drives it. */
@@ -50,6 +54,10 @@
         const id = String(req.headers["attempt-id"]);
         console.log(`R ${id}`);
         this.#running += 1;
+        if (req.url === this.options.crashPath) {
+            await wait(CRASH_AFTER_MS);
+            process.exit(1);
+        }
         await wait(this.control.workMs * this.control.pace / 100);
         this.#running -= 1;
         res.setHeader("attempt-id", this.control.fault === "foreign" ? "another" : id);
--- a/standin/instancemain.ts
+++ b/standin/instancemain.ts
@@ -1,6 +1,13 @@
-/** `instancemain ID SERVICE IP:PORT SLOTS DAEMON`. */
+/** `instancemain ID SERVICE IP:PORT SLOTS DAEMON [CRASH-PATH]`. */
 import { InstanceStandin } from "./instance.js";
 import { listenOn } from "./listenon.js";
 
-const [id, service, address, slots, daemon] = process.argv.slice(2) as [string, string, string, string, string];
-listenOn(new InstanceStandin({ id, service, address, slots: Number(slots), daemon }).server, address);
+const [id, service, address, slots, daemon, crashPath = ""] = process.argv.slice(2) as [
+    string,
+    string,
+    string,
+    string,
+    string,
+    string?,
+];
+listenOn(new InstanceStandin({ id, service, address, slots: Number(slots), daemon, crashPath }).server, address);
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -70,9 +70,10 @@
         return child;
     }
 
-    startInstance(name: string, id: string): Child {
+    /** A request with the path `crashPath` ends it. */
+    startInstance(name: string, id: string, crashPath = ""): Child {
         const { ip, service } = this.host(name);
-        const args = [id, service, `${ip}:7200`, "4", `${ip}:7106`];
+        const args = [id, service, `${ip}:7200`, "4", `${ip}:7106`, crashPath];
         const child = new Child(script("standin/instancemain.js"), args, line => this.runs.push(line));
         this.instances.set(name, child);
         return child;
