Mend: a request under which three upstreams have ended is refused, at all daemons

Cause: nothing remembered a request beyond its attempt. A caller's next try was placed as new, and what broke off with an upstream was a reason to try the next one; a crash was one more lost answer. Now each end is counted for the requests that were under way, over all daemons: told at once to the daemons beside the service's other upstreams and to those that tell the halls, and evened out by a mark in each heartbeat; refused ones lie in the store for as long as they are refused. A good end anywhere clears a request. From the second end on winglock itself sends it nowhere else. Ruled out: a count at each daemon (N times as much); the count at the service's daemons only (a route may move to another service); records of members as the carrier (a restart forgets them); the store alone (down, or turning some away).

--- /dev/null
+++ b/src/crashes/crashguard.test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Message } from "../datagram/message.js";
+import type { Address } from "../ids/address.js";
+import type { CrashId } from "../ids/crashid.js";
+import type { RequestKey } from "../ids/requestkey.js";
+import type { ServiceName } from "../ids/servicename.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
+import { sleep } from "../time/sleep.js";
+import { CrashGuard } from "./crashguard.js";
+import { CrashPublisher } from "./crashpublisher.js";
+import { CrashSpread } from "./crashspread.js";
+
+const bad = "bad" as RequestKey;
+const proper = "proper" as RequestKey;
+const service = "pages" as ServiceName;
+const crashId = (at: number): CrashId => `crash-${at}` as CrashId;
+
+type Daemon = { readonly guard: CrashGuard; readonly spread: CrashSpread; readonly served: Set<RequestKey>; };
+
+/** So many daemons that reach each other by calls; datagrams go where `carries` says so. */
+const fleet = (size: number, carries: (to: number, message: Message) => boolean): Daemon[] => {
+    const address = (at: number): Address => `10.0.0.${at}:1` as Address;
+    const daemons: Daemon[] = [];
+    const at = (peer: Address): number => Number(peer.split(/[.:]/)[3]);
+    const all = Array.from({ length: size }, (_, number) => address(number));
+    for (let number = 0; number < size; number++) {
+        const served = new Set<RequestKey>();
+        const guard = new CrashGuard({ clock: () => 0, hasServed: key => served.has(key), giveUp: () => {} });
+        const spread = new CrashSpread({
+            self: address(number),
+            guard,
+            random: () => 0,
+            peers: () => all,
+            relays: () => all.slice(0, 2),
+            siblings: () => all,
+            send: (to, message) => {
+                if (carries(at(to), message)) {
+                    daemons[at(to)]!.spread.receive(message as Extract<Message, { type: "crash"; }>);
+                }
+                return true;
+            },
+            exchange: async (peer, known) => {
+                const other = daemons[at(peer)]!.guard;
+                other.merge(known);
+                return other.records;
+            },
+        });
+        daemons.push({ guard, spread, served });
+    }
+    return daemons;
+};
+
+const crashAt = ({ guard }: Daemon, id: number, requests = [bad]): void =>
+    guard.recordCrash({ service, crash: crashId(id), requests });
+
+test("crash guard: ends at three daemons are one count", () => {
+    const daemons = fleet(4, () => true);
+    [1, 2, 3].forEach(at => crashAt(daemons[at]!, at));
+    assert.deepEqual(daemons.map(({ guard }) => guard.standing(bad)), ["refused", "refused", "refused", "refused"]);
+});
+
+test("crash guard: with all datagrams lost, marks bring daemons together", async () => {
+    const daemons = fleet(5, () => false);
+    [1, 2, 3].forEach(at => crashAt(daemons[at]!, at));
+    assert.equal(daemons[4]!.guard.standing(bad), "free");
+    for (let round = 0; round < 2; round++) {
+        daemons.forEach(({ spread }) => spread.hear("10.0.0.0:1" as Address, daemons[0]!.guard.mark));
+        await sleep(5);
+    }
+    assert.deepEqual(daemons.map(({ guard }) => guard.standing(bad)), Array(5).fill("refused"));
+    assert.equal(new Set(daemons.map(({ guard }) => guard.mark)).size, 1);
+});
+
+test("crash guard: one that has just started asks those that it meets", async () => {
+    const daemons = fleet(3, () => false);
+    [1, 2, 3].forEach(at => crashAt(daemons[0]!, at));
+    daemons[2]!.spread.meet();
+    await sleep(5);
+    assert.equal(daemons[2]!.guard.standing(bad), "refused");
+});
+
+test("crash guard: what an upstream anywhere has served well, before or later, is not refused", () => {
+    const daemons = fleet(4, () => true);
+    daemons[0]!.served.add(proper);
+    [1, 2, 3].forEach(at => crashAt(daemons[at]!, at, [bad, proper]));
+    assert.equal(daemons[0]!.guard.standing(proper), "free");
+    [4, 5, 6].forEach(at => crashAt(daemons[1]!, at));
+    daemons[2]!.guard.recordServed(bad);
+    assert.equal(daemons[2]!.guard.standing(bad), "free");
+});
+
+test("crash guard: what is refused is kept in the store by who saw an end, again when the store had failed", async () => {
+    const { guard } = fleet(1, () => true)[0]!;
+    const written: CrashRecord[] = [];
+    let failures = 1;
+    new CrashPublisher({
+        guard,
+        write: async record => {
+            if (failures-- > 0) {
+                throw new Error("the store is down");
+            }
+            written.push(record);
+        },
+    });
+    [1, 2].forEach(at => crashAt({ guard } as Daemon, at));
+    await sleep(5);
+    assert.equal(written.length, 0);
+    guard.merge([{ request: bad, crashes: [crashId(3)], cleared: [], ageMs: 0 }]);
+    await sleep(400);
+    assert.deepEqual(written.map(({ request, crashes }) => [request, crashes.length]), [[bad, 3]]);
+    guard.recordServed(bad);
+    await sleep(5);
+    assert.equal(written.at(-1)!.cleared.length, 3, "that it is cleared, too");
+});
--- /dev/null
+++ b/src/crashes/crashpublisher.ts
@@ -0,0 +1,66 @@
+/**
+ * Keeps refused requests in the store, so that they are refused also after all daemons have started anew.
+ *
+ * Each daemon beside which one of the upstreams has ended writes; the store keeps the newest word for as long as the request is refused.
+ */
+import type { RequestKey } from "../ids/requestkey.js";
+import { log } from "../log/log.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
+import { Backoff } from "../time/backoff.js";
+import { sleep } from "../time/sleep.js";
+import type { CrashGuard } from "./crashguard.js";
+
+const logger = log("peer");
+
+/** `write` keeps a record for as long as its request is refused, and throws a StoreError. */
+type PublisherParts = { readonly guard: CrashGuard; readonly write: (record: CrashRecord) => Promise<void>; };
+
+/** One loop, while there is something to write. */
+export class CrashPublisher {
+    /** As the store has it. */
+    readonly #written = new Map<RequestKey, string>();
+    #isWriting = false;
+    #isStopped = false;
+
+    constructor(private readonly parts: PublisherParts) {
+        parts.guard.onNews(() => void this.#run());
+    }
+
+    stop(): void {
+        this.#isStopped = true;
+    }
+
+    async #run(): Promise<void> {
+        if (this.#isWriting) {
+            return;
+        }
+        this.#isWriting = true;
+        const backoff = new Backoff();
+        for (let next = this.#next(); next !== undefined && !this.#isStopped; next = this.#next()) {
+            try {
+                await this.#write(next);
+                backoff.reset();
+            }
+            catch (err) {
+                logger.warn("A refused request could not be kept in the store.", err, { request: next.request });
+                await sleep(backoff.next());
+            }
+        }
+        this.#isWriting = false;
+    }
+
+    #next(): CrashRecord | undefined {
+        const { witnessed } = this.parts.guard;
+        const known = new Set(witnessed.map(({ request }) => request));
+        [...this.#written.keys()].filter(request => !known.has(request)).forEach(key => this.#written.delete(key));
+        return witnessed.find(record => this.#written.get(record.request) !== stateOf(record));
+    }
+
+    async #write(record: CrashRecord): Promise<void> {
+        await this.parts.write(record);
+        this.#written.set(record.request, stateOf(record));
+    }
+}
+
+/** What is worth another write: whether it is refused, and by which ends. */
+const stateOf = ({ crashes, cleared }: CrashRecord): string => `${crashes.join()}/${cleared.join()}`;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -54,6 +54,7 @@
             gossip: this.#membership.announced?.gossip,
             failureDetector: this.#path.sharing.failureDetector,
             transfer: this.#path.sharing.transfer,
+            crashes: this.#membership.crashes,
         });
         this.#membership.onChange(() => this.#path.apply(this.#membership.upstreams));
     }
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -1,5 +1,6 @@
 /** What this daemon does for its peers. */
 import type { Update } from "../config/update.js";
+import type { CrashGuard } from "../crashes/crashguard.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
 import type { Ledger } from "../ledger/ledger.js";
@@ -9,6 +10,7 @@
 import type { GateStatus } from "../peer/gatestatus.js";
 import { PeerService } from "../peer/peerservice.js";
 import type { RevokeInput } from "../peer/revokeinput.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
 import type { Clock } from "../time/clock.js";
 import type { Member } from "../wire/member.js";
 import type { RecordChanges } from "../wire/recordchanges.js";
@@ -22,6 +24,7 @@
     readonly ledger: Ledger;
     readonly configuration: CurrentConfiguration;
     readonly gates: GateSet;
+    readonly guard: CrashGuard;
     readonly clock: Clock;
     /** Undefined where the document names the upstreams. */
     readonly membership: Membership | undefined;
@@ -62,6 +65,12 @@
         return this.#membership.changesSince(have);
     }
 
+    crashes(known: readonly CrashRecord[]): CrashRecord[] {
+        const { guard } = this.parts;
+        guard.merge(known);
+        return guard.records;
+    }
+
     status(): GateStatus[] {
         const { gates, configuration, clock, membership, watchesStore } = this.parts;
         const now = clock();
--- a/src/daemon/datagramrouter.ts
+++ b/src/daemon/datagramrouter.ts
@@ -1,4 +1,5 @@
 /** Hands each datagram to the task that it is for. */
+import type { CrashSpread } from "../crashes/crashspread.js";
 import type { Message } from "../datagram/message.js";
 import type { HallHeartbeats } from "../distribution/hallheartbeats.js";
 import type { FailureDetector } from "../failuredetection/failuredetector.js";
@@ -19,6 +20,7 @@
     readonly upstreams: UpstreamTable;
     readonly heartbeats: HallHeartbeats;
     readonly failureDetector: FailureDetector;
+    readonly crashes: CrashSpread;
     readonly transfer: WorkTransfer;
     /** Undefined where the document names the upstreams. */
     readonly gossip: Gossip | undefined;
@@ -48,6 +50,8 @@
             case "member":
             case "going":
                 return this.parts.gossip?.receive(message);
+            case "crash":
+                return this.parts.crashes.receive(message);
             case "need":
                 return transfer.receiveNeed(message);
             case "offer":
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -1,10 +1,13 @@
 /** The gates of the upstreams beside this daemon, and what they share. */
+import { CrashGuard } from "../crashes/crashguard.js";
 import { CallContexts } from "../gate/callcontexts.js";
 import { Gate } from "../gate/gate.js";
 import { GateIdentity } from "../gate/gateidentity.js";
 import { HealthCheck } from "../health/healthcheck.js";
 import { ProbeBudget } from "../health/probebudget.js";
 import type { Address } from "../ids/address.js";
+import type { CrashId } from "../ids/crashid.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import { Ledger } from "../ledger/ledger.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { ServiceRetries } from "../policy/retry/serviceretries.js";
@@ -24,6 +27,7 @@
     readonly gates: GateSet;
     readonly health: HealthCheck;
     readonly retries: ServiceRetries;
+    readonly guard: CrashGuard;
     #onChange: () => void = () => {};
     #usualShare: (service: Gate["upstream"]["service"]) => number | undefined = () => undefined;
 
@@ -48,11 +52,22 @@
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
-            onCrash: (service: Gate["upstream"]["service"]) => metrics.crashed(service),
+            onCrash: (service: Gate["upstream"]["service"], crash: CrashId, requests: readonly RequestKey[]) => {
+                metrics.crashed(service);
+                this.guard.recordCrash({ service, crash, requests });
+            },
+            onServed: (request: RequestKey) => this.guard.recordServed(request),
+            heldForMs: (request: RequestKey | undefined) => this.guard.heldForMs(request),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
             repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
         };
+        this.guard = new CrashGuard({
+            clock,
+            hasServed: request => [...this.gates.all].some(gate => gate.hasServed(request)),
+            giveUp: request => [...this.gates.all].forEach(gate => gate.giveUp(request)),
+        });
+        metrics.showHeldRequests(() => this.guard.held);
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
         context.silentConnections.onFound(() => [...this.gates.all].forEach(gate => gate.suspectConnections()));
         const perSecond = control.healthPerSecond;
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -1,11 +1,15 @@
 /** How this daemon knows the others, in the way that its environment asks for; docs/DESIGN.md says why there are two. */
 import type { Upstream } from "../config/upstream.js";
+import { CrashPublisher } from "../crashes/crashpublisher.js";
+import { CrashSpread } from "../crashes/crashspread.js";
 import { ConfigurationWatch } from "../distribution/configurationwatch.js";
 import { HallHeartbeats } from "../distribution/hallheartbeats.js";
 import { LeavingHosts } from "../distribution/leavinghosts.js";
 import type { Place } from "../distribution/place.js";
 import { WatcherElection } from "../distribution/watcherelection.js";
 import { Membership } from "../membership/membership.js";
+import { relaysOf } from "../membership/relaysof.js";
+import { crashLimits } from "../policy/quarantine/crashlimits.js";
 import type { Member } from "../wire/member.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
@@ -22,6 +26,8 @@
 export class MembershipGroup {
     readonly heartbeats: HallHeartbeats;
     readonly announced: Membership | undefined;
+    readonly crashes: CrashSpread;
+    readonly #crashPublisher: CrashPublisher | undefined;
     #listener: () => void = () => {};
 
     constructor(
@@ -30,6 +36,8 @@
         private readonly gates: GateGroup,
     ) {
         this.announced = this.#makeMembership();
+        this.crashes = this.#makeCrashSpread();
+        this.#crashPublisher = this.#makeCrashPublisher();
         this.heartbeats = this.#makeHeartbeats();
         context.silentConnections.onFound(() => this.#renewStore());
         gates.onUsualShare(service => this.announced?.usualShare(service));
@@ -61,11 +69,13 @@
 
     stop(): void {
         this.heartbeats.stop();
+        this.#crashPublisher?.stop();
         this.announced?.stop();
     }
 
     #changed(): void {
         this.heartbeats.followPlaces();
+        this.crashes.meet();
         this.#listener();
     }
 
@@ -96,6 +106,7 @@
             registry: environment.registry,
             dialect: environment.dialect,
             healthPath: service => probes.healthPath(service),
+            onCrashRecords: records => this.gates.guard.merge(records),
             learnedShare: name => gates.find(name)?.learnedShare,
             watcher,
             configuration: current,
@@ -106,6 +117,30 @@
         });
     }
 
+    #makeCrashSpread(): CrashSpread {
+        const { settings, random, self, send, peer } = this.context;
+        return new CrashSpread({
+            self,
+            random,
+            send,
+            guard: this.gates.guard,
+            peers: () => [...new Set(this.#places().map(({ gate }) => gate))],
+            relays: () => relaysOf(this.#places(), settings.hall, self),
+            siblings: service =>
+                this.upstreams.filter(upstream => upstream.service === service).map(({ gate }) => gate),
+            exchange: (address, known) => peer.crashes(address, known),
+        });
+    }
+
+    /** None where the store keeps the operators' document only. */
+    #makeCrashPublisher(): CrashPublisher | undefined {
+        const { registry } = this.context.environment;
+        return registry && new CrashPublisher({
+            guard: this.gates.guard,
+            write: record => registry.keepCrashes(record, crashLimits.holdMs),
+        });
+    }
+
     #makeHeartbeats(): HallHeartbeats {
         const { settings, environment, clock, random, self, send } = this.context;
         const { current, puller, watcher } = this.configuration;
@@ -121,6 +156,8 @@
             election: new WatcherElection(self, clock(), this.announced === undefined ? 0 : ALONE_MS),
             watch: this.announced?.watch ?? new ConfigurationWatch(watcher),
             places: () => this.#places(),
+            crashMark: () => this.gates.guard.mark,
+            onCrashMark: (from, mark) => this.crashes.hear(from, mark),
             leavingHosts: new LeavingHosts(environment.store),
             onHostLeaving: leaving => this.gates.gates.setClosed("host-leaving", leaving),
         });
--- a/src/datagram/datagrams.ts
+++ b/src/datagram/datagrams.ts
@@ -41,6 +41,7 @@
     hello: "beat",
     member: "beat",
     going: "beat",
+    crash: "beat",
     need: "relief",
     offer: "relief",
 } as const;
--- a/src/datagram/message.ts
+++ b/src/datagram/message.ts
@@ -1,8 +1,10 @@
 /** Small datagrams between daemons. */
 import { z } from "zod";
 import { Address } from "../ids/address.js";
+import { CrashId } from "../ids/crashid.js";
 import { HostName } from "../ids/hostname.js";
 import { Incarnation } from "../ids/incarnation.js";
+import { RequestKey } from "../ids/requestkey.js";
 import { ServiceName } from "../ids/servicename.js";
 import { UpstreamName } from "../ids/upstreamname.js";
 import { loadReportSchema } from "../wire/loadreportschema.js";
@@ -17,8 +19,8 @@
 
 const Message = z.discriminatedUnion("type", [
     /**
-     * From a daemon that watches the store: its revision, how long ago it was confirmed, hosts that leave, and how far its list of
-     * daemons has come.
+     * From a daemon that watches the store: its revision, how long ago it was confirmed, hosts that leave, how far its list of
+     * daemons has come, and a mark of what it knows of requests that end upstreams.
      */
     z.object({
         type: z.literal("beat"),
@@ -28,6 +30,8 @@
         watching: z.boolean(),
         leaving: z.array(HostName).max(MAX_ITEMS),
         records: RecordsMark.optional(),
+        /** Of what it knows of requests that end upstreams. */
+        crashes: z.int().optional(),
     }),
     z.object({ type: z.literal("ping"), from, sentAt: z.number() }),
     /** The answer to a ping. */
@@ -56,6 +60,8 @@
     z.object({ type: z.literal("member"), from, member: Member }),
     /** A daemon goes. */
     z.object({ type: z.literal("going"), from }),
+    /** An upstream beside the sender has ended with these under way. */
+    z.object({ type: z.literal("crash"), from, crash: CrashId, requests: z.array(RequestKey).max(MAX_ITEMS) }),
     /** Requests wait at an upstream; siblings may offer slots. */
     z.object({
         type: z.literal("need"),
--- a/src/distribution/hallheartbeats.test.ts
+++ b/src/distribution/hallheartbeats.test.ts
@@ -63,6 +63,8 @@
         leavingHosts: { names: [], refresh: async () => {} } as never,
         send: (to, message) => sent.push({ to, message }) > 0,
         onHostLeaving: () => {},
+        crashMark: () => undefined,
+        onCrashMark: () => {},
     });
     heartbeats.followPlaces();
     heartbeats.start();
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -37,6 +37,8 @@
  * hall asks a watcher for some of them at a time. Chosen: four times in the two seconds that such a start takes.
  */
 const TELL_RECORDS_EVERY_MS = 500;
+/** What is known of requests that end upstreams is told at most so often: an upstream is back after a second. Milliseconds, chosen. */
+const TELL_CRASHES_EVERY_MS = 250;
 /** Of another hall, one of so many is told in each round: those that watch there. */
 const RELAYS = 2;
 
@@ -54,6 +56,9 @@
     /** Where all daemons are, this one too. */
     readonly places: () => readonly Place[];
     readonly leavingHosts: LeavingHosts;
+    /** Of what this daemon knows of requests that end upstreams; what is heard of others' marks is told. */
+    readonly crashMark: () => number | undefined;
+    readonly onCrashMark: (from: Address, mark: number | undefined) => void;
     readonly send: (to: Address, message: Message) => boolean;
     /** Told whether this daemon's own host is on the platform's list of those that leave. */
     readonly onHostLeaving: (leaving: boolean) => void;
@@ -70,6 +75,9 @@
     /** The list of daemons that was told last, and when. */
     #toldRecords = 0;
     #toldAt = -Infinity;
+    /** The mark of requests that end upstreams that was told last, and when. */
+    #toldCrashes: number | undefined;
+    #toldCrashesAt = -Infinity;
 
     constructor(private readonly parts: HeartbeatParts) {
         this.#sender = new HeartbeatSender(() => this.#audience(), to => parts.send(to, this.#beat()));
@@ -107,6 +115,7 @@
             this.parts.onHostLeaving(beat.leaving.includes(host));
         }
         this.#followRecords(beat, now);
+        this.parts.onCrashMark(beat.from, beat.crashes);
     }
 
     #followRecords({ from, records }: Extract<Message, { type: "beat"; }>, now: number): void {
@@ -146,6 +155,7 @@
         const now = clock();
         election.recordHeartbeat(self, this.#isWatching(now), now);
         this.#tellRecords(now);
+        this.#tellCrashes(now);
         this.#sender.tick(now);
     }
 
@@ -161,6 +171,16 @@
         this.#sender.sendSoon(this.#halves(hallMembers(places(), hall), now).own);
     }
 
+    /** To all at once: an upstream that may end in the meantime is dearer than a heartbeat. */
+    #tellCrashes(now: number): void {
+        const mark = this.parts.crashMark();
+        if (mark !== this.#toldCrashes && now - this.#toldCrashesAt >= TELL_CRASHES_EVERY_MS) {
+            this.#toldCrashes = mark;
+            this.#toldCrashesAt = now;
+            this.#sender.sendSoon();
+        }
+    }
+
     async #askHosts(): Promise<void> {
         const { watch, leavingHosts, host, onHostLeaving } = this.parts;
         if (!watch.watching) {
@@ -192,8 +212,9 @@
     }
 
     #beat(): Message {
-        const { self, configuration, clock, watch, leavingHosts } = this.parts;
+        const { self, configuration, clock, watch, leavingHosts, crashMark } = this.parts;
         const now = clock();
+        const crashes = crashMark();
         return {
             type: "beat",
             from: self,
@@ -202,6 +223,7 @@
             watching: this.#isWatching(now),
             leaving: leavingHosts.names.slice(0, 64),
             ...watch.records !== undefined && { records: watch.records },
+            ...crashes !== undefined && { crashes },
         };
     }
 }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -9,6 +9,7 @@
 import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { Admission } from "../policy/admission/admission.js";
 import { LevelClock } from "../policy/admission/levelclock.js";
@@ -139,6 +140,16 @@
         this.#runs.suspect(silentAfter(this.report().baseMs));
     }
 
+    /** True when the upstream has served the request well in its present life. */
+    hasServed(request: RequestKey): boolean {
+        return this.#runs.hasServed(request);
+    }
+
+    /** Calls off what runs of a request, where it may run again. */
+    giveUp(request: RequestKey): void {
+        this.#runs.giveUp(request);
+    }
+
     /** Ends the connections to the upstream, after what is in flight. */
     end(): Promise<void> {
         return this.#client.close();
@@ -193,6 +204,7 @@
     }
 
     async #admit(request: GateRequest): Promise<void> {
+        this.#runs.checkHeld(request);
         const reason = await this.#checks.refusalOf(request);
         if (reason !== undefined) {
             throw this.#refusals.make(reason);
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -34,5 +34,9 @@
     readonly repeatsLeft: (service: ServiceName) => number;
     /** Told of an unplanned end of an upstream, and of the requests that were under way. */
     readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
+    /** Told of each request that the upstream has served well. */
+    readonly onServed: (request: RequestKey) => void;
+    /** For how long a request is refused yet, in milliseconds; undefined for one that is not. */
+    readonly heldForMs: (request: RequestKey | undefined) => number | undefined;
     readonly healthPath: (service: ServiceName) => string;
 };
--- a/src/gate/gateruns.ts
+++ b/src/gate/gateruns.ts
@@ -6,10 +6,12 @@
 import type { Upstream } from "../config/upstream.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { HopError } from "../hop/hoperror.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
 import type { LevelClock } from "../policy/admission/levelclock.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
+import { ServedRequests } from "../policy/quarantine/servedrequests.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import { CrashWatch } from "./crashwatch.js";
 import type { GateChecks } from "./gatechecks.js";
@@ -44,6 +46,7 @@
 export class GateRuns {
     readonly #running = new RunningRequests();
     readonly #crashes: CrashWatch;
+    readonly #served = new ServedRequests();
 
     constructor(private readonly upstream: Upstream, private readonly parts: RunsParts) {
         this.#crashes = this.#makeCrashWatch();
@@ -68,9 +71,31 @@
         this.#running.suspect(afterMs);
     }
 
+    /** True when the upstream has served the request well. */
+    hasServed(request: RequestKey): boolean {
+        return this.#served.has(request);
+    }
+
+    /** Calls off what runs of a request that may run again elsewhere: its upstream is to be spared. */
+    giveUp(request: RequestKey): void {
+        this.#running.giveUp(request);
+    }
+
+    /** Throws a HopError for a request under which upstreams have ended. */
+    checkHeld({ key }: GateRequest): void {
+        const retryAfterMs = this.parts.heldForMs(key);
+        if (retryAfterMs !== undefined) {
+            throw this.parts.refusals.make("quarantined", { retryAfterMs });
+        }
+    }
+
     /** Runs a request whose slot is free; throws a HopError. */
     async run(request: GateRequest): Promise<GateAnswer> {
         const { clock, checks, queue, refusals } = this.parts;
+        if (this.parts.heldForMs(request.key) !== undefined) {
+            queue.giveBack(request);
+            this.checkHeld(request);
+        }
         if (!queue.start(request)) {
             throw refusals.make("deadline-or-revoked");
         }
@@ -109,7 +134,11 @@
             queue.release(serviceMs, { rule: request.rule, work, pace });
             onChange();
         };
-        const run = new UpstreamRun(request, { ...this.parts, crashes: this.#crashes, onEnd });
+        const onServed = (key: RequestKey): void => {
+            this.#served.add(key);
+            this.parts.onServed(key);
+        };
+        const run = new UpstreamRun(request, { ...this.parts, crashes: this.#crashes, onEnd, onServed });
         return run;
     }
 
@@ -121,7 +150,11 @@
             upstream,
             clock,
             ask: async () => void await client.ask(healthPath(service), CRASH_TIMEOUT_MS),
-            onCrash: (crash, requests) => checks.isClosed || onCrash(service, crash, requests),
+            onCrash: (crash, requests) => {
+                if (!checks.isClosed) {
+                    onCrash(service, crash, requests.filter(request => !this.#served.has(request)));
+                }
+            },
         });
     }
 
--- a/src/gate/runningrequests.ts
+++ b/src/gate/runningrequests.ts
@@ -1,4 +1,5 @@
 /** What runs at one upstream. */
+import type { RequestKey } from "../ids/requestkey.js";
 import type { UpstreamRun } from "./upstreamrun.js";
 
 /** Counts since the gate was made. */
@@ -29,6 +30,11 @@
         this.#runs.forEach(run => run.suspect(afterMs));
     }
 
+    /** Calls off the runs of a request. */
+    giveUp(request: RequestKey): void {
+        this.#runs.forEach(run => run.key === request && run.callOff());
+    }
+
     /** How long what runs has run, on average; 0 while nothing runs. */
     meanAgeMs(now: number): number {
         let sumMs = 0;
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -61,9 +61,14 @@
         if (now < request.deadline && (!request.once || ledger.start(request.call.head.id, now))) {
             return true;
         }
+        this.giveBack(request);
+        return false;
+    }
+
+    /** Frees the slot of a request that does not run after all. */
+    giveBack(request: GateRequest): void {
         this.withdraw(request);
         this.release(undefined);
-        return false;
     }
 
     /** Records that a request has ended, and lets the next ones run. */
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -5,6 +5,8 @@
 import { Cancel } from "../http/cancel.js";
 import { cleanHeaders } from "../http/cleanheaders.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
+import { httpStatus } from "../http/httpstatus.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { LevelClock } from "../policy/admission/levelclock.js";
@@ -30,6 +32,7 @@
     readonly client: UpstreamClient;
     readonly levels: LevelClock;
     readonly crashes: CrashWatch;
+    readonly onServed: (request: RequestKey) => void;
     readonly onEnd: (
         serviceMs: number | undefined,
         work: Float64Array,
@@ -79,6 +82,17 @@
         return this.request.call.head.arrival !== "first";
     }
 
+    get key(): RequestKey | undefined {
+        return this.request.key;
+    }
+
+    /** Calls it off, unless it may run only once: then it is let finish. */
+    callOff(): void {
+        if (!this.request.once) {
+            this.#cancel.abort();
+        }
+    }
+
     /** How long it has run, in milliseconds. */
     ageMs(now: number): number {
         return now - this.#startedAt;
@@ -118,7 +132,7 @@
             return {
                 status: answer.status,
                 headers: cleanHeaders(answer.headers),
-                body: streamed ? answer.body : this.#watch(answer.body),
+                body: streamed ? answer.body : this.#watch(answer.body, answer.status),
                 leaving: parts.dialect.isLeaving(answer.headers),
                 calls: this.#context.calls.size > 0,
                 retriedBelow: this.#context.retriedBelow,
@@ -148,8 +162,11 @@
     }
 
     /** Ends the run with the body; a `once` request's answer is read to its end whoever has left. */
-    #watch(body: Readable): Readable {
-        body.on("close", () => this.#end(true));
+    #watch(body: Readable, status: number): Readable {
+        body.on("close", () => {
+            this.#recordServed(body.readableEnded, status);
+            this.#end(true);
+        });
         body.on("error", () => this.parts.crashes.ended(this.request.key, this.#cancel.aborted));
         if (!this.request.once) {
             return body;
@@ -163,6 +180,14 @@
         return body.pipe(out);
     }
 
+    /** An answer that came whole, and is no failure of the upstream's own, speaks for the request. */
+    #recordServed(whole: boolean, status: number): void {
+        const { request: { key }, parts: { onServed } } = this;
+        if (whole && key !== undefined && status < httpStatus.internalServerError) {
+            onServed(key);
+        }
+    }
+
     #headers(): HttpHeaders {
         const { call, deadline } = this.request;
         const { dialect } = this.parts;
--- a/src/ingress/ingressparts.ts
+++ b/src/ingress/ingressparts.ts
@@ -1,5 +1,6 @@
 /** What the handling of requests needs of its daemon. */
 import type { Service } from "../config/service.js";
+import type { CrashGuard } from "../crashes/crashguard.js";
 import type { Dialect } from "../dialect/dialect.js";
 import type { Address } from "../ids/address.js";
 import type { Metrics } from "../metrics/metrics.js";
@@ -22,6 +23,7 @@
     readonly retries: (service: Service) => Retries;
     readonly dialect: Dialect;
     readonly hedge: boolean;
+    readonly guard: CrashGuard;
     readonly newId: () => string;
     readonly revision: () => number;
     readonly from: string;
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -19,6 +19,10 @@
     "internal": { status: httpStatus.internalServerError, title: "Winglock has failed." },
     "no-upstream": { status: httpStatus.serviceUnavailable, title: "No upstream of the service takes work now." },
     "overloaded": { status: httpStatus.serviceUnavailable, title: "All upstreams of the service are busy." },
+    "quarantined": {
+        status: httpStatus.serviceUnavailable,
+        title: "Upstreams have ended under this request; it is not run for a while.",
+    },
     "unreachable": { status: httpStatus.serviceUnavailable, title: "The upstream could not be reached." },
     "deadline": { status: httpStatus.gatewayTimeout, title: "The request's deadline has passed." },
     "answer-lost": { status: httpStatus.badGateway, title: "The upstream's answer was lost." },
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -4,10 +4,13 @@
  * Owns the answer to the caller, the request's deadline and the choice of its upstreams. Which upstream, whether another attempt
  * follows (requestretries.ts), and what the caller is told at the end are decided in src/policy; here they are carried out and logged.
  */
+import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import { Cancel } from "../http/cancel.js";
 import { dropBody } from "../http/dropbody.js";
+import type { RequestKey } from "../ids/requestkey.js";
 import { retrySoonMs } from "../policy/admission/retrysoon.js";
+import type { Standing } from "../policy/quarantine/standing.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { AttemptResult } from "../policy/retry/attemptresult.js";
 import { reasonWord } from "../policy/retry/reasonword.js";
@@ -52,6 +55,7 @@
             ingress: parts,
             plan: () => this.plan,
             bodyKept: out.body.kept,
+            standing: () => this.#standing(),
             log: this.#log,
         });
         this.#targets = new Targets(parts, this.#retries.history.tried);
@@ -80,7 +84,10 @@
     }
 
     async #tryUntilSettled(): Promise<Ending> {
-        let last: Unserved | undefined;
+        let last: Unserved | undefined = this.#refusal();
+        if (last !== undefined) {
+            return await this.#conclude(last);
+        }
         for (;;) {
             const { goTo, offer } = last === undefined || last.outcome === "failed" ? NO_UPSTREAM : last;
             const target = this.#targets.choose(this.plan.service.name, goTo);
@@ -107,6 +114,23 @@
         }
     }
 
+    /** The result of a request that is refused before its first attempt; undefined for one that is not. */
+    #refusal(): Unanswered | undefined {
+        const { guard } = this.parts;
+        const retryAfterMs = guard.isEmpty ? undefined : guard.heldForMs(this.#key());
+        return retryAfterMs === undefined ? undefined : { outcome: "not-run", reason: "quarantined", retryAfterMs };
+    }
+
+    #standing(): Standing {
+        const { guard } = this.parts;
+        return guard.isEmpty ? "free" : guard.standing(this.#key());
+    }
+
+    #key(): RequestKey | undefined {
+        const { method, path, headers, body } = this.out;
+        return requestKeyOf({ method, path, headers, body: body.content }, this.parts.dialect);
+    }
+
     /** Ends a request for which no upstream is left; `last` is the result of its last attempt, if there was one. */
     async #endWithout(last: Unserved): Promise<Ending> {
         if (this.answer.isGone) {
--- a/src/ingress/requestretries.ts
+++ b/src/ingress/requestretries.ts
@@ -3,6 +3,7 @@
  *
  * Owns the history of its attempts, and writes the log line of each decision.
  */
+import type { Standing } from "../policy/quarantine/standing.js";
 import { AttemptHistory } from "../policy/retry/attempthistory.js";
 import { decideHedge } from "../policy/retry/decidehedge.js";
 import { decideRetry } from "../policy/retry/decideretry.js";
@@ -24,6 +25,7 @@
     readonly plan: () => Plan;
     /** The body can be sent again. */
     readonly bodyKept: boolean;
+    readonly standing: () => Standing;
     readonly log: RequestLog;
 };
 
@@ -60,6 +62,7 @@
                 remainingMs: deadline - now,
                 bodyKept,
                 owes: this.history.owes,
+                standing: this.parts.standing(),
             },
             this.#retries(),
             now,
@@ -81,10 +84,10 @@
 
     /** When the first answer is overdue; undefined where the request must not be sent twice. */
     hedgeAfterMs(): number | undefined {
-        const { ingress: { hedge: isEnabled }, plan, bodyKept } = this.parts;
+        const { ingress: { hedge: isEnabled }, plan, bodyKept, standing } = this.parts;
         const { kind, rule } = plan();
         return decideHedge({
-            isEnabled,
+            isEnabled: isEnabled && standing() === "free",
             kind,
             answer: rule.answer,
             bodyKept,
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -16,6 +16,7 @@
 import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import type { PeerClient } from "../peer/peerclient.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import type { Member } from "../wire/member.js";
@@ -48,6 +49,8 @@
     readonly peer: PeerClient;
     /** What the gate of an upstream here has learnt of where it slows down, of its slots. */
     readonly learnedShare: (name: UpstreamName) => number | undefined;
+    /** Told of what the store keeps of requests that end upstreams. */
+    readonly onCrashRecords: (records: readonly CrashRecord[]) => void;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly send: (to: Address, message: Message) => boolean;
@@ -170,9 +173,10 @@
     }
 
     #makeRecords(): RegistryWatcher {
-        const { self, registry, clock } = this.parts;
+        const { self, registry, clock, onCrashRecords } = this.parts;
         return new RegistryWatcher({
             self,
+            onCrashRecords,
             registry,
             members: this.#others,
             clock,
--- a/src/membership/registry.ts
+++ b/src/membership/registry.ts
@@ -1,6 +1,8 @@
 /** Where daemons find each other: the platform's store, as far as membership uses it. */
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
 import type { Member } from "../wire/member.js";
 import type { RegistryEvent } from "./registryevent.js";
+import type { RegistryList } from "./registrylist.js";
 
 /** All calls throw a StoreError. */
 export abstract class Registry {
@@ -10,8 +12,10 @@
     abstract renew(): Promise<boolean>;
     /** Takes the record back. */
     abstract withdraw(): Promise<void>;
+    /** Keeps what is known of a refused request for so long, in milliseconds; what was kept of it before is replaced. */
+    abstract keepCrashes(record: CrashRecord, keepMs: number): Promise<void>;
     /** All records, and where to watch from; stale ones cost the store less and may be seconds old: nothing is watched from there. */
-    abstract list(age: "newest" | "stale"): Promise<{ readonly members: Member[]; readonly at: number; }>;
+    abstract list(age: "newest" | "stale"): Promise<RegistryList>;
     /** Waits for changes after `after`; throws a HistoryError when they are no longer kept. */
     abstract watch(
         after: number,
--- a/src/membership/registrywatcher.ts
+++ b/src/membership/registrywatcher.ts
@@ -1,6 +1,7 @@
 /** Follows the records of all daemons in the store. */
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
 import { HistoryError } from "../store/historyerror.js";
 import { StoreLoop } from "../store/storeloop.js";
 import type { Clock } from "../time/clock.js";
@@ -9,6 +10,7 @@
 import type { MemberList } from "./memberlist.js";
 import type { Registry } from "./registry.js";
 import type { RegistryEvent } from "./registryevent.js";
+import type { RegistryList } from "./registrylist.js";
 
 const logger = log("roster");
 
@@ -28,6 +30,8 @@
     readonly clock: Clock;
     readonly onOwnGone: () => void;
     readonly onOwn: (member: Member) => void;
+    /** Told of what the store keeps of refused requests. */
+    readonly onCrashRecords: (records: readonly CrashRecord[]) => void;
 };
 
 /** Reads all records once; then, while it is this daemon's turn, all records and what changes. */
@@ -69,8 +73,7 @@
      */
     async readOld(): Promise<void> {
         try {
-            const { members } = await this.parts.registry.list("stale");
-            this.#applyAll(members, false);
+            this.#applyAll(await this.parts.registry.list("stale"), false);
         }
         catch (err) {
             logger.warn("The records could not be read at the start.", err);
@@ -88,9 +91,9 @@
     async #step(signal: AbortSignal): Promise<void> {
         if (this.#at === undefined || !await this.#watch(this.#at, signal)) {
             this.#at = undefined;
-            const { members, at } = await this.parts.registry.list("newest");
-            this.#applyAll(members, true);
-            this.#at = at;
+            const list = await this.parts.registry.list("newest");
+            this.#applyAll(list, true);
+            this.#at = list.at;
         }
     }
 
@@ -111,8 +114,9 @@
     }
 
     /** A member that is not among the newest has no record any more. */
-    #applyAll(members: readonly Member[], areNewest: boolean): void {
-        const { members: known, clock, self, onOwn } = this.parts;
+    #applyAll({ members, crashes }: RegistryList, areNewest: boolean): void {
+        const { members: known, clock, self, onOwn, onCrashRecords } = this.parts;
+        onCrashRecords(crashes);
         const now = clock();
         const own = members.find(member => member.gate === self);
         if (own !== undefined) {
@@ -130,7 +134,11 @@
     }
 
     #apply(event: RegistryEvent): void {
-        const { members, clock, self, onOwnGone } = this.parts;
+        const { members, clock, self, onOwnGone, onCrashRecords } = this.parts;
+        if (event.type === "crashes") {
+            onCrashRecords([event.record]);
+            return;
+        }
         if (event.type === "written") {
             members.record(event.member, "store", clock());
             return;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -91,6 +91,15 @@
         );
     }
 
+    /** Shows how many requests are refused since upstreams have ended under them; asked for at each scrape. */
+    showHeldRequests(held: () => number): void {
+        this.#show(
+            "winglock_quarantined_requests",
+            "Requests that are refused: upstreams have ended under them.",
+            held,
+        );
+    }
+
     /** Records the end of a caller's request; the label is `tenant`, by which dashboards know teams. */
     finished({ service, priority, team }: Finished, outcome: string, elapsedMs: number): void {
         this.#requests.observe({
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,12 +1,15 @@
 /** Calls a peer; every call is bounded in time. */
 import { createTRPCClient, type TRPCClient } from "@trpc/client";
 import { Agent } from "undici";
+import { z } from "zod";
 import { parse } from "../config/parse.js";
 import type { Update } from "../config/update.js";
 import { headerName } from "../dialect/headername.js";
 import type { Address } from "../ids/address.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import { log } from "../log/log.js";
+import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
+import { crashRecordSchema } from "../wire/crashrecordschema.js";
 import { Member } from "../wire/member.js";
 import { RecordChanges } from "../wire/recordchanges.js";
 import type { RecordsMark } from "../wire/recordsmark.js";
@@ -24,6 +27,8 @@
 /** Short, since a caller waits for the answer; milliseconds. */
 const REVOKE_TIMEOUT_MS = 300;
 
+const crashRecords = z.array(crashRecordSchema);
+
 const logger = log("peer");
 
 type Client = TRPCClient<typeof peerRouter>;
@@ -76,6 +81,11 @@
         return parse(RecordChanges, await this.#client(address).records.query({ have }, this.#bound()));
     }
 
+    /** Gives a peer what is known here of requests that end upstreams; returns what is known there. */
+    async crashes(address: Address, known: readonly CrashRecord[]): Promise<CrashRecord[]> {
+        return parse(crashRecords, await this.#client(address).crashes.mutate([...known], this.#bound()));
+    }
+
     status(address: Address): Promise<GateStatus[]> {
         return this.#client(address).status.query(undefined, this.#bound());
     }
--- a/src/peer/peerrouter.ts
+++ b/src/peer/peerrouter.ts
@@ -1,13 +1,15 @@
 /** The calls between daemons that carry no bodies. */
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
+import { crashLimits } from "../policy/quarantine/crashlimits.js";
+import { crashRecordSchema } from "../wire/crashrecordschema.js";
 import { RecordsMark } from "../wire/recordsmark.js";
 import type { PeerService } from "./peerservice.js";
 import { RevokeInput } from "./revokeinput.js";
 
 const t = initTRPC.context<{ service: PeerService; }>().create();
 
-/** hello, revoke, update, member, records, status. */
+/** hello, revoke, update, member, records, crashes, status. */
 export const peerRouter = t.router({
     hello: t.procedure.query(({ ctx }) => ctx.service.hello()),
     revoke: t.procedure.input(RevokeInput).mutation(({ ctx, input }) => ctx.service.revoke(input)),
@@ -18,5 +20,8 @@
     records: t.procedure
         .input(z.object({ have: RecordsMark.optional() }))
         .query(({ ctx, input }) => ctx.service.records(input.have)),
+    crashes: t.procedure
+        .input(z.array(crashRecordSchema).max(crashLimits.maxRequests))
+        .mutation(({ ctx, input }) => ctx.service.crashes(input)),
     status: t.procedure.query(({ ctx }) => ctx.service.status()),
 });
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -11,6 +11,7 @@
     | "internal"
     | "no-upstream"
     | "overloaded"
+    | "quarantined"
     | "unreachable"
     | "deadline"
     | "answer-lost";
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -9,6 +9,8 @@
     | "handed-back"
     | "calls-spent"
     | "caller-left"
+    // Upstreams have ended under the request.
+    | "quarantined"
     // Time.
     | "deadline"
     | "deadline-or-revoked"
--- a/src/policy/retry/reasonfacts.ts
+++ b/src/policy/retry/reasonfacts.ts
@@ -10,6 +10,8 @@
     readonly proves: "not-run" | "unknown" | "either";
     /** The request belongs elsewhere: it goes there without counting as an attempt, as often as `maxMoves` allows. */
     readonly moves: boolean;
+    /** It is refused for what it is, wherever it goes: nothing follows. */
+    readonly isFinal?: true;
     /** A proven `not-run` is tried again only from the retry budget: the refusal was for load, or may be. */
     readonly costsBudget: boolean;
     /** What the caller is told when nothing follows, and the request is proven not to have run. */
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -28,6 +28,7 @@
     "busy": movesForLoad,
     "handed-back": movesForLoad,
     "calls-spent": movesForLoad,
+    "quarantined": { ...refusedForLoad, isFinal: true, problem: "quarantined" },
     "queue-full": refusedForLoad,
     "wait-too-long": refusedForLoad,
     "caller-left": refusedForLoad,
--- a/src/policy/retry/retrydecision.ts
+++ b/src/policy/retry/retrydecision.ts
@@ -7,6 +7,7 @@
     readonly again: false;
     readonly why:
         | "time-over"
+        | "quarantined"
         | "body-gone"
         | "retried-below"
         | "attempts-spent"
