Mend of a known red: the first of a fleet that has just started watch the configuration while they wait for others

Cause: a daemon that knows nobody waits for 4 s before it watches, so that a hall that starts together does not have all of its daemons watch the records, each change of which is a call; the configuration's watch waited with it, though it comes back seldom. Now what is watched has three steps: nothing, the configuration, all. From 1.2 s on, when it has looked once, a daemon among the first two of those it knows watches the configuration.

--- a/src/distribution/configurationwatch.ts
+++ b/src/distribution/configurationwatch.ts
@@ -1,6 +1,7 @@
 /** The watch of a daemon that knows the others from the configuration alone. */
 import type { DocumentWatcher } from "./documentwatcher.js";
 import { StoreWatch } from "./storewatch.js";
+import type { WatchScope } from "./watchscope.js";
 
 /** The watch of the configuration; there are no records. */
 export class ConfigurationWatch extends StoreWatch {
@@ -10,12 +11,12 @@
         super();
     }
 
-    get watching(): boolean {
-        return this.watcher.watching;
+    get scope(): WatchScope {
+        return this.watcher.watching ? "all" : "nothing";
     }
 
-    set(watch: boolean): void {
-        this.watcher.set(watch);
+    set(scope: WatchScope): void {
+        this.watcher.set(scope !== "nothing");
     }
 
     /** Nothing but the watch itself would tell. */
--- a/src/distribution/hallheartbeats.test.ts
+++ b/src/distribution/hallheartbeats.test.ts
@@ -11,19 +11,20 @@
 import { rank } from "./rank.js";
 import { StoreWatch } from "./storewatch.js";
 import { WatcherElection } from "./watcherelection.js";
+import type { WatchScope } from "./watchscope.js";
 
 const HALL = "a" as HallName;
 const TICK_MS = 50;
 const LIFE = "life" as Incarnation;
 
 class FakeWatch extends StoreWatch {
-    watching = false;
+    scope: WatchScope = "nothing";
     records: RecordsMark | undefined = { life: LIFE, at: 1 };
     reached = true;
     readonly followed: string[] = [];
 
-    set(watch: boolean): void {
-        this.watching = watch;
+    set(scope: WatchScope): void {
+        this.scope = scope;
     }
 
     isReached(): boolean {
@@ -114,10 +115,10 @@
         third.hear(1);
     }
     assert.equal(third.watch.followed.at(-1), ranked[1]);
-    assert.equal(third.watch.watching, false, "it can't reach the store itself");
+    assert.equal(third.watch.scope, "nothing", "it can't reach the store itself");
     third.watch.reached = true;
     third.pass(1000);
-    assert.equal(third.watch.watching, true, "one watcher is too few");
+    assert.equal(third.watch.scope, "all", "one watcher is too few");
     third.stop();
 });
 
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -23,6 +23,7 @@
 import { rank } from "./rank.js";
 import type { StoreWatch } from "./storewatch.js";
 import type { WatcherElection } from "./watcherelection.js";
+import type { WatchScope } from "./watchscope.js";
 
 /** How often heartbeats that are due are sent by one that watches: a round of 2 s in 40 parts. */
 const TICK_MS = 50;
@@ -86,7 +87,7 @@
 
     /** True while it is this daemon's turn to watch the store. */
     get watching(): boolean {
-        return this.parts.watch.watching;
+        return this.parts.watch.scope === "all";
     }
 
     start(): void {
@@ -95,7 +96,7 @@
 
     stop(): void {
         this.#tickers.forEach(ticker => ticker.stop());
-        this.#watch(false);
+        this.#watch("nothing");
     }
 
     /** Applies who is where; to be called when that has changed. */
@@ -106,12 +107,12 @@
 
     /** Applies a heartbeat that was received. */
     receive(beat: Extract<Message, { type: "beat"; }>): void {
-        const { clock, configuration, election, puller, host, watch } = this.parts;
+        const { clock, configuration, election, puller, host } = this.parts;
         const now = clock();
         election.recordHeartbeat(beat.from, beat.watching, now);
         configuration.confirm(beat.revision, now - beat.ageMs);
         void puller.pull(beat.revision, beat.from).then(() => configuration.confirm(beat.revision, now - beat.ageMs));
-        if (beat.watching && !watch.watching) {
+        if (beat.watching && !this.watching) {
             this.parts.onHostLeaving(beat.leaving.includes(host));
         }
         this.#followRecords(beat, now);
@@ -128,25 +129,26 @@
 
     #isWatching(now: number): boolean {
         const { watch } = this.parts;
-        return watch.watching && watch.isReached(now);
+        return this.watching && watch.isReached(now);
     }
 
     #elect(): void {
         const { clock, election, watch } = this.parts;
         const now = clock();
-        this.#watch(election.shouldWatch(now, watch.isReached(now)));
+        this.#watch(election.scopeOf(now, watch.isReached(now)));
     }
 
-    #watch(watch: boolean): void {
-        if (this.watching === watch) {
+    #watch(scope: WatchScope): void {
+        const { watch } = this.parts;
+        if (watch.scope === scope) {
             return;
         }
-        this.parts.watch.set(watch);
-        if (watch) {
-            this.#beats.start();
+        watch.set(scope);
+        if (scope === "nothing") {
+            this.#beats.stop();
         }
         else {
-            this.#beats.stop();
+            this.#beats.start();
         }
     }
 
@@ -182,8 +184,8 @@
     }
 
     async #askHosts(): Promise<void> {
-        const { watch, leavingHosts, host, onHostLeaving } = this.parts;
-        if (!watch.watching) {
+        const { leavingHosts, host, onHostLeaving } = this.parts;
+        if (!this.watching) {
             return;
         }
         const before = leavingHosts.names.join();
--- a/src/distribution/watcherelection.test.ts
+++ b/src/distribution/watcherelection.test.ts
@@ -53,6 +53,20 @@
     assert.equal(withoutDocument.shouldWatch(0), true, "where the watch is the only way to meet others");
 });
 
+test("election: while a daemon waits for others, the first of those it knows watch the configuration", () => {
+    const alone = new WatcherElection(address("g2"), 0, 4000);
+    alone.setMembers([address("g2")]);
+    assert.equal(alone.scopeOf(5000, false), "nothing", "the store has not answered yet");
+    assert.equal(alone.scopeOf(5000), "nothing");
+    assert.equal(alone.scopeOf(6199), "nothing", "the others may be there at the first look");
+    assert.equal(alone.scopeOf(6200), "configuration");
+    alone.setMembers(["g0", "g1", "g2"].map(address));
+    assert.equal(alone.scopeOf(6300), "nothing", "two go before it");
+    alone.setMembers(["g1", "g2", "g3"].map(address));
+    assert.equal(alone.scopeOf(8999), "configuration");
+    assert.equal(alone.scopeOf(9000), "all");
+});
+
 test("heartbeats: who has waited since an earlier change is not put back by a later one", () => {
     const sent: string[] = [];
     let budget = 0;
--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -6,6 +6,7 @@
  * those that do; each of them tells its part of the hall.
  */
 import type { Address } from "../ids/address.js";
+import type { WatchScope } from "./watchscope.js";
 
 /** Watchers of a hall: one may fail. */
 const WATCHERS = 2;
@@ -15,6 +16,11 @@
 const GRACE_MS = 2500;
 /** Those further back in rank wait longer, so that a whole hall does not rush to the store; milliseconds each. */
 const STAGGER_MS = 200;
+/**
+ * One that knew nobody has looked for others by then (membership/registrywatcher.ts), and those that start together have found some of each
+ * other. Before, a fleet that had just started watched no configuration for 4 s, and a change in that time came as late. Milliseconds.
+ */
+const FIRST_LOOK_MS = 1200;
 
 /**
  * Decides for one daemon; `startedAt` and all times are on its clock. One that knows nobody when the store has answered it waits for
@@ -67,6 +73,17 @@
         return better.length < WATCHERS || isStoreReached && now - this.#enoughAt >= better.length * STAGGER_MS;
     }
 
+    /** What this daemon should watch: while it waits for others, the configuration at least, if it is among the first of those it knows. */
+    scopeOf(now: number, isStoreReached = true): WatchScope {
+        if (this.shouldWatch(now, isStoreReached)) {
+            return "all";
+        }
+        const waitsUntil = this.#mayWatchFrom;
+        const isWaiting = waitsUntil !== undefined && now < waitsUntil
+            && now >= waitsUntil - this.aloneMs + FIRST_LOOK_MS;
+        return isWaiting && this.#ownRank < WATCHERS ? "configuration" : "nothing";
+    }
+
     /** The watcher that tells a daemon of the hall what it has seen, or undefined while none is known. */
     sourceOf(gate: Address, now: number): Address | undefined {
         const watchers = this.#fresh(this.#ranked, now);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -157,7 +157,7 @@
     stop(): void {
         this.gossip.announceStop();
         this.gossip.stop();
-        this.#watch.set(false);
+        this.#watch.set("nothing");
         this.#own.stop();
     }
 
@@ -166,7 +166,7 @@
         return new RecordPublisher({
             registry,
             member: () => this.member,
-            isWatching: () => this.#watch.watching,
+            isWatching: () => this.#watch.scope === "all",
             onTrouble: () => this.#watch.recordFailure(),
             onSuccess: () => this.#watch.recordAnswer(clock()),
         });
--- a/src/membership/membershipwatch.ts
+++ b/src/membership/membershipwatch.ts
@@ -5,6 +5,7 @@
  */
 import type { DocumentWatcher } from "../distribution/documentwatcher.js";
 import { StoreWatch } from "../distribution/storewatch.js";
+import type { WatchScope } from "../distribution/watchscope.js";
 import type { Address } from "../ids/address.js";
 import type { Incarnation } from "../ids/incarnation.js";
 import type { RecordsMark } from "../wire/recordsmark.js";
@@ -25,6 +26,7 @@
 
 /** `recordAnswer` and `recordFailure` are called with what becomes of each renewal. */
 export class MembershipWatch extends StoreWatch {
+    #scope: WatchScope = "nothing";
     #answeredAt = -Infinity;
     #hasFailed = false;
 
@@ -32,13 +34,14 @@
         super();
     }
 
-    get watching(): boolean {
-        return this.parts.configuration.watching;
+    get scope(): WatchScope {
+        return this.#scope;
     }
 
-    set(watch: boolean): void {
-        this.parts.configuration.set(watch);
-        this.parts.records.set(watch);
+    set(scope: WatchScope): void {
+        this.#scope = scope;
+        this.parts.configuration.set(scope !== "nothing");
+        this.parts.records.set(scope === "all");
     }
 
     isReached(now: number): boolean {
