Clock: the time for which a host was suspended has passed

A suspended host's steady clock and timers stand still, so that whatever is believed by age is older than it looks on waking, and a request that waited past its deadline would run. Ruled out: the time of day (is set); reading the uptime at each call of the clock (3.3 us each, some 40 calls a request). Loopback can't suspend a host: shown by a stand-in of both clocks only.

--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -42,6 +42,7 @@
         this.retries = new ServiceRetries({ bound, burst, startedAt: clock() });
         const shared = {
             clock,
+            exactClock: context.exactClock,
             localIp,
             ledger: this.ledger,
             contexts: this.contexts,
@@ -57,7 +58,7 @@
                 this.guard.recordCrash({ service, crash, requests });
             },
             onServed: (request: RequestKey) => this.guard.recordServed(request),
-            heldForMs: (request: RequestKey | undefined) => this.guard.heldForMs(request),
+            quarantinedForMs: (request: RequestKey | undefined) => this.guard.quarantinedForMs(request),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
             repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
             healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
@@ -67,7 +68,7 @@
             hasServed: request => [...this.gates.all].some(gate => gate.hasServed(request)),
             giveUp: request => [...this.gates.all].forEach(gate => gate.giveUp(request)),
         });
-        metrics.showHeldRequests(() => this.guard.held);
+        metrics.showQuarantined(() => this.guard.quarantined);
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
         context.silentConnections.onFound(() => [...this.gates.all].forEach(gate => gate.suspectConnections()));
         const perSecond = control.healthPerSecond;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -68,6 +68,7 @@
         this.#refusals = new GateRefusals(more => this.note(more));
         this.#queue = new SlotQueue({
             clock,
+            exactClock: parts.exactClock,
             ledger,
             admission: this.#admission,
             refusals: this.#refusals,
@@ -204,7 +205,7 @@
     }
 
     async #admit(request: GateRequest): Promise<void> {
-        this.#runs.checkHeld(request);
+        this.#runs.checkQuarantine(request);
         const reason = await this.#checks.refusalOf(request);
         if (reason !== undefined) {
             throw this.#refusals.make(reason);
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -18,6 +18,8 @@
  */
 export type GateParts = {
     readonly clock: Clock;
+    /** The same, with any suspension of the host up to now. */
+    readonly exactClock: Clock;
     readonly ledger: Ledger;
     readonly contexts: CallContexts;
     readonly identity: GateIdentity;
@@ -32,11 +34,11 @@
     readonly onSilent: (address: Address) => void;
     readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
     readonly repeatsLeft: (service: ServiceName) => number;
-    /** Told of an unplanned end of an upstream, and of the requests that were under way. */
+    /** Told of a crash of an upstream, and of the requests that were under way. */
     readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
     /** Told of each request that the upstream has served well. */
     readonly onServed: (request: RequestKey) => void;
-    /** For how long a request is refused yet, in milliseconds; undefined for one that is not. */
-    readonly heldForMs: (request: RequestKey | undefined) => number | undefined;
+    /** For how long a request is quarantined yet, in milliseconds; undefined for one that is not. */
+    readonly quarantinedForMs: (request: RequestKey | undefined) => number | undefined;
     readonly healthPath: (service: ServiceName) => string;
 };
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -16,6 +16,7 @@
 /** What the queue shares with its gate. */
 type QueueParts = {
     readonly clock: Clock;
+    readonly exactClock: Clock;
     readonly ledger: Ledger;
     readonly admission: Admission<GateRequest>;
     readonly refusals: GateRefusals;
@@ -54,10 +55,10 @@
         await this.#wait(request);
     }
 
-    /** False when the request's deadline has passed or it was revoked meanwhile; then its slot is free again. */
+    /** Its time is exact: what waited while the host was suspended must not run late. False when the request's deadline has passed or it was revoked meanwhile; then its slot is free again. */
     start(request: GateRequest): boolean {
-        const { clock, ledger } = this.parts;
-        const now = clock();
+        const { exactClock, ledger } = this.parts;
+        const now = exactClock();
         if (now < request.deadline && (!request.once || ledger.start(request.call.head.id, now))) {
             return true;
         }
