Quarantine: written to the store again every 20 s; a mesh that does not come up leaves no process behind

A store that lets leases run out while it is down, or takes keys away, lost the quarantine, and all daemons killed after that the rest. The daemon that saw the first crash by id writes it anew (two calls in 20 s a quarantine); a lease is as long as the quarantine has left. Seen on the way: test/platformmesh.ts left its processes running when a daemon could not start, and the run hung.

--- a/src/crashes/crashguard.test.ts
+++ b/src/crashes/crashguard.test.ts
@@ -118,3 +118,23 @@
     await sleep(5);
     assert.equal(written.at(-1)!.cleared.length, 3, "that it is cleared, too");
 });
+
+test("crash guard: what is quarantined is written again and again, by the one who saw the first crash", async ({ mock }) => {
+    mock.timers.enable({ apis: ["setInterval"] });
+    const daemons = fleet(3, () => true);
+    const writes = [0, 0, 0];
+    daemons.forEach(({ guard }, at) =>
+        new CrashPublisher({ guard, write: () => Promise.resolve(void writes[at]!++) }).start()
+    );
+    daemons.forEach((daemon, at) => crashAt(daemon, at));
+    const tick = async (): Promise<void> => {
+        mock.timers.tick(20_000);
+        await sleep(5);
+    };
+    await sleep(5);
+    const before = [...writes];
+    assert.ok(before.every(count => count > 0));
+    await tick();
+    await tick();
+    assert.deepEqual(writes.map((count, at) => count - before[at]!), [2, 0, 0]);
+});
--- a/src/crashes/crashguard.ts
+++ b/src/crashes/crashguard.ts
@@ -87,6 +87,13 @@
         );
     }
 
+    /** Quarantined requests of whose crashes the first, by id, was seen here. */
+    get firstWitnessed(): CrashRecord[] {
+        return this.witnessed.filter(({ request, crashes }) =>
+            this.quarantinedForMs(request) !== undefined && this.#ownCrashes.has([...crashes].sort()[0]!)
+        );
+    }
+
     /** Records that an upstream here has crashed. */
     recordCrash(own: OwnCrash): void {
         const { crash, requests } = own;
--- a/src/crashes/crashpublisher.ts
+++ b/src/crashes/crashpublisher.ts
@@ -5,20 +5,35 @@
  */
 import type { RequestKey } from "../ids/requestkey.js";
 import { log } from "../log/log.js";
+import { crashLimits } from "../policy/quarantine/crashlimits.js";
 import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
 import { Backoff } from "../time/backoff.js";
 import { sleep } from "../time/sleep.js";
+import { Ticker } from "../time/ticker.js";
 import type { CrashGuard } from "./crashguard.js";
 
 const logger = log("peer");
 
-/** `write` keeps a record for as long as a quarantine lasts, and throws a StoreError. */
-type PublisherParts = { readonly guard: CrashGuard; readonly write: (record: CrashRecord) => Promise<void>; };
+/**
+ * The store may lose what lies under a lease: one of those who write does so again that often, in milliseconds. Two calls a quarantine each
+ * time; chosen, longer than most outages of the store that were seen.
+ */
+const RENEW_EVERY_MS = 20_000;
+
+/** Stores grant no shorter lease; milliseconds. */
+const LEAST_MS = 1000;
+
+/** `write` keeps a record for so many milliseconds, and throws a StoreError. */
+type PublisherParts = {
+    readonly guard: CrashGuard;
+    readonly write: (record: CrashRecord, keepMs: number) => Promise<void>;
+};
 
 /** One loop, while there is something to write. */
 export class CrashPublisher {
     /** As the store has it. */
     readonly #written = new Map<RequestKey, string>();
+    readonly #renewal = new Ticker(RENEW_EVERY_MS, () => this.#renew());
     #isWriting = false;
     #isStopped = false;
 
@@ -26,8 +41,18 @@
         parts.guard.onNews(() => void this.#run());
     }
 
+    start(): void {
+        this.#renewal.start();
+    }
+
     stop(): void {
         this.#isStopped = true;
+        this.#renewal.stop();
+    }
+
+    #renew(): void {
+        this.parts.guard.firstWitnessed.forEach(({ request }) => this.#written.delete(request));
+        void this.#run();
     }
 
     async #run(): Promise<void> {
@@ -57,7 +82,8 @@
     }
 
     async #write(record: CrashRecord): Promise<void> {
-        await this.parts.write(record);
+        const leftMs = this.parts.guard.quarantinedForMs(record.request) ?? crashLimits.holdMs;
+        await this.parts.write(record, Math.max(LEAST_MS, Math.ceil(leftMs)));
         this.#written.set(record.request, stateOf(record));
     }
 }
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -9,7 +9,6 @@
 import { WatcherElection } from "../distribution/watcherelection.js";
 import { Membership } from "../membership/membership.js";
 import { relaysOf } from "../membership/relaysof.js";
-import { crashLimits } from "../policy/quarantine/crashlimits.js";
 import type { Member } from "../wire/member.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
@@ -65,6 +64,7 @@
         await this.announced?.start();
         this.heartbeats.followPlaces();
         this.heartbeats.start();
+        this.#crashPublisher?.start();
     }
 
     stop(): void {
@@ -137,7 +137,7 @@
         const { registry } = this.context.environment;
         return registry && new CrashPublisher({
             guard: this.gates.guard,
-            write: record => registry.keepCrashes(record, crashLimits.holdMs),
+            write: (record, keepMs) => registry.keepCrashes(record, keepMs),
         });
     }
 
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -46,12 +46,22 @@
             }))
         );
         const mesh = new PlatformMesh(run, lock, hosts);
-        await mesh.#store.ready();
-        await mesh.configure(platformConfiguration(1));
-        hosts.forEach(host => mesh.startDaemon(host.name));
-        hosts.forEach(host => mesh.startInstance(host.name, `i-${host.name}`));
-        await Promise.all([...mesh.daemons.values(), ...mesh.instances.values()].map(child => child.ready()));
-        return mesh;
+        try {
+            await mesh.#startAll();
+            return mesh;
+        }
+        catch (err) {
+            await mesh.stop();
+            throw err;
+        }
+    }
+
+    async #startAll(): Promise<void> {
+        await this.#store.ready();
+        await this.configure(platformConfiguration(1));
+        this.hosts.forEach(host => this.startDaemon(host.name));
+        this.hosts.forEach(host => this.startInstance(host.name, `i-${host.name}`));
+        await Promise.all([...this.daemons.values(), ...this.instances.values()].map(child => child.ready()));
     }
 
     get storeAddress(): string {
