--- a/src/daemon/daemoncontext.ts
+++ b/src/daemon/daemoncontext.ts
@@ -6,26 +6,20 @@
 import type { Address } from "../ids/address.js";
 import type { Incarnation } from "../ids/incarnation.js";
 import { splitAddress } from "../ids/splitaddress.js";
-import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import { PeerClient } from "../peer/peerclient.js";
 import type { PeerOptions } from "../peer/peeroptions.js";
 import type { RandomSource } from "../policy/randomsource.js";
-import type { Clock } from "../time/clock.js";
-import { ProcessClock } from "../time/processclock.js";
+import { processClock } from "../time/processclock.js";
 import type { Environment } from "./environment.js";
 import type { Settings } from "./settings.js";
 
-const logger = log("daemon");
-
 /** Enough that no two lives of any daemon have the same id. */
 const INCARNATION_BYTES = 9;
 
 /** The daemon's identity, time and randomness, and its ways to talk to peers. */
 export class DaemonContext {
-    readonly clock: Clock;
-    /** The same, for what must not happen late where the host was suspended just before. */
-    readonly exactClock: Clock;
+    readonly clock = processClock;
     readonly random: RandomSource = () => Math.random();
     readonly incarnation = randomBytes(INCARNATION_BYTES).toString("base64url") as Incarnation;
     /** Where peers reach this daemon. */
@@ -39,11 +33,7 @@
 
     constructor(readonly settings: Settings, readonly environment: Environment, readonly metrics: Metrics) {
         const { peer, advertise, peerKey: key, control } = settings;
-        const processClock = new ProcessClock();
-        processClock.onSuspended(ms => logger.change("The host was suspended.", { ms: Math.round(ms) }));
-        const clock = processClock.now;
-        this.clock = clock;
-        this.exactClock = processClock.exact;
+        const { clock } = this;
         this.self = advertise ?? peer;
         this.localIp = splitAddress(peer).ip;
         this.silentConnections = new SilentConnections(clock, metrics);
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -42,7 +42,6 @@
         this.retries = new ServiceRetries({ bound, burst, startedAt: clock() });
         const shared = {
             clock,
-            exactClock: context.exactClock,
             localIp,
             ledger: this.ledger,
             contexts: this.contexts,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -68,7 +68,6 @@
         this.#refusals = new GateRefusals(more => this.note(more));
         this.#queue = new SlotQueue({
             clock,
-            exactClock: parts.exactClock,
             ledger,
             admission: this.#admission,
             refusals: this.#refusals,
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -18,8 +18,6 @@
  */
 export type GateParts = {
     readonly clock: Clock;
-    /** The same, with any suspension of the host up to now. */
-    readonly exactClock: Clock;
     readonly ledger: Ledger;
     readonly contexts: CallContexts;
     readonly identity: GateIdentity;
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -16,7 +16,6 @@
 /** What the queue shares with its gate. */
 type QueueParts = {
     readonly clock: Clock;
-    readonly exactClock: Clock;
     readonly ledger: Ledger;
     readonly admission: Admission<GateRequest>;
     readonly refusals: GateRefusals;
@@ -55,10 +54,10 @@
         await this.#wait(request);
     }
 
-    /** Its time is exact: what waited while the host was suspended must not run late. False when the request's deadline has passed or it was revoked meanwhile; then its slot is free again. */
+    /** False when the request's deadline has passed or it was revoked meanwhile; then its slot is free again. */
     start(request: GateRequest): boolean {
-        const { exactClock, ledger } = this.parts;
-        const now = exactClock();
+        const { clock, ledger } = this.parts;
+        const now = clock();
         if (now < request.deadline && (!request.once || ledger.start(request.call.head.id, now))) {
             return true;
         }
