Quarantine where callers call daemons by their numbers: the key leaves the number out

Found by a test of the same load where the document names the upstreams: 19 ended, 8 of them later than 3 s after the third. The host field was each daemon's own number, so that the request had a key at each host. A host that is a number names no site and is left out.

--- a/src/dialect/requestkeyof.test.ts
+++ b/src/dialect/requestkeyof.test.ts
@@ -31,3 +31,14 @@
 test("request key: a body that is passed on as it comes has none", () => {
     assert.equal(requestKeyOf({ ...sent, body: Readable.from(["x"]) }, dialect), undefined);
 });
+
+test("request key: callers that call daemons by their numbers send the same request at each", () => {
+    const keys = ["10.0.0.1:80", "10.0.0.2:80", "10.0.0.1", "[::1]:80"].map(host =>
+        requestKeyOf({ ...sent, headers: { host } }, dialect)
+    );
+    assert.equal(new Set(keys).size, 1);
+    const named = ["a.example", "A.example:80", "b.example"].map(host =>
+        requestKeyOf({ ...sent, headers: { host } }, dialect)
+    );
+    assert.equal(new Set([...named, ...keys]).size, 3);
+});
--- a/src/dialect/requestkeyof.ts
+++ b/src/dialect/requestkeyof.ts
@@ -1,5 +1,6 @@
 /** The key by which a request is known again when its caller sends it once more, at whichever host. */
 import { createHash } from "node:crypto";
+import { isIP } from "node:net";
 import type { Readable } from "node:stream";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import type { RequestKey } from "../ids/requestkey.js";
@@ -24,10 +25,18 @@
     if (body !== undefined && !Buffer.isBuffer(body)) {
         return undefined;
     }
-    const fields = ["host", ...dialect.callerFields].map(name => headers[name] ?? "");
-    const hash = createHash("sha256").update(JSON.stringify([method, path, ...fields]));
+    const fields = dialect.callerFields.map(name => headers[name] ?? "");
+    const hash = createHash("sha256").update(JSON.stringify([method, siteOf(headers.host), path, ...fields]));
     if (body !== undefined) {
         hash.update(body);
     }
     return hash.digest().subarray(0, KEY_BYTES).toString("base64url") as RequestKey;
 }
+
+const PORT = /:\d+$/;
+
+/** The site that a caller names. One that calls a daemon by its number names none: the number is another at each host. */
+const siteOf = (host: string | string[] | undefined): string => {
+    const name = String(host ?? "").toLowerCase().replace(PORT, "").replace(/^\[|\]$/g, "");
+    return isIP(name) === 0 ? name : "";
+};
--- a/standin/upstream.ts
+++ b/standin/upstream.ts
@@ -8,13 +8,15 @@
 
 const STREAM_EVERY_MS = 50;
 const STREAM_EVENTS = 10;
+const CRASH = "/crash";
 
 type Work = { readonly run: () => void; };
 
 /**
  * Serves a bounded number of requests at once, the rest in turn, and prints a line for each that arrives, `A id`, and for
  * each that it runs, `R id`.
- * `/events` streams, `/poll?ms=N` waits without a slot, `/chain` calls the next service through the local daemon.
+ * `/events` streams, `/poll?ms=N` waits without a slot, `/chain` calls the next service through the local daemon; a path that ends with
+ * `/crash` ends the process in place of an answer.
  */
 export class UpstreamStandin extends StandinServer<UpstreamControl> {
     readonly #waiting: Work[] = [];
@@ -148,6 +150,10 @@
         }
         const { meanMs, spread, slowdown } = this.control;
         const ms = drawServiceTime(meanMs, spread, this.random()) * slowdown;
+        if (path.endsWith(CRASH)) {
+            setTimeout(() => process.exit(1), ms);
+            return;
+        }
         const timer = setTimeout(() => this.#finish(() => void this.#chainOrAnswer(req, res, path)), ms);
         res.on("close", () => {
             if (!res.writableFinished && req.method === "GET" && timer.hasRef() && !res.headersSent) {
--- a/test/crashing.test.ts
+++ b/test/crashing.test.ts
@@ -8,15 +8,20 @@
  */
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import type { Mesh } from "../demo/mesh.js";
 import { CrashMesh } from "./crashmesh.js";
 import { eventually } from "./eventually.js";
 import { pause } from "./pause.js";
+import { withMesh } from "./withmesh.js";
 
 /** Operators' bound: so long after the third instance has ended, daemons in touch send it on three times more at the most. */
 const CONTACT_MS = 3000;
 const MOST_AFTER = 3;
 /** Long enough that instances which are sent the request end many times. */
 const STORM_MS = 6000;
+const LOOK_EVERY_MS = 10;
+const BACK_AFTER_MS = 700;
+const TRY_EVERY_MS = 100;
 
 /** Sends the request until it has ended three instances, and for the bound after that. */
 const storm = async (crash: CrashMesh): Promise<void> => {
@@ -113,3 +118,55 @@
         assert.equal(crash.told.at(-1)!.status, 503);
     }, "fees");
 });
+
+/** Starts each upstream of `pages` again a while after it has ended; resolves when `isOver` says so. */
+const keepUpstreams = async (mesh: Mesh, onEnd: () => void, isOver: () => boolean): Promise<void> => {
+    const hosts = mesh.hosts.filter(host => host.service === "pages");
+    await Promise.all(hosts.map(async host => {
+        while (!isOver()) {
+            await pause(LOOK_EVERY_MS);
+            if (!mesh.upstreams.get(host.name)!.running) {
+                onEnd();
+                await pause(BACK_AFTER_MS);
+                await mesh.startUpstream(host).ready();
+            }
+        }
+    }));
+};
+
+const statusOf = async (ingress: string, path: string): Promise<number> => {
+    const res = await fetch(`http://${ingress}${path}`);
+    await res.text();
+    return res.status;
+};
+
+/** Sends the request that crashes upstreams at all hosts in turn for so long; returns what its callers were told. */
+const askFor = async (mesh: Mesh, ms: number): Promise<number[]> => {
+    const told: Promise<number>[] = [];
+    for (const until = performance.now() + ms; performance.now() < until; await pause(TRY_EVERY_MS)) {
+        told.push(statusOf(mesh.hosts[told.length % mesh.hosts.length]!.ingress, "/pages/crash"));
+    }
+    return await Promise.all(told);
+};
+
+test("crashing: the same where the document names the upstreams, which come back under their names", async t => {
+    await withMesh(async mesh => {
+        let ended = 0;
+        let isOver = false;
+        const kept = keepUpstreams(mesh, () => ended += 1, () => isOver);
+        try {
+            await askFor(mesh, CONTACT_MS * 2);
+            const before = ended;
+            const told = await askFor(mesh, CONTACT_MS);
+            t.diagnostic(`${before} ended, ${ended - before} later`);
+            assert.ok(before >= 3 && ended === before, `${before} ended, ${ended - before} later`);
+            assert.deepEqual([...new Set(told)], [503]);
+            const proper = await Promise.all(mesh.hosts.map(({ ingress }) => statusOf(ingress, "/pages/1")));
+            assert.deepEqual([...new Set(proper)], [200]);
+        }
+        finally {
+            isOver = true;
+            await kept;
+        }
+    }, { direct: true });
+});
