Whether an upstream has crashed is asked five times a second at the most; a mark heard during an exchange is not lost

Found by reading: an upstream that resets connections when it is full breaks off runs by the dozen, and each asked a question: with those of the pace past the 60 a second that operators allow. Now out of a budget of its own; a crash is settled by one. And a heartbeat that came during an exchange was taken for exchanged. Run: src/gate 7 of 7, src/crashes 7 of 7, test/crashing 7 of 7.

--- a/src/crashes/crashguard.test.ts
+++ b/src/crashes/crashguard.test.ts
@@ -77,6 +77,41 @@
     assert.equal(new Set(daemons.map(({ guard }) => guard.mark)).size, 1);
 });
 
+test("crash guard: marks that can't come to the same are exchanged once, and again when one of them has changed", async () => {
+    let exchanges = 0;
+    const { guard } = fleet(1, () => true)[0]!;
+    const peer = "10.0.0.9:1" as Address;
+    const spread = new CrashSpread({
+        self: "10.0.0.0:1" as Address,
+        guard,
+        random: () => 0,
+        peers: () => [peer],
+        relays: () => [],
+        siblings: () => [],
+        send: () => true,
+        exchange: async () => {
+            exchanges += 1;
+            await sleep(5);
+            return [];
+        },
+    });
+    const hear = async (mark: number): Promise<number> => {
+        spread.hear(peer, mark);
+        spread.hear(peer, mark);
+        await sleep(20);
+        return exchanges;
+    };
+    assert.equal(await hear(7), 1);
+    assert.equal(await hear(7), 1);
+    assert.equal(await hear(8), 2);
+    crashAt({ guard } as Daemon, 1);
+    assert.equal(await hear(8), 3);
+    spread.hear(peer, 9);
+    spread.hear(peer, 10);
+    await sleep(20);
+    assert.equal(await hear(10), 5, "a mark that was heard during an exchange is not forgotten");
+});
+
 test("crash guard: one that has just started asks those that it meets", async () => {
     const daemons = fleet(3, () => false);
     [1, 2, 3].forEach(at => crashAt(daemons[0]!, at));
--- a/src/crashes/crashguard.ts
+++ b/src/crashes/crashguard.ts
@@ -106,8 +106,7 @@
 
     /** Records that an upstream here has served the request well. */
     recordServed(request: RequestKey): void {
-        if (this.standing(request) !== "free" && this.#history.clear(request)) {
-            logger.change("A request is cleared: it was served well.", { request });
+        if (this.#clear(request)) {
             this.#tell(undefined);
         }
     }
@@ -128,8 +127,8 @@
     /** What an upstream here has served well is cleared at once, also for the others. */
     #judge(request: RequestKey): void {
         const { hasServed, giveUp } = this.parts;
-        if (this.standing(request) !== "free" && hasServed(request)) {
-            this.#history.clear(request);
+        if (hasServed(request)) {
+            this.#clear(request);
         }
         const quarantinedForMs = this.quarantinedForMs(request);
         if (quarantinedForMs === undefined) {
@@ -149,6 +148,15 @@
         giveUp(request);
     }
 
+    /** False where there is nothing to clear. */
+    #clear(request: RequestKey): boolean {
+        const isCleared = this.standing(request) !== "free" && this.#history.clear(request);
+        if (isCleared) {
+            logger.change("A request is cleared: it was served well.", { request });
+        }
+        return isCleared;
+    }
+
     #tell(own: OwnCrash | undefined): void {
         this.#listeners.forEach(listener => listener(own));
     }
--- a/src/crashes/crashspread.ts
+++ b/src/crashes/crashspread.ts
@@ -59,16 +59,19 @@
     hear(from: Address, mark: number | undefined): void {
         const own = this.parts.guard.mark;
         const { heard, had } = this.#exchanged.get(from) ?? {};
-        if (mark !== own && (mark !== heard || own !== had)) {
+        const isDone = mark === heard && own === had;
+        if (mark !== own && !isDone && !this.#exchanging.has(from)) {
             this.#exchanged.set(from, { heard: mark, had: own });
             void this.#exchange(from);
         }
     }
 
-    /** Asks some of the peers, the first time that there are any. */
+    /** To be called when who is there has changed: the first time that there are others, some of them are asked. */
     meet(): void {
         const { peers, self, random } = this.parts;
         const others = peers().filter(gate => gate !== self);
+        const known = new Set(others);
+        [...this.#exchanged.keys()].filter(peer => !known.has(peer)).forEach(peer => this.#exchanged.delete(peer));
         if (!this.#hasMet && others.length > 0) {
             this.#hasMet = true;
             sample(others, ASKED_AT_START, random).forEach(peer => void this.#exchange(peer));
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -51,6 +51,7 @@
             usualShare: (service: Gate["upstream"]["service"]) => this.#usualShare(service),
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
+            mayAskForCrash: () => this.probes.mayAskForCrash(),
             onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
             onCrash: (service: Gate["upstream"]["service"], crash: CrashId, requests: readonly RequestKey[]) => {
                 metrics.crashed(service);
--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -18,7 +18,7 @@
 const STAGGER_MS = 200;
 /**
  * One that knew nobody has looked for others by then (membership/registrywatcher.ts), and those that start together have found some of each
- * other. Before, a fleet that had just started watched no configuration for 4 s, and a change in that time came as late. Milliseconds.
+ * other. Without it a fleet that has just started would watch no configuration for 4 s, and a change in that time come as late. Milliseconds.
  */
 const FIRST_LOOK_MS = 1200;
 
--- a/src/gate/crashwatch.ts
+++ b/src/gate/crashwatch.ts
@@ -17,6 +17,8 @@
 
 /** All runs of an upstream that crashes break off within that time, so that one question settles them; milliseconds. */
 const ASK_AFTER_MS = 5;
+/** How often it is looked whether there is budget for a question; milliseconds, a fraction of the time in which it comes. */
+const BUDGET_LOOK_MS = 25;
 /** In a row: an upstream that answers none of them does not tell. */
 const MAX_QUESTIONS = 4;
 /** Enough that no two crashes have the same. */
@@ -24,10 +26,11 @@
 /** In one log line. */
 const MAX_LOGGED = 32;
 
-/** `ask` asks the upstream anything, and rejects as its connection does; `onCrash` is told of a crash and what was under way. */
+/** `mayAsk` spends a question; `ask` asks the upstream anything, and rejects as its connection does; `onCrash` is told of a crash and what was under way. */
 type WatchParts = {
     readonly upstream: string;
     readonly clock: Clock;
+    readonly mayAsk: () => boolean;
     readonly ask: () => Promise<void>;
     readonly onCrash: (crash: CrashId, requests: readonly RequestKey[]) => void;
 };
@@ -86,12 +89,19 @@
         this.#isAsking = true;
         for (let asked = 0; this.#isUnsettled && asked < MAX_QUESTIONS; asked++) {
             await sleep(ASK_AFTER_MS);
+            await this.#waitForBudget();
             this.#isUnsettled = false;
             await this.#ask();
         }
         this.#isAsking = false;
     }
 
+    async #waitForBudget(): Promise<void> {
+        while (!this.parts.mayAsk()) {
+            await sleep(BUDGET_LOOK_MS);
+        }
+    }
+
     /** A connection that broke with the upstream may still be taken for the question; the next one needs a new one. */
     async #ask(): Promise<void> {
         const askedAt = this.parts.clock();
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -28,6 +28,8 @@
     readonly localIp: string;
     readonly onChange: () => void;
     readonly mayAsk: () => boolean;
+    /** Spends one question whether the upstream has crashed. */
+    readonly mayAskForCrash: () => boolean;
     /** Told of a connection to the upstream that was found to carry nothing any more. */
     readonly onSilent: (address: Address) => void;
     readonly onArrival: (service: ServiceName, arrival: Arrival) => void;
--- a/src/gate/gateruns.ts
+++ b/src/gate/gateruns.ts
@@ -144,11 +144,12 @@
 
     /** One that ends as it had announced does not crash. */
     #makeCrashWatch(): CrashWatch {
-        const { clock, healthPath, onCrash, client, checks } = this.parts;
+        const { clock, healthPath, onCrash, client, checks, mayAskForCrash: mayAsk } = this.parts;
         const { name: upstream, service } = this.upstream;
         return new CrashWatch({
             upstream,
             clock,
+            mayAsk,
             ask: async () => void await client.ask(healthPath(service), CRASH_TIMEOUT_MS),
             onCrash: (crash, requests) => {
                 if (!checks.isUpstreamLeaving) {
--- a/src/health/probebudget.ts
+++ b/src/health/probebudget.ts
@@ -8,12 +8,19 @@
 /** A question of an upstream's pace and its answer, about. */
 const ASK_BYTES = 200;
 
+/**
+ * A second, and at once: questions whether an upstream has crashed. One settles a crash; where connections break off for another reason, over
+ * and over, it is asked no oftener than this. Chosen: what is under way at a crash is still known 2 s later.
+ */
+const CRASH_QUESTIONS = { perSecond: 5, burst: 2 } as const;
+
 /** How often upstreams may be asked for their pace, and the path of the daemon's own where a service has none. */
 type ProbeBounds = { readonly pacePerSecond: number; readonly healthPath: string; };
 
 /** A hard budget: a rush can't raise it. */
 export class ProbeBudget {
     readonly #asks: TokenBucket;
+    readonly #crashAsks: TokenBucket;
 
     constructor(
         private readonly bounds: ProbeBounds,
@@ -23,11 +30,21 @@
     ) {
         const { pacePerSecond } = bounds;
         this.#asks = new TokenBucket(pacePerSecond, Math.ceil(pacePerSecond / 2), clock());
+        this.#crashAsks = new TokenBucket(CRASH_QUESTIONS.perSecond, CRASH_QUESTIONS.burst, clock());
     }
 
-    /** Spends one question; false when the budget is used up. */
+    /** Spends one question of the pace; false when the budget is used up. */
     mayAsk(): boolean {
-        const may = this.#asks.spend(1, this.clock());
+        return this.#spend(this.#asks);
+    }
+
+    /** Spends one question whether an upstream has crashed; false when the budget is used up. */
+    mayAskForCrash(): boolean {
+        return this.#spend(this.#crashAsks);
+    }
+
+    #spend(bucket: TokenBucket): boolean {
+        const may = bucket.spend(1, this.clock());
         if (may) {
             this.metrics.spent("health", ASK_BYTES);
         }
