Quarantine in the store: by the loop that all work against the store goes by

CrashPublisher had its own loop with a backoff, a flag for a run under way, one for a stop and a ticker; StoreLoop has them all. The renewal every 20 s is by the clock that is handed in. A failed write's line no longer names the request: the next try is for all.

--- a/src/crashes/crashguard.test.ts
+++ b/src/crashes/crashguard.test.ts
@@ -134,8 +134,9 @@
     const { guard } = fleet(1, () => true)[0]!;
     const written: CrashRecord[] = [];
     let failures = 1;
-    new CrashPublisher({
+    const publisher = new CrashPublisher({
         guard,
+        clock: () => 0,
         write: async record => {
             if (failures-- > 0) {
                 throw new Error("the store is down");
@@ -143,6 +144,7 @@
             written.push(record);
         },
     });
+    publisher.start();
     [1, 2].forEach(at => crashAt({ guard } as Daemon, at));
     await sleep(5);
     assert.equal(written.length, 0);
@@ -152,24 +154,34 @@
     guard.recordServed(bad);
     await sleep(5);
     assert.equal(written.at(-1)!.cleared.length, 3, "that it is cleared, too");
+    publisher.stop();
 });
 
-test("crash guard: what is quarantined is written again and again, by the one who saw the first crash", async ({ mock }) => {
-    mock.timers.enable({ apis: ["setInterval"] });
+test("crash guard: what is quarantined is written again and again, by the one who saw the first crash", async () => {
     const daemons = fleet(3, () => true);
     const writes = [0, 0, 0];
-    daemons.forEach(({ guard }, at) =>
-        new CrashPublisher({ guard, write: () => Promise.resolve(void writes[at]!++) }).start()
+    let now = 0;
+    const publishers = daemons.map(({ guard }, at) =>
+        new CrashPublisher({ guard, clock: () => now, write: () => Promise.resolve(void writes[at]!++) })
     );
+    publishers.forEach(publisher => publisher.start());
     daemons.forEach((daemon, at) => crashAt(daemon, at));
-    const tick = async (): Promise<void> => {
-        mock.timers.tick(20_000);
+    const passTime = async (): Promise<void> => {
+        now += 20_000;
+        const other: CrashRecord = {
+            request: `other-${now}` as RequestKey,
+            crashes: [crashId(9)],
+            cleared: [],
+            ageMs: 0,
+        };
+        daemons.forEach(({ guard }) => guard.merge([other]));
         await sleep(5);
     };
     await sleep(5);
     const before = [...writes];
     assert.ok(before.every(count => count > 0));
-    await tick();
-    await tick();
+    await passTime();
+    await passTime();
+    publishers.forEach(publisher => publisher.stop());
     assert.deepEqual(writes.map((count, at) => count - before[at]!), [2, 0, 0]);
 });
--- a/src/crashes/crashpublisher.ts
+++ b/src/crashes/crashpublisher.ts
@@ -7,9 +7,8 @@
 import { log } from "../log/log.js";
 import { crashLimits } from "../policy/quarantine/crashlimits.js";
 import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
-import { Backoff } from "../time/backoff.js";
-import { sleep } from "../time/sleep.js";
-import { Ticker } from "../time/ticker.js";
+import { StoreLoop } from "../store/storeloop.js";
+import type { Clock } from "../time/clock.js";
 import type { CrashGuard } from "./crashguard.js";
 
 const logger = log("peer");
@@ -26,59 +25,47 @@
 /** `write` keeps a record for so many milliseconds, and throws a StoreError. */
 type PublisherParts = {
     readonly guard: CrashGuard;
+    readonly clock: Clock;
     readonly write: (record: CrashRecord, keepMs: number) => Promise<void>;
 };
 
-/** One loop, while there is something to write. */
+/** One loop: writes what is new as soon as may be, and what must not be lost again and again. */
 export class CrashPublisher {
     /** As the store has it. */
     readonly #written = new Map<RequestKey, string>();
-    readonly #renewal = new Ticker(RENEW_EVERY_MS, () => this.#renew());
-    #isWriting = false;
-    #isStopped = false;
+    readonly #loop: StoreLoop;
+    #renewedAt: number;
 
     constructor(private readonly parts: PublisherParts) {
-        parts.guard.onNews(() => void this.#run());
+        this.#renewedAt = parts.clock();
+        this.#loop = new StoreLoop({
+            step: () => this.#step(),
+            failed: err => logger.warn("A quarantined request could not be kept in the store.", err),
+            pauseMs: () => this.#renewedAt + RENEW_EVERY_MS - parts.clock(),
+        });
+        parts.guard.onNews(() => this.#loop.wake());
     }
 
     start(): void {
-        this.#renewal.start();
+        this.#loop.start();
     }
 
     stop(): void {
-        this.#isStopped = true;
-        this.#renewal.stop();
+        this.#loop.stop();
     }
 
-    #renew(): void {
-        this.parts.guard.firstWitnessed.forEach(({ request }) => this.#written.delete(request));
-        void this.#run();
-    }
-
-    async #run(): Promise<void> {
-        if (this.#isWriting) {
-            return;
+    async #step(): Promise<void> {
+        const { guard, clock } = this.parts;
+        if (clock() - this.#renewedAt >= RENEW_EVERY_MS) {
+            this.#renewedAt = clock();
+            guard.firstWitnessed.forEach(({ request }) => this.#written.delete(request));
         }
-        this.#isWriting = true;
-        const backoff = new Backoff();
-        for (let next = this.#next(); next !== undefined && !this.#isStopped; next = this.#next()) {
-            try {
-                await this.#write(next);
-                backoff.reset();
-            }
-            catch (err) {
-                logger.warn("A quarantined request could not be kept in the store.", err, { request: next.request });
-                await sleep(backoff.next());
+        for (const record of guard.witnessed) {
+            if (this.#written.get(record.request) !== stateOf(record)) {
+                await this.#write(record);
             }
         }
-        this.#isWriting = false;
-    }
-
-    #next(): CrashRecord | undefined {
-        const { witnessed } = this.parts.guard;
-        const known = new Set(witnessed.map(({ request }) => request));
-        [...this.#written.keys()].filter(request => !known.has(request)).forEach(key => this.#written.delete(key));
-        return witnessed.find(record => this.#written.get(record.request) !== stateOf(record));
+        this.#forgetOld();
     }
 
     async #write(record: CrashRecord): Promise<void> {
@@ -86,6 +73,11 @@
         await this.parts.write(record, Math.max(LEAST_MS, Math.ceil(leftMs)));
         this.#written.set(record.request, stateOf(record));
     }
+
+    #forgetOld(): void {
+        const known = new Set(this.parts.guard.witnessed.map(({ request }) => request));
+        [...this.#written.keys()].filter(request => !known.has(request)).forEach(key => this.#written.delete(key));
+    }
 }
 
 /** What is worth another write: whether it is quarantined, and by which crashes. */
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -137,6 +137,7 @@
         const { registry } = this.context.environment;
         return registry && new CrashPublisher({
             guard: this.gates.guard,
+            clock: this.context.clock,
             write: (record, keepMs) => registry.keepCrashes(record, keepMs),
         });
     }
