Quarantine: one place for the records of a crash and for a set of the latest; the key of a request is found once

- The records of one crash were written in two places, a set that forgets its oldest item in two.
- An ingress found the key of a request up to three times an attempt while any request had crashed an upstream, each time over its body.
- A gate looked the quarantine up, and again to throw it: it is asked for once.
- Origins of six constants, four of them of the model.

--- a/src/crashes/crashguard.test.ts
+++ b/src/crashes/crashguard.test.ts
@@ -70,7 +70,7 @@
     [1, 2, 3].forEach(at => crashAt(daemons[at]!, at));
     assert.equal(daemons[4]!.guard.standing(bad), "free");
     for (let round = 0; round < 2; round++) {
-        daemons.forEach(({ spread }) => spread.hear("10.0.0.0:1" as Address, daemons[0]!.guard.mark));
+        daemons.forEach(({ spread }) => spread.compareMarks("10.0.0.0:1" as Address, daemons[0]!.guard.mark));
         await sleep(5);
     }
     assert.deepEqual(daemons.map(({ guard }) => guard.standing(bad)), Array(5).fill("quarantined"));
@@ -95,21 +95,21 @@
             return [];
         },
     });
-    const hear = async (mark: number): Promise<number> => {
-        spread.hear(peer, mark);
-        spread.hear(peer, mark);
+    const compare = async (mark: number): Promise<number> => {
+        spread.compareMarks(peer, mark);
+        spread.compareMarks(peer, mark);
         await sleep(20);
         return exchanges;
     };
-    assert.equal(await hear(7), 1);
-    assert.equal(await hear(7), 1);
-    assert.equal(await hear(8), 2);
+    assert.equal(await compare(7), 1);
+    assert.equal(await compare(7), 1);
+    assert.equal(await compare(8), 2);
     crashAt({ guard } as Daemon, 1);
-    assert.equal(await hear(8), 3);
-    spread.hear(peer, 9);
-    spread.hear(peer, 10);
+    assert.equal(await compare(8), 3);
+    spread.compareMarks(peer, 9);
+    spread.compareMarks(peer, 10);
     await sleep(20);
-    assert.equal(await hear(10), 5, "a mark that was heard during an exchange is not forgotten");
+    assert.equal(await compare(10), 5, "a mark that came during an exchange is not forgotten");
 });
 
 test("crash guard: one that has just started asks those that it meets", async () => {
--- a/src/crashes/crashguard.ts
+++ b/src/crashes/crashguard.ts
@@ -12,7 +12,9 @@
 import { CrashHistory } from "../policy/quarantine/crashhistory.js";
 import { crashLimits } from "../policy/quarantine/crashlimits.js";
 import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
+import { recordsOfCrash } from "../policy/quarantine/recordsofcrash.js";
 import type { Standing } from "../policy/quarantine/standing.js";
+import { RecentSet } from "../policy/recentset.js";
 import type { Clock } from "../time/clock.js";
 
 const logger = log("gate");
@@ -41,7 +43,7 @@
     readonly #history = new CrashHistory();
     /** Those that the log has told of. */
     readonly #logged = new Set<RequestKey>();
-    readonly #ownCrashes = new Set<CrashId>();
+    readonly #ownCrashes = new RecentSet<CrashId>(MAX_OWN);
     readonly #listeners: Listener[] = [];
 
     constructor(private readonly parts: GuardParts) {}
@@ -98,10 +100,7 @@
     recordCrash(own: OwnCrash): void {
         const { crash, requests } = own;
         this.#ownCrashes.add(crash);
-        if (this.#ownCrashes.size > MAX_OWN) {
-            this.#ownCrashes.delete(this.#ownCrashes.values().next().value!);
-        }
-        this.#merge(requests.map(request => ({ request, crashes: [crash], cleared: [], ageMs: 0 })), own);
+        this.#merge(recordsOfCrash(crash, requests), own);
     }
 
     /** Records that an upstream here has served the request well. */
--- a/src/crashes/crashspread.ts
+++ b/src/crashes/crashspread.ts
@@ -14,12 +14,13 @@
 import { log } from "../log/log.js";
 import { sample } from "../policy/placement/sample.js";
 import type { CrashRecord } from "../policy/quarantine/crashrecord.js";
+import { recordsOfCrash } from "../policy/quarantine/recordsofcrash.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { CrashGuard } from "./crashguard.js";
 
 const logger = log("peer");
 
-/** Daemons beside upstreams of the same service that are told of a crash at once; the others hear of it with the next heartbeat. */
+/** Daemons beside upstreams of the same service that are told of a crash at once; the others learn of it from the next heartbeat. */
 const MAX_SIBLINGS = 8;
 /** In one datagram: what fits, and more than an upstream has slots. */
 const MAX_REQUESTS = 64;
@@ -43,8 +44,11 @@
 /** Owns the exchanges that are under way: one with each peer. */
 export class CrashSpread {
     readonly #exchanging = new Set<Address>();
-    /** The marks at the last exchange with each peer: its own, and this daemon's. */
-    readonly #exchanged = new Map<Address, { readonly heard: number | undefined; readonly had: number | undefined; }>();
+    /** The marks at the last exchange with each peer: the peer's, and this daemon's. */
+    readonly #exchanged = new Map<
+        Address,
+        { readonly theirs: number | undefined; readonly own: number | undefined; }
+    >();
     #hasMet = false;
 
     constructor(private readonly parts: SpreadParts) {
@@ -52,16 +56,16 @@
     }
 
     receive({ crash, requests }: Extract<Message, { type: "crash"; }>): void {
-        this.parts.guard.merge(requests.map(request => ({ request, crashes: [crash], cleared: [], ageMs: 0 })));
+        this.parts.guard.merge(recordsOfCrash(crash, requests));
     }
 
     /** Exchanges with a peer whose mark differs, unless that was done and nothing has changed since: each keeps so much only. */
-    hear(from: Address, mark: number | undefined): void {
-        const own = this.parts.guard.mark;
-        const { heard, had } = this.#exchanged.get(from) ?? {};
-        const isDone = mark === heard && own === had;
-        if (mark !== own && !isDone && !this.#exchanging.has(from)) {
-            this.#exchanged.set(from, { heard: mark, had: own });
+    compareMarks(from: Address, theirs: number | undefined): void {
+        const { mark: own } = this.parts.guard;
+        const last = this.#exchanged.get(from);
+        const isDone = last !== undefined && theirs === last.theirs && own === last.own;
+        if (theirs !== own && !isDone && !this.#exchanging.has(from)) {
+            this.#exchanged.set(from, { theirs, own });
             void this.#exchange(from);
         }
     }
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -8,6 +8,7 @@
 import type { Address } from "../ids/address.js";
 import type { CrashId } from "../ids/crashid.js";
 import type { RequestKey } from "../ids/requestkey.js";
+import type { ServiceName } from "../ids/servicename.js";
 import { Ledger } from "../ledger/ledger.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { ServiceRetries } from "../policy/retry/serviceretries.js";
@@ -29,7 +30,7 @@
     readonly retries: ServiceRetries;
     readonly guard: CrashGuard;
     #onChange: () => void = () => {};
-    #usualShare: (service: Gate["upstream"]["service"]) => number | undefined = () => undefined;
+    #usualShare: (service: ServiceName) => number | undefined = () => undefined;
 
     constructor(context: DaemonContext, { current }: ConfigurationGroup) {
         const { settings, environment, metrics, clock, self, localIp } = context;
@@ -48,20 +49,20 @@
             identity: this.identity,
             dialect: environment.dialect,
             limit: policy.limit,
-            usualShare: (service: Gate["upstream"]["service"]) => this.#usualShare(service),
+            usualShare: (service: ServiceName) => this.#usualShare(service),
             onChange: () => this.#onChange(),
             mayAsk: () => this.probes.mayAsk(),
             mayAskForCrash: () => this.probes.mayAskForCrash(),
-            onArrival: (service: Gate["upstream"]["service"], arrival: Arrival) => metrics.arrived(service, arrival),
-            onCrash: (service: Gate["upstream"]["service"], crash: CrashId, requests: readonly RequestKey[]) => {
+            onArrival: (service: ServiceName, arrival: Arrival) => metrics.arrived(service, arrival),
+            onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => {
                 metrics.crashed(service);
                 this.guard.recordCrash({ service, crash, requests });
             },
             onServed: (request: RequestKey) => this.guard.recordServed(request),
             quarantinedForMs: (request: RequestKey | undefined) => this.guard.quarantinedForMs(request),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
-            repeatsLeft: (service: Gate["upstream"]["service"]) => this.#repeatsLeft(service, current, clock()),
-            healthPath: (service: Gate["upstream"]["service"]) => this.probes.healthPath(service),
+            repeatsLeft: (service: ServiceName) => this.#repeatsLeft(service, current, clock()),
+            healthPath: (service: ServiceName) => this.probes.healthPath(service),
         };
         this.guard = new CrashGuard({
             clock,
@@ -77,7 +78,7 @@
     }
 
     /** Without a bound of its own, a service that the configuration no longer has gets none. */
-    #repeatsLeft(name: Gate["upstream"]["service"], current: ConfigurationGroup["current"], now: number): number {
+    #repeatsLeft(name: ServiceName, current: ConfigurationGroup["current"], now: number): number {
         const service = current.document.services.find(each => each.name === name);
         if (service === undefined) {
             return 0;
@@ -87,7 +88,7 @@
     }
 
     /** Where gates ask what was found at others of their service. */
-    onUsualShare(usualShare: (service: Gate["upstream"]["service"]) => number | undefined): void {
+    onUsualShare(usualShare: (service: ServiceName) => number | undefined): void {
         this.#usualShare = usualShare;
     }
 
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -158,7 +158,7 @@
             watch: this.announced?.watch ?? new ConfigurationWatch(watcher),
             places: () => this.#places(),
             crashMark: () => this.gates.guard.mark,
-            onCrashMark: (from, mark) => this.crashes.hear(from, mark),
+            onCrashMark: (from, mark) => this.crashes.compareMarks(from, mark),
             leavingHosts: new LeavingHosts(environment.store),
             onHostLeaving: leaving => this.gates.gates.setClosed("host-leaving", leaving),
         });
--- a/src/distribution/hallheartbeats.test.ts
+++ b/src/distribution/hallheartbeats.test.ts
@@ -75,7 +75,7 @@
             t.mock.timers.tick(TICK_MS);
         }
     };
-    const hear = (from: number, more: object = {}): void =>
+    const deliver = (from: number, more: object = {}): void =>
         heartbeats.receive({
             type: "beat",
             from: ranked[from]!,
@@ -86,13 +86,13 @@
             records: { life: LIFE, at: 5 },
             ...more,
         });
-    return { watch, sent, pass, hear, stop: () => heartbeats.stop() };
+    return { watch, sent, pass, deliver, stop: () => heartbeats.stop() };
 };
 
 test("heartbeats: two of a hall watch, and each tells its own half of it of a change at once", t => {
     const first = daemonAt(t as never, 0);
     first.pass(200);
-    first.hear(1);
+    first.deliver(1);
     first.pass(2000);
     first.sent.length = 0;
     first.watch.records = { life: LIFE, at: 2 };
@@ -106,13 +106,13 @@
 
 test("heartbeats: who is not first in rank follows its watcher, and the other one when that is silent", t => {
     const third = daemonAt(t as never, 2);
-    third.hear(0);
-    third.hear(1);
+    third.deliver(0);
+    third.deliver(1);
     assert.deepEqual(third.watch.followed, [ranked[0]]);
     third.watch.reached = false;
     for (let round = 0; round < 4; round++) {
         third.pass(2000);
-        third.hear(1);
+        third.deliver(1);
     }
     assert.equal(third.watch.followed.at(-1), ranked[1]);
     assert.equal(third.watch.scope, "nothing", "it can't reach the store itself");
@@ -126,7 +126,7 @@
     const first = daemonAt(t as never, 0);
     first.watch.reached = false;
     first.pass(400);
-    first.hear(2);
+    first.deliver(2);
     const beats = first.sent.flatMap(({ message }) => message.type === "beat" ? [message.watching] : []);
     assert.ok(beats.length > 0 && beats.every(watching => !watching));
     assert.deepEqual(first.watch.followed, [ranked[2]]);
--- a/src/gate/crashwatch.ts
+++ b/src/gate/crashwatch.ts
@@ -26,7 +26,10 @@
 /** In one log line. */
 const MAX_LOGGED = 32;
 
-/** `mayAsk` spends a question; `ask` asks the upstream anything, and rejects as its connection does; `onCrash` is told of a crash and what was under way. */
+/**
+ * `mayAsk` spends a question; `ask` asks the upstream anything, and rejects as its connection does; `onCrash` is told of a crash and what
+ * was under way.
+ */
 type WatchParts = {
     readonly upstream: string;
     readonly clock: Clock;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -204,7 +204,10 @@
     }
 
     async #admit(request: GateRequest): Promise<void> {
-        this.#runs.checkQuarantine(request);
+        const quarantine = this.#runs.quarantineOf(request);
+        if (quarantine !== undefined) {
+            throw quarantine;
+        }
         const reason = await this.#checks.refusalOf(request);
         if (reason !== undefined) {
             throw this.#refusals.make(reason);
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -25,7 +25,7 @@
         readonly call: GateCall,
         identity: GateIdentity,
         now: number,
-        readonly key: RequestKey | undefined = undefined,
+        readonly key?: RequestKey,
     ) {
         const { head } = call;
         this.arrivedAt = now;
--- a/src/gate/gateruns.ts
+++ b/src/gate/gateruns.ts
@@ -11,7 +11,7 @@
 import { log } from "../log/log.js";
 import type { LevelClock } from "../policy/admission/levelclock.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
-import { ServedRequests } from "../policy/quarantine/servedrequests.js";
+import { RecentSet } from "../policy/recentset.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import { CrashWatch } from "./crashwatch.js";
 import type { GateChecks } from "./gatechecks.js";
@@ -30,6 +30,12 @@
 /** An upstream on the same host takes a connection within milliseconds, or refuses it. */
 const CRASH_TIMEOUT_MS = 100;
 
+/**
+ * Requests that are known to have been served well; some 200 KB at the most. What is asked often enough to be under way at three crashes
+ * at once, as when a rack loses power, is among them.
+ */
+const MAX_SERVED = 2048;
+
 /** What the gate lends. */
 type RunsParts = GateParts & {
     readonly client: UpstreamClient;
@@ -46,7 +52,8 @@
 export class GateRuns {
     readonly #running = new RunningRequests();
     readonly #crashes: CrashWatch;
-    readonly #served = new ServedRequests();
+    /** What the upstream has served well in this life does not crash it; a new life may be of another release, and has a gate of its own. */
+    readonly #served = new RecentSet<RequestKey>(MAX_SERVED);
 
     constructor(private readonly upstream: Upstream, private readonly parts: RunsParts) {
         this.#crashes = this.#makeCrashWatch();
@@ -81,20 +88,19 @@
         this.#running.giveUp(request);
     }
 
-    /** Throws a HopError for a quarantined request. */
-    checkQuarantine({ key }: GateRequest): void {
+    /** The refusal of a quarantined request; undefined for any other. */
+    quarantineOf({ key }: GateRequest): HopError | undefined {
         const retryAfterMs = this.parts.quarantinedForMs(key);
-        if (retryAfterMs !== undefined) {
-            throw this.parts.refusals.make("quarantined", { retryAfterMs });
-        }
+        return retryAfterMs === undefined ? undefined : this.parts.refusals.make("quarantined", { retryAfterMs });
     }
 
     /** Runs a request whose slot is free; throws a HopError. */
     async run(request: GateRequest): Promise<GateAnswer> {
         const { clock, checks, queue, refusals } = this.parts;
-        if (this.parts.quarantinedForMs(request.key) !== undefined) {
+        const quarantine = this.quarantineOf(request);
+        if (quarantine !== undefined) {
             queue.giveBack(request);
-            this.checkQuarantine(request);
+            throw quarantine;
         }
         if (!queue.start(request)) {
             throw refusals.make("deadline-or-revoked");
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -43,6 +43,7 @@
     #timer: NodeJS.Timeout | undefined;
     #claimed: Attempt | undefined;
     #isDeadlinePassed = false;
+    #found: { readonly key: RequestKey | undefined; } | undefined;
 
     constructor(
         private readonly answer: CallerAnswer,
@@ -126,9 +127,11 @@
         return guard.isEmpty ? "free" : guard.standing(this.#key());
     }
 
+    /** Found once, and only while some request has crashed an upstream: a digest of the body is not free. */
     #key(): RequestKey | undefined {
         const { method, path, headers, body } = this.out;
-        return requestKeyOf({ method, path, headers, body: body.content }, this.parts.dialect);
+        this.#found ??= { key: requestKeyOf({ method, path, headers, body: body.content }, this.parts.dialect) };
+        return this.#found.key;
     }
 
     /** Ends a request for which no upstream is left; `last` is the result of its last attempt, if there was one. */
--- a/src/policy/model/layered.ts
+++ b/src/policy/model/layered.ts
@@ -7,6 +7,7 @@
 import type { Layered } from "./layeredoptions.js";
 import type { Scenario } from "./scenario.js";
 
+/** Of so many hosts the services below have six, four and three upstreams; others in proportion. */
 const HOSTS = 13;
 const SLOTS = { slots: 18, knee: 0.8, kneeTimes: 1.7 };
 
--- a/src/policy/model/lognormal.ts
+++ b/src/policy/model/lognormal.ts
@@ -1,6 +1,7 @@
 /** How work varies from its mean in the models. */
 import type { RandomSource } from "../randomsource.js";
 
+/** Uniform draws whose sum is nearly normal, with a variance of 1: twelve, by each having a twelfth. */
 const GAUSS_DRAWS = 12;
 /** Standard deviation of the logarithm. */
 const SPREAD = 0.3;
--- a/src/policy/model/runmodel.ts
+++ b/src/policy/model/runmodel.ts
@@ -19,7 +19,9 @@
 import { ModelUpstream } from "./modelupstream.js";
 import type { Scenario } from "./scenario.js";
 
+/** As many as the users' sites of this size have. */
 const HALLS = 3;
+/** Milliseconds; rates are by the second, and so are tallies. */
 const SECOND_MS = 1000;
 /** A caller that is refused comes back when told, at the most so much of its time left later. */
 const HEEDED_SHARE = 1 / 3;
--- a/src/policy/quarantine/hashtext.ts
+++ b/src/policy/quarantine/hashtext.ts
@@ -1,6 +1,8 @@
 /** A short hash of a text, for comparing what two daemons know: 32 bits, FNV-1a. */
 
+/** The offset basis of FNV-1a with 32 bits, by its authors. */
 const START = 0x811c9dc5;
+/** Its prime, by the same. */
 const PRIME = 0x01000193;
 
 /** An integer of 32 bits. */
