--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -13,6 +13,7 @@
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
+import { ChangeThrottle } from "./changethrottle.js";
 import type { ConfigurationPuller } from "./configurationpuller.js";
 import type { CurrentConfiguration } from "./currentconfiguration.js";
 import { hallMembers } from "./hallmembers.js";
@@ -73,12 +74,8 @@
         new Ticker(HOSTS_EVERY_MS, () => void this.#askHosts()),
     ];
     readonly #beats = new Ticker(TICK_MS, () => this.#tick());
-    /** The list of daemons that was told last, and when. */
-    #toldRecords = 0;
-    #toldAt = -Infinity;
-    /** The mark of requests that crash upstreams that was told last, and when. */
-    #toldCrashes: number | undefined;
-    #toldCrashesAt = -Infinity;
+    readonly #records = new ChangeThrottle(TELL_RECORDS_EVERY_MS, 0);
+    readonly #crashes = new ChangeThrottle<number | undefined>(TELL_CRASHES_EVERY_MS, undefined);
 
     constructor(private readonly parts: HeartbeatParts) {
         this.#sender = new HeartbeatSender(() => this.#audience(), to => parts.send(to, this.#beat()));
@@ -164,21 +161,14 @@
     /** Each watcher tells its part of the hall at once; the rest get to know with their next heartbeat. */
     #tellRecords(now: number): void {
         const { hall, places, watch } = this.parts;
-        const at = watch.records?.at ?? 0;
-        if (at === this.#toldRecords || now - this.#toldAt < TELL_RECORDS_EVERY_MS) {
-            return;
+        if (this.#records.pass(watch.records?.at ?? 0, now)) {
+            this.#sender.sendSoon(this.#halves(hallMembers(places(), hall), now).own);
         }
-        this.#toldRecords = at;
-        this.#toldAt = now;
-        this.#sender.sendSoon(this.#halves(hallMembers(places(), hall), now).own);
     }
 
     /** To all at once: an upstream that may crash in the meantime is dearer than a heartbeat. */
     #tellCrashes(now: number): void {
-        const mark = this.parts.crashMark();
-        if (mark !== this.#toldCrashes && now - this.#toldCrashesAt >= TELL_CRASHES_EVERY_MS) {
-            this.#toldCrashes = mark;
-            this.#toldCrashesAt = now;
+        if (this.#crashes.pass(this.parts.crashMark(), now)) {
             this.#sender.sendSoon();
         }
     }
