Tests of crashes: one loop that keeps a process, one that sends again and again

Both stood in the mesh and in the test beside it; times of tries and of ends that nothing read are gone.

--- a/test/crashing.test.ts
+++ b/test/crashing.test.ts
@@ -11,7 +11,9 @@
 import type { Mesh } from "../demo/mesh.js";
 import { CrashMesh } from "./crashmesh.js";
 import { eventually } from "./eventually.js";
+import { keepRunning } from "./keeprunning.js";
 import { pause } from "./pause.js";
+import { sendEach } from "./sendeach.js";
 import { withMesh } from "./withmesh.js";
 
 /** Operators' bound: so long after the third instance has ended, daemons in touch send it on three times more at the most. */
@@ -19,8 +21,6 @@
 const MOST_AFTER = 3;
 /** Long enough that instances which are sent the request end many times. */
 const STORM_MS = 6000;
-const LOOK_EVERY_MS = 10;
-const BACK_AFTER_MS = 700;
 const TRY_EVERY_MS = 100;
 
 /** Sends the request until it has ended three instances, and for the bound after that. */
@@ -122,16 +122,14 @@
 /** Starts each upstream of `pages` again a while after it has ended; resolves when `isOver` says so. */
 const keepUpstreams = async (mesh: Mesh, onEnd: () => void, isOver: () => boolean): Promise<void> => {
     const hosts = mesh.hosts.filter(host => host.service === "pages");
-    await Promise.all(hosts.map(async host => {
-        while (!isOver()) {
-            await pause(LOOK_EVERY_MS);
-            if (!mesh.upstreams.get(host.name)!.running) {
-                onEnd();
-                await pause(BACK_AFTER_MS);
-                await mesh.startUpstream(host).ready();
-            }
-        }
-    }));
+    await Promise.all(hosts.map(host =>
+        keepRunning({
+            isRunning: () => mesh.upstreams.get(host.name)!.running,
+            restart: () => mesh.startUpstream(host).ready(),
+            onEnd,
+            isOver,
+        })
+    ));
 };
 
 const statusOf = async (ingress: string, path: string): Promise<number> => {
@@ -141,13 +139,8 @@
 };
 
 /** Sends the request that crashes upstreams at all hosts in turn for so long; returns what its callers were told. */
-const askFor = async (mesh: Mesh, ms: number): Promise<number[]> => {
-    const told: Promise<number>[] = [];
-    for (const until = performance.now() + ms; performance.now() < until; await pause(TRY_EVERY_MS)) {
-        told.push(statusOf(mesh.hosts[told.length % mesh.hosts.length]!.ingress, "/pages/crash"));
-    }
-    return await Promise.all(told);
-};
+const askFor = (mesh: Mesh, ms: number): Promise<number[]> =>
+    sendEach(ms, TRY_EVERY_MS, at => statusOf(mesh.hosts[at % mesh.hosts.length]!.ingress, "/pages/crash"));
 
 test("crashing: the same where the document names the upstreams, which come back under their names", async t => {
     await withMesh(async mesh => {
--- a/test/crashmesh.ts
+++ b/test/crashmesh.ts
@@ -1,26 +1,25 @@
 /** Daemons beside instances that one request ends, each started again a while after its end. */
+import { keepRunning } from "./keeprunning.js";
 import { pause } from "./pause.js";
 import { PlatformMesh } from "./platformmesh.js";
 import { runWith } from "./runwith.js";
+import { sendEach } from "./sendeach.js";
 
 type Struck = "pages" | "fees";
 /** As many instances as the users' service has that was struck. */
 const EACH = 4;
-/** Until an ended instance is there again; milliseconds, at the users' they took 1 to 5 s. */
-const BACK_AFTER_MS = 700;
-const LOOK_EVERY_MS = 10;
 /** Between two callers' tries; milliseconds. Of the recorded day's requests some ten a second were the same. */
 const EVERY_MS = 100;
 
 /** Until all daemons know all instances; milliseconds. */
 const SETTLE_MS = 3000;
 
-type Sent = { readonly id: string; readonly at: number; readonly status: number; };
+type Sent = { readonly id: string; readonly status: number; };
 
 /** Counts what the instances ran of the request, and when each ended under it. */
 export class CrashMesh {
-    readonly #ended: number[] = [];
     readonly told: Sent[] = [];
+    #ended = 0;
     #lives = 0;
     #sent = 0;
     #isOver = false;
@@ -55,7 +54,7 @@
 
     /** How many instances have ended. */
     get ended(): number {
-        return this.#ended.length;
+        return this.#ended;
     }
 
     /** How often the instances have begun to run the request. */
@@ -64,48 +63,37 @@
     }
 
     /** Sends the request at all hosts in turn for so long. */
-    async sendFor(ms: number, hosts = this.mesh.hosts.map(host => host.name)): Promise<void> {
-        const until = performance.now() + ms;
-        const sent: Promise<void>[] = [];
-        while (performance.now() < until) {
-            sent.push(this.send(hosts[this.#sent % hosts.length]!));
-            await pause(EVERY_MS);
-        }
-        await Promise.all(sent);
+    async sendFor(ms: number): Promise<void> {
+        const { hosts } = this.mesh;
+        await sendEach(ms, EVERY_MS, () => this.send(hosts[this.#sent % hosts.length]!.name));
     }
 
     /** Sends the request once, as a caller does that comes again: the path is the same, the id is not. */
     async send(host: string): Promise<void> {
         this.#sent += 1;
-        const [id, at] = [`crash-${this.#sent}`, performance.now()];
+        const id = `crash-${this.#sent}`;
         const { status } = await this.mesh.send(host, this.struck === "fees" ? "POST" : "GET", this.#path, id);
-        this.told.push({ id, at, status });
+        this.told.push({ id, status });
     }
 
     /** Asks for another page of the service at all hosts in turn for so long. */
     async countServed(ms: number): Promise<{ readonly sent: number; readonly ok: number; }> {
-        const until = performance.now() + ms;
-        const asked: Promise<boolean>[] = [];
-        while (performance.now() < until) {
-            const { name } = this.mesh.hosts[asked.length % this.mesh.hosts.length]!;
-            const told = this.mesh.send(name, "GET", "/pages/1", `proper-${asked.length}`);
-            asked.push(told.then(({ status }) => status === 200));
-            await pause(EVERY_MS / 2);
-        }
-        const served = await Promise.all(asked);
-        return { sent: served.length, ok: served.filter(Boolean).length };
+        const { hosts } = this.mesh;
+        const told = await sendEach(
+            ms,
+            EVERY_MS / 2,
+            at => this.mesh.send(hosts[at % hosts.length]!.name, "GET", "/pages/1", `proper-${at}`),
+        );
+        return { sent: told.length, ok: told.filter(({ status }) => status === 200).length };
     }
 
-    /** Starts an instance again whenever it has ended. */
-    async #keep(name: string): Promise<void> {
-        while (!this.#isOver) {
-            await pause(LOOK_EVERY_MS);
-            if (!this.mesh.instances.get(name)!.running) {
-                this.#ended.push(performance.now());
-                await pause(BACK_AFTER_MS);
-                await this.#start(name);
-            }
-        }
+    #keep(name: string): Promise<void> {
+        return keepRunning({
+            isRunning: () => this.mesh.instances.get(name)!.running,
+            restart: () => this.#start(name),
+            onEnd: () => this.#ended += 1,
+            isOver: () => this.#isOver,
+        });
     }
 
     async #start(name: string): Promise<void> {
--- a/test/upstreamcrash.test.ts
+++ b/test/upstreamcrash.test.ts
@@ -21,6 +21,15 @@
         return mesh.send(host, "POST", "/fees/1", `${prefix}-${at}`, 2000);
     });
 
+/** Has an upstream crash while payments are under way or wait; what becomes of them is under way still. */
+const crashUnder = async (mesh: PlatformMesh, prefix: string): Promise<Promise<PlatformTold>[]> => {
+    await Promise.all(["fees-1", "fees-2"].map(name => mesh.strikeInstance(name, { workMs: WORK_MS })));
+    const paid = pay(mesh, prefix);
+    await pause(WORK_MS / 2);
+    await crash(mesh, "fees-1");
+    return paid;
+};
+
 /** What a caller was told must be true of what ran: 200 once, a refusal not at all, anything else at most once. */
 const check = (mesh: PlatformMesh, told: readonly PlatformTold[], prefix: string): void => {
     told.forEach(({ status }, at) => {
@@ -40,11 +49,7 @@
 
 test("upstream crash: each payment that was in flight landed once or not at all, and its caller is told the truth", async () => {
     await withPlatform(async mesh => {
-        await Promise.all(["fees-1", "fees-2"].map(name => mesh.strikeInstance(name, { workMs: WORK_MS })));
-        const paid = pay(mesh, "crash");
-        await pause(WORK_MS / 2);
-        await crash(mesh, "fees-1");
-        const told = await Promise.all(paid);
+        const told = await Promise.all(await crashUnder(mesh, "crash"));
         check(mesh, told, "crash");
         const unknown = told.filter(({ status }) => status === 502).length;
         const answered = told.filter(({ status }) => status === 200).length;
@@ -55,10 +60,7 @@
 
 test("upstream crash: an empty one in its place gets work, and none of it is work of the one before", async () => {
     await withPlatform(async mesh => {
-        await Promise.all(["fees-1", "fees-2"].map(name => mesh.strikeInstance(name, { workMs: WORK_MS })));
-        const paid = pay(mesh, "before");
-        await pause(WORK_MS / 2);
-        await crash(mesh, "fees-1");
+        const paid = await crashUnder(mesh, "before");
         await mesh.startInstance("fees-1", "i-fees-1-new").ready();
         check(mesh, await Promise.all(paid), "before");
         await eventually("the new one serves", async () => {
