Quarantine: a crash that is told again holds its request no longer

Cause, found by reading: what lies in the store keeps the age that it was written with, and a daemon that reads it later, or its own watch's late event, took the last crash for as much younger. A request could be held for up to twice the 10 minutes, and longer the more often lists were read; mended upstreams could not run it again. Only a crash that is new to a daemon moves the time now. Before, told again after 5 of 10 minutes: held for 10 more; after: 5 (test, red before). Ruled out: the time of each crash by itself, least of what was told: more state, and of crashes that are dropped (more than 16) the time would be lost.

--- a/src/policy/quarantine/crashhistory.test.ts
+++ b/src/policy/quarantine/crashhistory.test.ts
@@ -50,6 +50,16 @@
     assert.equal(history.standing(bad, 0), "suspect");
 });
 
+test("crash history: a crash that is told again later, as by what lies in the store, holds the request no longer", () => {
+    const history = new CrashHistory();
+    const told = ["1", "2", "3"].map(id => ended(id));
+    history.merge(told, 0);
+    history.merge(told, crashLimits.holdMs / 2);
+    assert.equal(history.quarantinedForMs(bad, crashLimits.holdMs / 2), crashLimits.holdMs / 2);
+    history.merge(told, crashLimits.keepMs);
+    assert.equal(history.isEmpty, true, "nor is it kept any longer");
+});
+
 test("crash history: what is kept is bounded, and of the requests those with the fewest crashes go first", () => {
     const history = new CrashHistory();
     history.merge(["1", "2"].map(id => ended(id)), 0);
--- a/src/policy/quarantine/crashhistory.ts
+++ b/src/policy/quarantine/crashhistory.ts
@@ -107,13 +107,16 @@
     }
 
     #mergeOne({ request, crashes, cleared, ageMs }: CrashRecord, now: number): boolean {
-        const entry = this.#entries.get(request) ?? { crashes: new Set(), cleared: new Set(), lastAt: -Infinity };
+        const entry = this.#entries.get(request) ?? { crashes: new Set(), cleared: new Set(), lastAt: now - ageMs };
         const before = [...entry.crashes, "/", ...entry.cleared].join();
+        // Only a crash that is new here moves the time: what lies in the store has the age that it was written with.
+        if (crashes.some(crash => !entry.crashes.has(crash))) {
+            entry.lastAt = Math.max(entry.lastAt, now - ageMs);
+        }
         crashes.forEach(crash => entry.crashes.add(crash));
         cleared.forEach(crash => entry.cleared.add(crash));
         keepFirst(entry.crashes);
         keepFirst(entry.cleared);
-        entry.lastAt = Math.max(entry.lastAt, now - ageMs);
         this.#entries.set(request, entry);
         this.#mark = undefined;
         return before !== [...entry.crashes, "/", ...entry.cleared].join();
