Links: a new connection that did not answer its probe is ended, not kept for requests

Before: a request sent once the host serves again waits (no answer in 200 ms); after: answered at once (test, red before).

--- a/src/link/linkcheck.ts
+++ b/src/link/linkcheck.ts
@@ -54,9 +54,12 @@
         const { clock, open, free } = this.parts;
         try {
             const fresh = await open();
-            if (await fresh.probe(CONFIRM_MS)) {
-                this.#answeredAt = clock();
+            if (!await fresh.probe(CONFIRM_MS)) {
+                // A request on it would wait again for what this question has waited for.
+                fresh.destroy();
+                return;
             }
+            this.#answeredAt = clock();
             free(fresh);
         }
         catch {
--- a/src/link/silentlink.test.ts
+++ b/src/link/silentlink.test.ts
@@ -71,6 +71,18 @@
     });
 });
 
+test("silent link: a new connection that did not answer either is used by no request", async () => {
+    await between(serve, async ends => {
+        await send(ends.pool);
+        ends.silence(ends.sockets[0]!);
+        ends.stopReading();
+        void send(ends.pool).catch(() => "broken");
+        await wait(1500);
+        ends.readAgain();
+        assert.equal(await Promise.race([send(ends.pool).catch(() => "broken"), wait(200, "waits")]), 200);
+    });
+});
+
 test("silent link: one on which an answer is not being read here, or a body is being sent, is none", async () => {
     const large: Serve = () => Promise.resolve({ ...answer, body: Readable.from([Buffer.alloc(4_000_000)]) });
     await between(large, async ({ pool, found }) => {
--- a/test/linkends.ts
+++ b/test/linkends.ts
@@ -21,7 +21,7 @@
     readonly pool: LinkPool;
     isClosing = false;
 
-    private constructor(private readonly server: Server) {
+    private constructor(private readonly server: Server, private readonly serve: Serve) {
         const { port } = server.address() as AddressInfo;
         const onSilent = (at: Address): void => void this.found.push(at);
         this.pool = LinkEnds.makePool(`127.0.0.1:${port}` as Address, { onSilent });
@@ -32,8 +32,8 @@
         const server = createServer();
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
-        const ends = new LinkEnds(server);
-        server.on("connection", socket => ends.#accept(socket, serve));
+        const ends = new LinkEnds(server, serve);
+        ends.readAgain();
         try {
             await body(ends);
         }
@@ -79,17 +79,23 @@
         this.server.on("connection", socket => this.sockets.push(socket));
     }
 
+    /** Serves what comes on connections that are taken from now on. */
+    readAgain(): void {
+        this.server.removeAllListeners("connection");
+        this.server.on("connection", socket => this.#accept(socket));
+    }
+
     /** Has a connection carry nothing more, either way, without an end. */
     silence(socket: Socket): void {
         socket.removeAllListeners("data");
         socket.write = () => true;
     }
 
-    #accept(socket: Socket, serve: Serve): void {
+    #accept(socket: Socket): void {
         this.sockets.push(socket);
         new LinkSession(socket, {
             key: Buffer.from(KEY),
-            serve,
+            serve: this.serve,
             refuseBad: () => ({ note: LinkEnds.note, status: 0, headers: {}, body: undefined }),
             identity: () => LinkEnds.note,
             isClosing: () => this.isClosing,
