At most once: the ledger's deadline is what was sent, not when it arrived

Cause: where an ingress reckons a time that its gate has not come to (the gate's clock stood still, or goes slower), the deadline of a request and that of its revocation were found from the time of arrival, and differed. The tombstone went first, and the request ran after its caller had been told that it had not. Now both are reckoned from the head alone, as the design says of them; a run still ends by the lesser of the two. Ruled out: refusing what is stamped in the future (the request of a caller that waits would be refused for a gate's fault).

--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -50,8 +50,7 @@
         if (input.incarnation !== identity.incarnation) {
             return "unknown";
         }
-        const now = clock();
-        return ledger.revoke(input.id, ledgerDeadline(input, now), now);
+        return ledger.revoke(input.id, ledgerDeadline(input), clock());
     }
 
     update(have: number): Update | undefined {
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -43,7 +43,7 @@
         }
         const { gateTime = now, remainingMs } = head;
         this.deadline = Math.min(now, gateTime) + remainingMs;
-        this.ledgerDeadline = ledgerDeadline({ gateTime, remainingMs }, now);
+        this.ledgerDeadline = ledgerDeadline({ gateTime, remainingMs });
     }
 
     get rule(): RuleName | undefined {
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -107,7 +107,7 @@
     /** Leaves a tombstone, so that a request that was refused can't run later. */
     withdraw(request: GateRequest): void {
         if (request.once) {
-            this.parts.ledger.revoke(request.call.head.id, request.deadline, this.parts.clock());
+            this.parts.ledger.revoke(request.call.head.id, request.ledgerDeadline, this.parts.clock());
         }
     }
 
--- a/src/ledger/ledgermodel.test.ts
+++ b/src/ledger/ledgermodel.test.ts
@@ -33,7 +33,13 @@
     | { readonly type: "restart"; };
 
 /** A fault planted in a copy of the rule, to see that the search finds it. */
-type Planted = "none" | "forget-tombstone" | "ignore-incarnation" | "retry-on-unknown" | "start-after-deadline";
+type Planted =
+    | "none"
+    | "forget-tombstone"
+    | "ignore-incarnation"
+    | "retry-on-unknown"
+    | "start-after-deadline"
+    | "deadline-by-arrival";
 
 type Message = { readonly id: number; readonly attempt: number; readonly life: number; readonly gateTime: number; };
 
@@ -100,7 +106,10 @@
     }
 
     #deadline({ gateTime }: Message): number {
-        return ledgerDeadline({ gateTime, remainingMs: LIMIT }, this.now);
+        const sent = { gateTime, remainingMs: LIMIT };
+        return this.planted === "deadline-by-arrival"
+            ? Math.min(this.now, gateTime) + LIMIT
+            : ledgerDeadline(sent);
     }
 
     #name(message: Message): RequestId {
@@ -219,7 +228,15 @@
     assert.equal(found.failed, false, JSON.stringify(found.counterexample));
 });
 
-for (const planted of ["forget-tombstone", "ignore-incarnation", "retry-on-unknown", "start-after-deadline"] as const) {
+const faults = [
+    "forget-tombstone",
+    "ignore-incarnation",
+    "retry-on-unknown",
+    "start-after-deadline",
+    "deadline-by-arrival",
+] as const;
+
+for (const planted of faults) {
     test(`model: finds the planted fault ${planted}`, () => {
         assert.equal(search(planted).failed, true);
     });
