Gates' clocks: one that has stood still, or goes slower, is found at its next answer

Cause: of a gate's readings the one that gave the latest time was kept for as long as both lived. Right while clocks go alike; but a host that was suspended stayed ahead in all ingresses' reckoning by the time that it had lost, and where clocks differ by a little it grew without end. Then the gate could not tell how long a request had been on its way. A reading now bounds the gate's time from above too: by when it was asked for. Ruled out: trusting the last reading always: one that is late on its way would shorten callers' time.

--- a/src/ledger/ledgermodel.test.ts
+++ b/src/ledger/ledgermodel.test.ts
@@ -102,7 +102,8 @@
     }
 
     #readClock(): void {
-        this.clock.observe(`life-${this.life}` as Incarnation, this.now, this.ingressNow);
+        const span = { askedAt: this.ingressNow, now: this.ingressNow };
+        this.clock.observe(`life-${this.life}` as Incarnation, this.now, span);
     }
 
     #deadline({ gateTime }: Message): number {
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -39,7 +39,6 @@
             await this.greet();
         }
         const { status, headers, body = emptyBuffer, note } = await this.#request(call);
-        this.clock.observe(note.incarnation, note.gateTime, this.options.clock());
         if (note.outcome !== undefined) {
             throw new HopError(note.outcome, this.#reasonOf(note), note);
         }
@@ -57,8 +56,8 @@
 
     async greet(): Promise<void> {
         try {
-            const { incarnation, gateTime } = await this.#pool.greet() ?? await this.peer.hello(this.address);
-            this.clock.observe(incarnation, gateTime, this.options.clock());
+            const askedAt = this.options.clock();
+            this.#readClock(await this.#pool.greet() ?? await this.peer.hello(this.address), askedAt);
         }
         catch (err) {
             throw new HopError("not-run", "unreachable", undefined, { cause: err });
@@ -83,17 +82,25 @@
     }
 
     /** The head is stamped when it is sent: with the gate's life and clock, so that the gate can tell its delay. */
-    #stamp(head: CallHead): void {
+    #stamp(head: CallHead, sentAt: number): void {
         const stamped = head as { incarnation?: CallHead["incarnation"]; gateTime?: number; };
         stamped.incarnation = this.clock.incarnation;
-        stamped.gateTime = this.clock.reckon(this.options.clock());
+        stamped.gateTime = this.clock.reckon(sentAt);
+    }
+
+    /** The gate has said what its clock showed, some time after it was asked. */
+    #readClock({ incarnation, gateTime }: Pick<AnswerNote, "incarnation" | "gateTime">, askedAt: number): void {
+        this.clock.observe(incarnation, gateTime, { askedAt, now: this.options.clock() });
     }
 
     async #request(call: GateCall): Promise<Awaited<ReturnType<Awaited<ReturnType<LinkPool["take"]>>["send"]>>> {
         try {
             const connection = await this.#pool.take();
-            this.#stamp(call.head);
-            return await connection.send(call);
+            const sentAt = this.options.clock();
+            this.#stamp(call.head, sentAt);
+            const answer = await connection.send(call);
+            this.#readClock(answer.note, sentAt);
+            return answer;
         }
         catch (err) {
             const { unsent, reason } = err instanceof LinkError ? err : new LinkError("peer-broke", { cause: err });
