--- a/src/wire/callhead.ts
+++ b/src/wire/callhead.ts
@@ -26,7 +26,7 @@
     revision: z.int().min(0),
     /** The gate's life that the sender means; required for `once`. */
     incarnation: Incarnation.optional(),
-    /** The gate's clock at the time of sending, as the sender reckons it: never later than the truth. */
+    /** The gate's clock at the time of sending, as the sender reckons it: see hop/gateclock.ts. */
     gateTime: z.number().optional(),
     /** How many other upstreams the sender could still send the request to. */
     choices: z.int().min(0).default(0),
