Quarantine: who has just started asks those of its own hall that know the most

Cause: two peers were drawn from all halls, so that of a fleet that starts most asked across halls, for histories of up to 256 requests, and as likely others that had just started as those that tell their hall. The first in rank are asked now, of the own hall where there are others. Ruled out: not asking (the first heartbeat comes up to 2 s later).

--- a/src/crashes/crashspread.ts
+++ b/src/crashes/crashspread.ts
@@ -29,7 +29,7 @@
 const MAX_SIBLINGS = 8;
 /** In one datagram: what fits, and more than an upstream has slots. */
 const MAX_REQUESTS = 64;
-/** Whom a daemon asks that has just met others. */
+/** Whom a daemon asks that has just met others: those that know the most, which are in its hall, if any are. */
 const ASKED_AT_START = 2;
 
 /** `exchange` tells a peer what has changed here, and resolves with what has changed there. */
@@ -38,7 +38,7 @@
     readonly life: Incarnation;
     readonly guard: CrashGuard;
     readonly peers: () => readonly Address[];
-    /** Those that tell a hall of what they get to know. */
+    /** Those that tell a hall of what they get to know; the own hall's first. */
     readonly relays: () => readonly Address[];
     /** The daemons beside the service's other upstreams. */
     readonly siblings: (service: ServiceName) => readonly Address[];
@@ -87,13 +87,13 @@
 
     /** To be called when who is there has changed: the first time that there are others, some of them are asked. */
     meet(): void {
-        const { peers, self, random } = this.parts;
+        const { peers, self, relays } = this.parts;
         const others = peers().filter(gate => gate !== self);
         const known = new Set(others);
         [...this.#exchanged.keys()].filter(peer => !known.has(peer)).forEach(peer => this.#exchanged.delete(peer));
         if (!this.#hasMet && others.length > 0) {
             this.#hasMet = true;
-            sample(others, ASKED_AT_START, random).forEach(peer => void this.#exchange(peer));
+            relays().slice(0, ASKED_AT_START).forEach(peer => void this.#exchange(peer));
         }
     }
 
