Planned stops: connections that wait to be taken when the listener closes are taken first, however many

What was cut, by a trial that printed it: requests on new connections to the daemon that stops, sent 40 to 340 ms before, reset all at the same moment. Ruled out: idle connections that cross their end (the cut ones were new), a daemon that ends too soon (its log shows both stops whole).

--- a/src/ingress/closeserver.test.ts
+++ b/src/ingress/closeserver.test.ts
@@ -45,6 +45,18 @@
     socket.destroy();
 });
 
+test("close: many connections that wait to be accepted, as after a stall, are served", async () => {
+    const { server, port, socket } = await served();
+    const late = Array.from({ length: 20 }, () => connect(port, "127.0.0.1"));
+    late.forEach(each => each.write(REQUEST));
+    const texts = late.map(textOf);
+    await closeServer(server);
+    server.closeAllConnections();
+    const cut = (await Promise.all(texts)).filter(text => !text.includes("200 OK"));
+    assert.deepEqual(cut, []);
+    socket.destroy();
+});
+
 test("close: no connection is taken afterwards", async () => {
     const { server, port } = await served();
     await closeServer(server);
