Gates log what their upstreams state: a limit of requests a second, its end, and a value that can't be read

The incident's logs could not tell whether a limit was not read, learnt late, or allowed to each ingress: no line held it. Now a gate's log has who stated what, and when. Answers overtake each other, so one whose request was under way when the limit was stated does not end it, and of two under way together the lower holds. Foreign and misdirected answers say nothing. Nothing follows from it yet.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -1,5 +1,7 @@
 /** The header fields of callers and upstreams that concern winglock: their names, and how their values are read. */
 import type { HttpHeaders } from "../http/httpheaders.js";
+import type { StatedLimit } from "../policy/rate/statedlimit.js";
+import { readLimit } from "./readlimit.js";
 import { readLoad } from "./readload.js";
 import type { UpstreamLoad } from "./upstreamload.js";
 
@@ -21,6 +23,8 @@
     abstract readonly context: string;
     /** From upstreams: what they report of their load. */
     abstract readonly upstreamLoad: string;
+    /** From upstreams in need: how many requests a second they take. */
+    abstract readonly requestLimit: string;
     /** From upstreams, on their health endpoints: their own names. */
     abstract readonly ownName: string;
     /** From callers: whose request it is, as far as they say. */
@@ -39,6 +43,11 @@
         return readLoad(headers[this.upstreamLoad]);
     }
 
+    /** How many requests a second the upstream takes, as far as it says. */
+    limit(headers: HttpHeaders): StatedLimit {
+        return readLimit(headers[this.requestLimit]);
+    }
+
     /** The name that an upstream gives itself; undefined when it gives none. */
     upstreamName(headers: HttpHeaders): string | undefined {
         const name = headers[this.ownName];
--- a/src/dialect/headername.ts
+++ b/src/dialect/headername.ts
@@ -20,6 +20,8 @@
     load: "winglock-load",
     /** From upstreams, on their health endpoints: for how many milliseconds more they are cold. */
     cold: "winglock-cold-ms",
+    /** From upstreams in need: how many requests a second they take, a decimal number. */
+    limit: "winglock-limit",
     /** From upstreams: present when they are about to stop. */
     leaving: "winglock-leaving",
 } as const;
--- a/src/dialect/owndialect.ts
+++ b/src/dialect/owndialect.ts
@@ -18,6 +18,7 @@
     readonly callerService = headerName.caller;
     readonly context = headerName.context;
     readonly upstreamLoad = headerName.load;
+    readonly requestLimit = headerName.limit;
     readonly ownName = headerName.upstream;
     readonly outcome = headerName.outcome;
 
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -9,6 +9,7 @@
 import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
+import type { HttpHeaders } from "../http/httpheaders.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { Admission } from "../policy/admission/admission.js";
@@ -30,6 +31,7 @@
 import { GateRuns } from "./gateruns.js";
 import { SlotQueue } from "./slotqueue.js";
 import { UpstreamClient } from "./upstreamclient.js";
+import { UpstreamNotices } from "./upstreamnotices.js";
 
 /** A question of the pace holds a request up: half of the time for which its answer is believed. */
 const ASK_TIMEOUT_MS = 15;
@@ -41,6 +43,7 @@
 export class Gate {
     readonly #checks: GateChecks;
     readonly #log: GateLog;
+    readonly #notices: UpstreamNotices;
     readonly #client: UpstreamClient;
     readonly #admission: Admission<GateRequest>;
     readonly #refusals: GateRefusals;
@@ -51,8 +54,9 @@
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
         const { clock, ledger, localIp, dialect } = parts;
         const levels = new LevelClock(upstream.slots, clock());
-        const onLoad = ({ pace }: { readonly pace: number; }): void => this.#checks.recordPace(pace);
-        this.#client = new UpstreamClient(upstream, { localIp, dialect, onLoad, clock, onSilent: parts.onSilent });
+        const onAnswer = (headers: HttpHeaders, sentAt: number): void => this.#recordAnswer(headers, sentAt);
+        this.#client = new UpstreamClient(upstream, { localIp, dialect, onAnswer, clock, onSilent: parts.onSilent });
+        this.#notices = new UpstreamNotices({ upstream: upstream.name, clock, dialect });
         this.#log = new GateLog(upstream.name, dialect);
         const pace = new Pace();
         this.cold = new ColdProbe({
@@ -230,6 +234,14 @@
         return { ...this.parts.identity.note(this.parts.clock()), report: more.report ?? this.report(), ...more };
     }
 
+    #recordAnswer(headers: HttpHeaders, sentAt: number): void {
+        const load = this.parts.dialect.load(headers);
+        if (load !== undefined) {
+            this.#checks.recordPace(load.pace);
+        }
+        this.#notices.record(headers, sentAt);
+    }
+
     async #admit(request: GateRequest): Promise<void> {
         const quarantine = this.#runs.quarantineOf(request);
         if (quarantine !== undefined) {
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -2,7 +2,6 @@
 import type { Readable } from "node:stream";
 import type { Upstream } from "../config/upstream.js";
 import type { Dialect } from "../dialect/dialect.js";
-import type { UpstreamLoad } from "../dialect/upstreamload.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { Cancel } from "../http/cancel.js";
 import { isConnectError } from "../http/connecterror.js";
@@ -16,11 +15,12 @@
 /** The upstream's answer as it comes. */
 type UpstreamAnswer = { readonly status: number; readonly headers: HttpHeaders; readonly body: Readable; };
 
-/** Where and how to reach the upstream; `onLoad` is called with each report of its load. */
+/** Where and how to reach the upstream. */
 type ClientOptions = {
     readonly localIp: string;
     readonly dialect: Dialect;
-    readonly onLoad: (load: UpstreamLoad) => void;
+    /** Called with the head of each answer that is the upstream's own, whatever its status; its request was sent at `sentAt`. */
+    readonly onAnswer: (headers: HttpHeaders, sentAt: number) => void;
     readonly clock: Clock;
     /** Told of a connection that carries nothing any more, and has been ended. */
     readonly onSilent: (address: Address) => void;
@@ -41,13 +41,18 @@
     async send(call: GateCall, headers: HttpHeaders, cancel: Cancel | undefined): Promise<UpstreamAnswer> {
         const { dialect } = this.options;
         const connection = this.#take();
-        const answer = await this.#request(connection, call, headers, cancel);
+        const sentAt = this.options.clock();
+        const answer = await this.#request(connection, call, headers, cancel, sentAt);
         const reason = dialect.notRun(answer.status, answer.headers);
+        const isOwn = dialect.isOwnAnswer(answer.status, answer.headers, String(headers[dialect.requestId]));
+        if (isOwn && reason !== "misdirected") {
+            this.options.onAnswer(answer.headers, sentAt);
+        }
         if (reason !== undefined) {
             answer.body.resume();
             throw new UpstreamError(reason);
         }
-        if (!dialect.isOwnAnswer(answer.status, answer.headers, String(headers[dialect.requestId]))) {
+        if (!isOwn) {
             answer.body.destroy();
             this.#drop(connection);
             throw new UpstreamError("foreign-answer");
@@ -55,8 +60,10 @@
         return answer;
     }
 
-    /** Asks the upstream's health endpoint; what it reports of its load is recorded. Throws what the connection throws. */
+    /** Asks the upstream's health endpoint. Throws what the connection throws. */
     async ask(path: string, timeoutMs: number): Promise<{ readonly status: number; readonly headers: HttpHeaders; }> {
+        const { clock, dialect, onAnswer } = this.options;
+        const sentAt = clock();
         const connection = this.#take();
         try {
             const { statusCode, headers, body } = await connection.request({
@@ -65,7 +72,10 @@
                 signal: AbortSignal.timeout(timeoutMs),
             });
             await body.dump();
-            this.#readLoad(headers);
+            const name = dialect.upstreamName(headers);
+            if (name === undefined || name === this.upstream.name) {
+                onAnswer(headers, sentAt);
+            }
             return { status: statusCode, headers };
         }
         finally {
@@ -116,20 +126,13 @@
         connection.destroy();
     }
 
-    #readLoad(headers: HttpHeaders): void {
-        const load = this.options.dialect.load(headers);
-        if (load !== undefined) {
-            this.options.onLoad(load);
-        }
-    }
-
     async #request(
         connection: UpstreamConnection,
         call: GateCall,
         headers: HttpHeaders,
         cancel: Cancel | undefined,
+        sentAt: number,
     ): Promise<UpstreamAnswer> {
-        const sentAt = this.options.clock();
         try {
             const answer = await connection.request({
                 method: call.method as "GET",
@@ -139,7 +142,6 @@
                 signal: cancel,
             });
             this.#newestAnswered = Math.max(this.#newestAnswered, sentAt);
-            this.#readLoad(answer.headers);
             const body = guardBody(connection.whole(answer));
             body.once("close", () => this.#give(connection));
             return { status: answer.statusCode, headers: answer.headers, body };
