--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -21,7 +21,10 @@
     readonly crashPath: string;
 };
 
-/** Prints `R id` for each request that it runs, and `C ms` with the time for each that arrives while it is cold; `POST /control` drives it. */
+/**
+ * Prints `R id` for each request that it runs, and the time for each that arrives while it is cold (`C ms`), states a limit (`L ms id`) or says
+ * that it leaves (`V ms id`), health questions among them; `POST /control` drives it.
+ */
 export class InstanceStandin extends StandinServer<InstanceControl> {
     #running = 0;
     #sequence = 0;
@@ -29,7 +32,17 @@
     readonly #born = Date.now();
 
     constructor(private readonly options: InstanceOptions) {
-        super({ state: "ready", workMs: 5, pace: 100, fault: "none", silent: false, coldMs: 0 });
+        super({
+            state: "ready",
+            workMs: 5,
+            pace: 100,
+            fault: "none",
+            silent: false,
+            coldMs: 0,
+            limit: "",
+            leaving: false,
+            saysOnHealth: false,
+        });
         setInterval(() => void this.#announce(), ANNOUNCE_EVERY_MS);
     }
 
@@ -44,12 +57,17 @@
     protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         res.setHeader("server-load", `${this.#running},0,${this.options.slots},${this.control.pace}`);
         res.setHeader("instance-id", this.options.id);
+        this.#printArrival(req);
         if (req.url === "/health") {
+            if (this.control.saysOnHealth) {
+                this.#sayState(res);
+            }
             if (this.#coldMs > 0) {
                 res.setHeader("cold-ms", this.#coldMs);
             }
             return sendJson(res, this.control.state === "ready" ? 200 : 503, {});
         }
+        this.#sayState(res);
         const expected = req.headers["expected-instance"];
         if (expected !== undefined && expected !== this.options.id) {
             return sendJson(res, 421, {});
@@ -57,6 +75,26 @@
         await this.#work(req, res);
     }
 
+    #printArrival(req: IncomingMessage): void {
+        const who = `${performance.now()} ${String(req.headers["attempt-id"] ?? "health")}`;
+        if (this.control.limit !== "") {
+            console.log(`L ${who}`);
+        }
+        if (this.control.leaving) {
+            console.log(`V ${who}`);
+        }
+    }
+
+    #sayState(res: ServerResponse): void {
+        const { limit, leaving } = this.control;
+        if (limit !== "") {
+            res.setHeader("server-limit", limit.split(";"));
+        }
+        if (leaving) {
+            res.setHeader("server-leaving", "1");
+        }
+    }
+
     get #coldMs(): number {
         return Math.max(0, Math.ceil(this.#coldUntil - performance.now()));
     }
--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -9,4 +9,10 @@
     silent: boolean;
     /** It turns cold for so long, in milliseconds. */
     coldMs: number;
+    /** What it states in its answers as its limit of requests a second; empty for no limit. */
+    limit: string;
+    /** It says in its answers that it leaves. */
+    leaving: boolean;
+    /** Its health answers say both too. */
+    saysOnHealth: boolean;
 };
--- a/test/leaving.test.ts
+++ b/test/leaving.test.ts
@@ -4,7 +4,9 @@
 import type { Mesh } from "../demo/mesh.js";
 import { loaded } from "./loaded.js";
 import { pause } from "./pause.js";
+import { platformLoad } from "./platformload.js";
 import { withMesh } from "./withmesh.js";
+import { withPlatform } from "./withplatform.js";
 
 const BOUND_MS = 3000;
 const LIST_LAG_MS = 500;
@@ -51,3 +53,22 @@
         assert.ok(pages.every(item => item.word === "answered"));
     });
 });
+
+// Guards against sending on to an upstream that says only in its answers that it leaves, also where the daemon beside it has started again since.
+test("leaving: by the word in an upstream's answers alone, hosts that passed it on send nothing there any more", async () => {
+    await withPlatform(async mesh => {
+        await platformLoad(mesh, { perSecond: 40, forMs: 1000 });
+        await mesh.strikeInstance("pages-1", { leaving: true });
+        await platformLoad(mesh, { perSecond: 40, forMs: 2000 });
+        await mesh.daemons.get("pages-1")!.end("SIGKILL");
+        await mesh.startDaemon("pages-1").ready();
+        const restartedAt = mesh.runs.length;
+        const told = mesh.hosts.map(({ name }) => name).filter(name => name !== "pages-1");
+        const { sent, served } = await platformLoad(mesh, { hosts: told, perSecond: 40, forMs: 4000 });
+        const arrived = mesh.runs.filter(line => line.startsWith("V ") && !line.endsWith("health"));
+        const late = mesh.runs.slice(restartedAt).filter(line => arrived.includes(line));
+        assert.ok(arrived.length <= mesh.hosts.length * 2, `${arrived.length} were sent to it after its word`);
+        assert.deepEqual(late, [], "none after its daemon's start");
+        assert.ok(served >= sent * 0.98, `${served} of ${sent}`);
+    });
+});
