Mistyped halls are told by a daemon that waits for others after its start too, and by one that begins to watch

Cause, from the kept log: all four daemons had the hall within 5 ms of its write, none wrote the line. The fleet was 1.9 s old; a daemon that knows nobody waits 4 s before it watches the daemons' records and watches the operators' entries only, which the check took for not watching; and it was made at a change of the entries only, so nobody looked again. Who reads the entries checks them now, and whoever begins to watch does, once for each name.

--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -7,7 +7,7 @@
 import { LeavingHosts } from "../distribution/leavinghosts.js";
 import type { Place } from "../distribution/place.js";
 import { WatcherElection } from "../distribution/watcherelection.js";
-import { log } from "../log/log.js";
+import { UnknownHalls } from "../evacuation/unknownhalls.js";
 import { Membership } from "../membership/membership.js";
 import { relaysOf } from "../membership/relaysof.js";
 import type { Member } from "../wire/member.js";
@@ -22,14 +22,13 @@
  */
 const ALONE_MS = 4000;
 
-const logger = log("halls");
-
 /** From the document where it names the upstreams, by announcements where there is a registry; heartbeats carry both. */
 export class MembershipGroup {
     readonly heartbeats: HallHeartbeats;
     readonly announced: Membership | undefined;
     readonly crashes: CrashSpread;
     readonly #crashPublisher: CrashPublisher | undefined;
+    readonly #unknownHalls = new UnknownHalls();
     #listener: () => void = () => {};
 
     constructor(
@@ -83,15 +82,9 @@
         this.#listener();
     }
 
-    /** One that watches the store knows all halls; a name that is none of them is most likely mistyped. */
     #checkHalls(): void {
         const known = new Set(this.#places().map(({ hall }) => hall));
-        const unknown = this.configuration.evacuations.halls.filter(hall => !known.has(hall));
-        if (this.heartbeats.watching && unknown.length > 0) {
-            logger.warn("A hall is evacuated in which there is no upstream.", "nothing is changed by that", {
-                unknown,
-            });
-        }
+        this.#unknownHalls.check(this.configuration.evacuations.halls, known, this.heartbeats.watchesEvacuations);
     }
 
     #places(): readonly Place[] {
@@ -178,6 +171,7 @@
             suspectMark: () => this.gates.guard.suspectMark,
             onCrashMark: (from, mark) => this.crashes.compareMarks(from, mark),
             evacuations: this.configuration.evacuations,
+            onWatch: () => this.#checkHalls(),
             leavingHosts: new LeavingHosts(environment.store),
             onHostLeaving: leaving => this.gates.gates.setClosed("host-leaving", leaving),
         });
--- a/src/distribution/hallheartbeats.test.ts
+++ b/src/distribution/hallheartbeats.test.ts
@@ -64,6 +64,7 @@
         places: () => halls,
         leavingHosts: { names: [], refresh: async () => {} } as never,
         send: (to, message) => sent.push({ to, message }) > 0,
+        onWatch: () => {},
         onHostLeaving: () => {},
         crashMark: () => undefined,
         suspectMark: () => undefined,
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -69,6 +69,8 @@
     readonly onCrashMark: (from: Address, mark: number | undefined) => void;
     readonly evacuations: Evacuations;
     readonly send: (to: Address, message: Message) => boolean;
+    /** Called when what this daemon watches in the store has changed. */
+    readonly onWatch: () => void;
     /** Told whether this daemon's own host is on the platform's list of those that leave. */
     readonly onHostLeaving: (leaving: boolean) => void;
 };
@@ -95,6 +97,11 @@
         return this.parts.watch.scope === "all";
     }
 
+    /** True while it reads from the store which halls are evacuated. */
+    get watchesEvacuations(): boolean {
+        return this.parts.watch.scope !== "nothing";
+    }
+
     start(): void {
         this.#tickers.forEach(ticker => ticker.start());
     }
@@ -156,6 +163,7 @@
         else {
             this.#beats.start();
         }
+        this.parts.onWatch();
     }
 
     #tick(): void {
