A gate sends an upstream in need no more than it states in its answers, all daemons together

What the users saw: two upstreams that had stated 8.9 and 9.2 requests a second got 121 and 87 in 4 s (58 and 60 allowed). Cause: nothing in the product read the field; an upstream's rate followed its slots and times, by which one in need looks idle.

Now the gate, which is the only way in, holds the stated rate evenly from the first answer on that states it (policy/rate: in any time, N a second and half a second's more). A cold upstream's rate and this one share the queue; the later decides. Questions to the health endpoint count, and are asked only where no request is sent. What does not fit moves on without arriving (reason limited), what waits is decided on anew, the rest is refused with when to come back. More urgent classes get the rate first, others a tenth. Ingresses pace themselves by refusals and answers, since by slots such an upstream looks idle, and try it again within seconds, so that the limit's end is learnt. Nothing is learnt of slots or times meanwhile. A daemon that has started again has forgotten: each request carries what its ingress was told, until the upstream itself has answered.

--- a/bench/makeviews.ts
+++ b/bench/makeviews.ts
@@ -1,10 +1,11 @@
 /** Upstreams as an ingress knows them, for measurements without a network. */
 import type { HallName } from "../src/ids/hallname.js";
+import { UpstreamStatements } from "../src/ingress/upstreamstatements.js";
 import { UpstreamView } from "../src/ingress/upstreamview.js";
 import { RemoteHop } from "../src/peer/remotehop.js";
 import { makeDocument } from "./makedocument.js";
 
-const idle = { local: false, isEvacuated: () => false, onSent: () => {} };
+const idle = { local: false, isEvacuated: () => false, statements: new UpstreamStatements(), onSent: () => {} };
 
 /** So many, each with a report; `hall` is the ingress's own. */
 export function makeViews(count: number, hall: HallName): UpstreamView[] {
--- a/src/cli/statustable.test.ts
+++ b/src/cli/statustable.test.ts
@@ -38,9 +38,9 @@
     assert.match(lines[0]!, /^revision 7, confirmed by the store$/);
     assert.match(
         lines[1]!,
-        /^HALL +SERVICE +UPSTREAMS +UP +LEAVING +EVACUATED +COLD +SILENT +BEHIND +RUNNING +WAITING +LIMIT$/,
+        /^HALL +SERVICE +UPSTREAMS +UP +LEAVING +EVACUATED +LIMITED +COLD +SILENT +BEHIND +RUNNING +WAITING +LIMIT$/,
     );
-    assert.match(lines[2]!, /^hall-0 +results +19 +19 +0 +0 +0 +0 +0 +38 +0 +114$/);
+    assert.match(lines[2]!, /^hall-0 +results +19 +19 +0 +0 +0 +0 +0 +0 +38 +0 +114$/);
     assert.equal(lines.at(-5), "hall hall-0: the store is watched by h0, h5");
 });
 
@@ -50,8 +50,8 @@
         lines[21]!.revision = 6n;
         lines[22]!.members = 150;
     }));
-    assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +0 +1 +0 /m);
-    assert.match(text, /^hall-1 +results +20 +20 +0 +0 +0 +0 +1 /m);
+    assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +0 +0 +1 +0 /m);
+    assert.match(text, /^hall-1 +results +20 +20 +0 +0 +0 +0 +0 +1 /m);
     assert.match(text, /^fewer daemons than 195 are known to h22$/m);
     assert.match(text, /^i-20 +splits +hall-0 +silent +- /m);
     assert.match(text, /^i-21 +results +hall-1 +up +6 \(behind\) /m);
@@ -71,7 +71,16 @@
     status.evacuatedHalls = ["hall-2"];
     const text = statusTable(status);
     assert.match(text, /^evacuated: hall-2$/m);
-    assert.match(text, /^hall-2 +splits +20 +0 +0 +20 +0 +0 /m);
-    assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +1 +0 /m);
+    assert.match(text, /^hall-2 +splits +20 +0 +0 +20 +0 +0 +0 /m);
+    assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +0 +1 +0 /m);
     assert.match(text, /^i-20 +splits +hall-0 +cold /m);
 });
+
+test("status table: what an upstream takes a second is shown while it states a limit", () => {
+    const text = statusTable(fleet(195, lines => {
+        lines[20]!.state = "limited";
+        lines[20]!.limitPerSecond = 7.8;
+    }));
+    assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +1 +0 +0 /m);
+    assert.match(text, /^i-20 +splits +hall-0 +limited to 7\.8\/s /m);
+});
--- a/src/cli/statustable.ts
+++ b/src/cli/statustable.ts
@@ -31,7 +31,7 @@
         line.upstream,
         line.service,
         line.hall,
-        line.state,
+        line.limitPerSecond === undefined ? line.state : `${line.state} to ${line.limitPerSecond}/s`,
         line.state === "silent" ? "-" : `${line.revision}${line.revision < status.revision ? " (behind)" : ""}`,
         ...[line.running, line.waiting, line.limit, line.finished, line.refused].map(String),
     ]);
--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -70,6 +70,7 @@
                 metrics.crashed(service);
                 this.guard.recordCrash({ service, crash, requests });
             },
+            onHeldBack: (service: ServiceName, reason: "cold" | "limited") => metrics.heldBack(service, reason),
             onServed: (request: RequestKey) => this.guard.recordServed(request),
             quarantinedForMs: (request: RequestKey | undefined) => this.guard.quarantinedForMs(request),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
@@ -83,13 +84,12 @@
             hasServed: request => [...this.gates.all].some(gate => gate.hasServed(request)),
             giveUp: request => [...this.gates.all].forEach(gate => gate.giveUp(request)),
         });
+        metrics.showLimited(() => [...this.gates.all].filter(gate => gate.limitPerSecond !== undefined).length);
         metrics.showQuarantined(() => this.guard.quarantined);
         this.gates = new GateSet(self, upstream => new Gate(upstream, shared));
         context.silentConnections.onFound(() => [...this.gates.all].forEach(gate => gate.suspectConnections()));
         current.onChange(() => [...this.gates.all].forEach(gate => gate.cold.followService()));
-        const perSecond = control.healthPerSecond;
-        const health = { path: shared.healthPath, perSecond };
-        this.health = new HealthCheck(health, () => this.gates.all, metrics);
+        this.health = new HealthCheck({ perSecond: control.healthPerSecond }, () => this.gates.all, metrics);
     }
 
     /** Without a bound of its own, a service that the configuration no longer has gets none. */
--- a/src/daemon/gatestatus.ts
+++ b/src/daemon/gatestatus.ts
@@ -13,6 +13,9 @@
     if (gate.isClosed) {
         return "leaving";
     }
+    if (gate.limitPerSecond !== undefined) {
+        return "limited";
+    }
     return gate.cold.isCold ? "cold" : "up";
 };
 
@@ -32,6 +35,7 @@
         running,
         waiting,
         limit,
+        limitPerSecond: gate.limitPerSecond,
         finished: gate.finished,
         refused: gate.refused,
         ...daemon,
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -9,7 +9,6 @@
 import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateAnswer } from "../hop/gateanswer.js";
 import type { GateCall } from "../hop/gatecall.js";
-import type { HttpHeaders } from "../http/httpheaders.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { Admission } from "../policy/admission/admission.js";
@@ -22,7 +21,7 @@
 import type { LoadReport } from "../policy/placement/loadreport.js";
 import type { AnswerNote } from "../wire/answernote.js";
 import type { CloseReason } from "./closereason.js";
-import { ColdProbe } from "./coldprobe.js";
+import type { ColdProbe } from "./coldprobe.js";
 import { GateChecks } from "./gatechecks.js";
 import { GateLog } from "./gatelog.js";
 import type { GateParts } from "./gateparts.js";
@@ -30,49 +29,41 @@
 import { GateRequest } from "./gaterequest.js";
 import { GateRuns } from "./gateruns.js";
 import { SlotQueue } from "./slotqueue.js";
-import { UpstreamClient } from "./upstreamclient.js";
-import { UpstreamNotices } from "./upstreamnotices.js";
+import { UpstreamContact } from "./upstreamcontact.js";
 
 /** A question of the pace holds a request up: half of the time for which its answer is believed. */
 const ASK_TIMEOUT_MS = 15;
 
-/** No request is held up by this question unless the upstream may be sent no more; milliseconds. */
-const ASK_COLD_TIMEOUT_MS = 250;
-
 /** Serves the requests for one upstream. */
 export class Gate {
     readonly #checks: GateChecks;
     readonly #log: GateLog;
-    readonly #notices: UpstreamNotices;
-    readonly #client: UpstreamClient;
+    readonly #contact: UpstreamContact;
     readonly #admission: Admission<GateRequest>;
     readonly #refusals: GateRefusals;
-    readonly cold: ColdProbe;
     readonly #queue: SlotQueue;
     readonly #runs: GateRuns;
 
     constructor(readonly upstream: Upstream, private readonly parts: GateParts) {
-        const { clock, ledger, localIp, dialect } = parts;
+        const { clock, ledger, dialect } = parts;
         const levels = new LevelClock(upstream.slots, clock());
-        const onAnswer = (headers: HttpHeaders, sentAt: number): void => this.#recordAnswer(headers, sentAt);
-        this.#client = new UpstreamClient(upstream, { localIp, dialect, onAnswer, clock, onSilent: parts.onSilent });
-        this.#notices = new UpstreamNotices({ upstream: upstream.name, clock, dialect });
+        this.#contact = new UpstreamContact(upstream, parts, {
+            onPace: report => this.#checks.recordPace(report),
+            onLess: () => this.#queue.reconsider(),
+            onLeaving: () => this.close("upstream"),
+            onStaying: () => this.reopen("upstream"),
+        });
+        const { questions, cold, rate } = this.#contact;
         this.#log = new GateLog(upstream.name, dialect);
         const pace = new Pace();
-        this.cold = new ColdProbe({
-            upstream: upstream.name,
-            clock,
-            limits: () => parts.coldLimits(upstream.service),
-            mayAsk: parts.mayAskForCold,
-            ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_COLD_TIMEOUT_MS),
-        });
         const times = new RuleTimes();
         this.#checks = new GateChecks({
             ...parts,
             pace,
             workMs: rule => times.longMs(rule),
             upstream: upstream.name,
-            ask: () => this.askHealth(parts.healthPath(upstream.service), ASK_TIMEOUT_MS),
+            mayAsk: () => questions.mayAskForLoad && parts.mayAsk(),
+            ask: () => questions.ask(ASK_TIMEOUT_MS),
             repeatsUnderWay: () => this.#runs.repeated,
         });
         this.#admission = new Admission(
@@ -80,20 +71,23 @@
             times,
             levels,
             pace,
-            this.cold.guard,
+            rate,
+        );
+        this.#refusals = new GateRefusals(
+            more => this.note(more),
+            reason => parts.onHeldBack(upstream.service, reason),
         );
-        this.#refusals = new GateRefusals(more => this.note(more));
         this.#queue = new SlotQueue({
             clock,
             ledger,
             admission: this.#admission,
             refusals: this.#refusals,
             refreshPace: () => this.#checks.refreshPace(),
-            askWhetherCold: () => this.cold.askInTime(),
+            askWhetherCold: () => cold.askInTime(),
         });
         this.#runs = new GateRuns(upstream, {
             ...parts,
-            client: this.#client,
+            contact: this.#contact,
             levels,
             checks: this.#checks,
             queue: this.#queue,
@@ -104,6 +98,10 @@
         });
     }
 
+    get cold(): ColdProbe {
+        return this.#contact.cold;
+    }
+
     get finished(): number {
         return this.#runs.finished;
     }
@@ -127,9 +125,9 @@
         return this.#admission.learnedShare;
     }
 
-    /** Slots that are neither in use nor held. */
+    /** Slots for work of siblings. */
     get free(): number {
-        return this.#admission.free;
+        return this.#admission.free(this.parts.clock());
     }
 
     get waiting(): number {
@@ -143,12 +141,17 @@
         return atLeast(report, this.#runs.meanAgeMs(now));
     }
 
-    /** True while operators want nothing more to be sent here. */
+    /** Operators want nothing more to be sent here. */
     get isEvacuated(): boolean {
         return this.#checks.isClosedFor("evacuated");
     }
 
-    /** Takes no new requests for a reason; what runs is finished, and so is what waits, unless nothing more may be sent to the upstream. */
+    /** Requests a second that the upstream takes, as it states; undefined while it states no limit. */
+    get limitPerSecond(): number | undefined {
+        return this.#contact.notices.limit.perSecond;
+    }
+
+    /** Takes no new requests for a reason; what runs is finished, and so is what waits, unless it can or must be served elsewhere. */
     close(reason: CloseReason): void {
         this.#checks.close(reason);
         if (reason === "evacuated") {
@@ -163,7 +166,7 @@
 
     /** Acts on the finding that open connections of this daemon may carry nothing any more. */
     suspectConnections(): void {
-        this.#client.dropIdle();
+        this.#contact.client.dropIdle();
         this.#runs.suspect(silentAfter(this.report().baseMs));
     }
 
@@ -179,7 +182,7 @@
 
     /** Ends the connections to the upstream, after what is in flight. */
     end(): Promise<void> {
-        return this.#client.close();
+        return this.#contact.client.close();
     }
 
     /** Serves a request; throws a HopError. */
@@ -187,6 +190,7 @@
         const { identity, clock, dialect } = this.parts;
         const request = new GateRequest(call, identity, clock(), requestKeyOf(call, dialect));
         try {
+            this.#contact.notices.recordTold(call.head.limitPerSecond);
             await this.cold.learn();
             await this.#admit(request);
             await this.#queue.enter(request);
@@ -199,22 +203,13 @@
     }
 
     /** Asks the upstream's health endpoint, and acts on what it reports of leaving and of its load. */
-    async askHealth(path: string, timeoutMs: number): Promise<void> {
-        const { clock, dialect } = this.parts;
-        const askedAt = clock();
-        const { headers } = await this.#client.ask(path, timeoutMs);
-        this.cold.record(dialect.coldMs(headers), askedAt);
-        if (dialect.isLeaving(headers)) {
-            this.close("upstream");
-        }
-        else {
-            this.reopen("upstream");
-        }
+    askHealth(timeoutMs: number): Promise<void> {
+        return this.#contact.questions.askInTurn(timeoutMs);
     }
 
     /** Holds a slot for a sibling's request; false when none is free. */
     offer(id: string): boolean {
-        return !this.isClosed && this.#queue.offers.make(id);
+        return !this.isClosed && this.#queue.offers.make(id, this.parts.clock());
     }
 
     /** Takes an offer back if it was not used. */
@@ -231,15 +226,12 @@
 
     /** The note of an answer, or of a refusal. */
     note(more: Partial<AnswerNote> = {}): AnswerNote {
-        return { ...this.parts.identity.note(this.parts.clock()), report: more.report ?? this.report(), ...more };
-    }
-
-    #recordAnswer(headers: HttpHeaders, sentAt: number): void {
-        const load = this.parts.dialect.load(headers);
-        if (load !== undefined) {
-            this.#checks.recordPace(load.pace);
-        }
-        this.#notices.record(headers, sentAt);
+        return {
+            ...this.parts.identity.note(this.parts.clock()),
+            report: more.report ?? this.report(),
+            limitPerSecond: this.limitPerSecond,
+            ...more,
+        };
     }
 
     async #admit(request: GateRequest): Promise<void> {
--- a/src/gate/gatechecks.ts
+++ b/src/gate/gatechecks.ts
@@ -87,12 +87,9 @@
         this.#calls.observe(calls);
     }
 
-    /** Records that the upstream has answered a request, and whether it says that it leaves. */
-    recordAnswer(leaving: boolean): void {
+    /** Records that the upstream has answered a request. */
+    recordAnswer(): void {
         this.#fullness.served();
-        if (leaving) {
-            this.close("upstream");
-        }
     }
 
     /** Records that the upstream gave no answer, for a reason. */
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -37,6 +37,8 @@
     readonly repeatsLeft: (service: ServiceName) => number;
     /** Told of a crash of an upstream, and of the requests that were under way. */
     readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
+    /** Told of each request that is refused since the upstream takes no more in a time. */
+    readonly onHeldBack: (service: ServiceName, reason: "cold" | "limited") => void;
     /** Told of each request that the upstream has served well. */
     readonly onServed: (request: RequestKey) => void;
     /** For how long a request is quarantined yet, in milliseconds; undefined for one that is not. */
--- a/src/gate/gateruns.ts
+++ b/src/gate/gateruns.ts
@@ -21,7 +21,7 @@
 import type { GateRequest } from "./gaterequest.js";
 import { RunningRequests } from "./runningrequests.js";
 import type { SlotQueue } from "./slotqueue.js";
-import type { UpstreamClient } from "./upstreamclient.js";
+import type { UpstreamContact } from "./upstreamcontact.js";
 import { UpstreamError } from "./upstreamerror.js";
 import { UpstreamRun } from "./upstreamrun.js";
 
@@ -38,7 +38,7 @@
 
 /** What the gate lends. */
 type RunsParts = GateParts & {
-    readonly client: UpstreamClient;
+    readonly contact: UpstreamContact;
     readonly levels: LevelClock;
     readonly checks: GateChecks;
     readonly queue: SlotQueue;
@@ -110,9 +110,9 @@
         const run = this.#makeRun(request, pace);
         this.#running.add(run);
         try {
-            const { leaving, calls, retriedBelow, unframed, ...answer } = await run.send();
+            const { calls, retriedBelow, unframed, ...answer } = await run.send();
             this.#recordArrival(request);
-            checks.recordAnswer(leaving);
+            checks.recordAnswer();
             const tookMs = clock() - request.arrivedAt;
             const report = this.parts.report();
             this.parts.log.answered(request, answer.status, startedAt - request.arrivedAt, tookMs, report);
@@ -144,19 +144,25 @@
             this.#served.add(key);
             this.parts.onServed(key);
         };
-        const run = new UpstreamRun(request, { ...this.parts, crashes: this.#crashes, onEnd, onServed });
+        const run = new UpstreamRun(request, {
+            ...this.parts,
+            client: this.parts.contact.client,
+            crashes: this.#crashes,
+            onEnd,
+            onServed,
+        });
         return run;
     }
 
     /** One that ends as it had announced does not crash. */
     #makeCrashWatch(): CrashWatch {
-        const { clock, healthPath, onCrash, client, checks, mayAskForCrash: mayAsk } = this.parts;
+        const { clock, onCrash, contact, checks, mayAskForCrash: mayAsk } = this.parts;
         const { name: upstream, service } = this.upstream;
         return new CrashWatch({
             upstream,
             clock,
             mayAsk,
-            ask: async () => void await client.ask(healthPath(service), CRASH_TIMEOUT_MS),
+            ask: () => contact.questions.ask(CRASH_TIMEOUT_MS),
             onCrash: (crash, requests) => {
                 if (!checks.isUpstreamLeaving) {
                     onCrash(service, crash, requests.filter(request => !this.#served.has(request)));
--- a/src/gate/offers.ts
+++ b/src/gate/offers.ts
@@ -9,8 +9,8 @@
     constructor(private readonly admission: Admission<GateRequest>) {}
 
     /** Holds a slot; false when none is free. */
-    make(id: string): boolean {
-        if (!this.admission.hold()) {
+    make(id: string, now: number): boolean {
+        if (!this.admission.hold(now)) {
             return false;
         }
         this.#open.add(id);
--- a/src/gate/slotqueue.test.ts
+++ b/src/gate/slotqueue.test.ts
@@ -8,6 +8,8 @@
 import { RuleTimes } from "../policy/admission/ruletimes.js";
 import { ColdGuard } from "../policy/cold/coldguard.js";
 import { Pace } from "../policy/failure/pace.js";
+import { RequestLimit } from "../policy/rate/requestlimit.js";
+import { SendRate } from "../policy/rate/sendrate.js";
 import { GateIdentity } from "./gateidentity.js";
 import { GateRefusals } from "./gaterefusals.js";
 import { GateRequest } from "./gaterequest.js";
@@ -25,7 +27,7 @@
         new RuleTimes(),
         new LevelClock(SLOTS, clock()),
         pace,
-        new ColdGuard(clock()),
+        new SendRate(new ColdGuard(clock()), new RequestLimit()),
     );
     const identity = new GateIdentity("i" as never, () => 1);
     let asked = 0;
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -6,6 +6,7 @@
 import type { UpstreamName } from "../ids/upstreamname.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { Admission } from "../policy/admission/admission.js";
+import type { Ended } from "../policy/admission/ended.js";
 import { waitLimit } from "../policy/admission/waitlimit.js";
 import type { Reason } from "../policy/retry/reason.js";
 import type { Clock } from "../time/clock.js";
@@ -28,17 +29,15 @@
 /** A report of the pace that was just asked for is still believed at the next question; in milliseconds. */
 const ASK_EVERY_MS = 20;
 
-/** What waits for a cold upstream is looked at again at the latest after this, in milliseconds: it may be warm by then. */
+/** What may not be sent yet is looked at again at the latest after this, in milliseconds: the upstream may take more by then. */
 const LOOK_EVERY_MS = 50;
 
-type Ended = Parameters<Admission<GateRequest>["finish"]>[1];
-
 /** Every refusal is `not-run`, and the ledger sees to it that it stays so. */
 export class SlotQueue {
     readonly offers: Offers;
     /** Runs while a slot is kept free until the upstream works faster. */
     #nextAsk: NodeJS.Timeout | undefined;
-    /** Runs while what waits may not be sent to an upstream that is or may be cold. */
+    /** Runs while what waits has a slot, and the upstream may be sent no more yet. */
     #nextSend: NodeJS.Timeout | undefined;
 
     constructor(private readonly parts: QueueParts) {
@@ -120,6 +119,15 @@
         }
     }
 
+    /** Refuses what waits and is not served in time any more, since the upstream takes less than it did. */
+    reconsider(): void {
+        const { admission, clock, refusals } = this.parts;
+        for (const { item, refusal: { reason, retryAfterMs } } of admission.reconsider(clock())) {
+            this.withdraw(item);
+            item.refuse(refusals.make(reason, { retryAfterMs }));
+        }
+    }
+
     /** Leaves a tombstone, so that a request that was refused can't run later. */
     withdraw(request: GateRequest): void {
         if (request.once) {
@@ -146,11 +154,11 @@
 
     #watch(): void {
         this.#watchPace();
-        this.#watchCold();
+        this.#watchRate();
     }
 
-    /** Looks again when the next one may be sent, or when the upstream has said that it is not cold. */
-    #watchCold(): void {
+    /** Looks again when the next one may be sent, or when the upstream has said how cold it is. */
+    #watchRate(): void {
         const { admission, clock, askWhetherCold } = this.parts;
         const opensAt = admission.opensAt(clock());
         if (this.#nextSend !== undefined || opensAt === undefined) {
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -19,8 +19,11 @@
 type ClientOptions = {
     readonly localIp: string;
     readonly dialect: Dialect;
-    /** Called with the head of each answer that is the upstream's own, whatever its status; its request was sent at `sentAt`. */
-    readonly onAnswer: (headers: HttpHeaders, sentAt: number) => void;
+    /** Called with the head of each answer that is the upstream's own, whatever its status. */
+    readonly onAnswer: (
+        headers: HttpHeaders,
+        answer: { readonly sentAt: number; readonly isHealth: boolean; },
+    ) => void;
     readonly clock: Clock;
     /** Told of a connection that carries nothing any more, and has been ended. */
     readonly onSilent: (address: Address) => void;
@@ -46,7 +49,7 @@
         const reason = dialect.notRun(answer.status, answer.headers);
         const isOwn = dialect.isOwnAnswer(answer.status, answer.headers, String(headers[dialect.requestId]));
         if (isOwn && reason !== "misdirected") {
-            this.options.onAnswer(answer.headers, sentAt);
+            this.options.onAnswer(answer.headers, { sentAt, isHealth: false });
         }
         if (reason !== undefined) {
             answer.body.resume();
@@ -74,7 +77,7 @@
             await body.dump();
             const name = dialect.upstreamName(headers);
             if (name === undefined || name === this.upstream.name) {
-                onAnswer(headers, sentAt);
+                onAnswer(headers, { sentAt, isHealth: true });
             }
             return { status: statusCode, headers };
         }
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -45,7 +45,6 @@
 
 /** An answer without its note, and what the note must say. */
 type RunAnswer = Omit<GateAnswer, "note"> & {
-    readonly leaving: boolean;
     readonly calls: boolean;
     readonly retriedBelow: boolean;
     readonly unframed: boolean;
@@ -133,7 +132,6 @@
                 status: answer.status,
                 headers: cleanHeaders(answer.headers),
                 body: streamed ? answer.body : this.#watch(answer.body, answer.status),
-                leaving: parts.dialect.isLeaving(answer.headers),
                 calls: this.#context.calls.size > 0,
                 retriedBelow: this.#context.retriedBelow,
                 unframed: !isFramed(answer.headers),
--- a/src/health/healthcheck.ts
+++ b/src/health/healthcheck.ts
@@ -1,6 +1,5 @@
 /** Asks the local upstream for its health: only this daemon does, under a hard budget. */
 import type { Gate } from "../gate/gate.js";
-import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import { Ticker } from "../time/ticker.js";
@@ -14,19 +13,18 @@
 /** Of a question and its answer, about. */
 const BYTES = 200;
 
-/** `perSecond` is the budget of questions; `path` is the endpoint of a service's upstreams. */
-type HealthOptions = { readonly path: (service: ServiceName) => string; readonly perSecond: number; };
+/** `perSecond` is the budget of questions. */
+type HealthOptions = { readonly perSecond: number; };
 
 /** Acts on a report that the upstream leaves, or is back, and on nothing else in its answer. */
 export class HealthCheck {
     readonly #ticker: Ticker | undefined;
 
     constructor(
-        private readonly options: HealthOptions,
+        { perSecond }: HealthOptions,
         private readonly gates: () => Iterable<Gate>,
         private readonly metrics: Metrics,
     ) {
-        const { perSecond } = options;
         this.#ticker = perSecond === 0 ? undefined : new Ticker(MS_PER_SECOND / perSecond, () => void this.#askAll());
     }
 
@@ -46,7 +44,7 @@
 
     async #ask(gate: Gate): Promise<void> {
         try {
-            await gate.askHealth(this.options.path(gate.upstream.service), TIMEOUT_MS);
+            await gate.askHealth(TIMEOUT_MS);
             this.metrics.spent("health", BYTES);
         }
         catch (err) {
--- a/src/ingress/attempt.test.ts
+++ b/src/ingress/attempt.test.ts
@@ -5,6 +5,7 @@
 import type { Reason } from "../policy/retry/reason.js";
 import { Attempt } from "./attempt.js";
 import { RequestLog } from "./requestlog.js";
+import { UpstreamStatements } from "./upstreamstatements.js";
 import { UpstreamView } from "./upstreamview.js";
 
 /** One try at a gate that refuses for the reason, at the time 0; returns what is known of the gate then. */
@@ -16,6 +17,7 @@
         near: true,
         local: false,
         isEvacuated: () => false,
+        statements: new UpstreamStatements(),
         onSent: () => {},
     });
     const attempt = new Attempt(target, { offer: undefined, arrival: "first" }, {
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -72,6 +72,7 @@
             offer,
             from: ingress.from,
             arrival,
+            limitPerSecond: target.limitPerSecond,
         };
     }
 
@@ -149,8 +150,7 @@
         }
         const { note, reason, outcome } = err;
         if (note !== undefined) {
-            target.recordAlive(now);
-            target.recordReport(note.report, now);
+            target.recordRefusalNote(note, now);
         }
         if (outcome === "broken") {
             return await this.#settle();
--- a/src/ingress/targets.ts
+++ b/src/ingress/targets.ts
@@ -13,12 +13,14 @@
     choose(service: ServiceName, holdsSlot: string | undefined): UpstreamView | undefined {
         const { placement, random, clock } = this.parts;
         const all = this.#all(service);
+        const now = clock();
         const named = all.find(view => view.upstream === holdsSlot);
         if (named !== undefined) {
             return named;
         }
-        const now = clock();
-        return placement.choose(selectTargets(all, this.tried, now), now, random) as UpstreamView | undefined;
+        const targets = selectTargets(all, this.tried, now);
+        return targets.find(view => view.isDue(now))
+            ?? placement.choose(targets, now, random) as UpstreamView | undefined;
     }
 
     /** Those that are available and that the request has not been sent to. */
--- a/src/ingress/upstreamtable.ts
+++ b/src/ingress/upstreamtable.ts
@@ -5,6 +5,7 @@
 import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
+import { UpstreamStatements } from "./upstreamstatements.js";
 import { UpstreamView } from "./upstreamview.js";
 
 /** Opens the way to an upstream's gate. */
@@ -13,6 +14,7 @@
 /** Follows the upstreams that there are. */
 export class UpstreamTable {
     readonly #byName = new Map<UpstreamName, UpstreamView>();
+    readonly #statements = new UpstreamStatements();
     readonly #byService = new Map<ServiceName, UpstreamView[]>();
     /** Those that requests have been sent to, until failure detection has nothing to ask there. */
     readonly #unsettled = new Set<UpstreamView>();
@@ -77,6 +79,7 @@
             hop,
             near,
             local,
+            statements: this.#statements,
             isEvacuated: () => this.evacuations.isEvacuated(upstream.hall),
             onSent: sent => this.#unsettled.add(sent),
         });
--- a/src/ingress/upstreamview.ts
+++ b/src/ingress/upstreamview.ts
@@ -16,10 +16,12 @@
 import { FailurePenalty } from "../policy/placement/failurepenalty.js";
 import { Fullness } from "../policy/placement/fullness.js";
 import type { LoadReport } from "../policy/placement/loadreport.js";
+import { RateShare } from "../policy/placement/rateshare.js";
 import { RoundTrip } from "../policy/placement/roundtrip.js";
 import type { Selectable } from "../policy/placement/selectable.js";
 import type { ReasonFacts } from "../policy/retry/reasonfacts.js";
 import type { AnswerNote } from "../wire/answernote.js";
+import type { UpstreamStatements } from "./upstreamstatements.js";
 
 /** `near`: in this daemon's own data hall; `local`: beside this daemon; `onSent` is called with each request that is sent. */
 type ViewParts = {
@@ -28,6 +30,7 @@
     readonly local: boolean;
     /** Whether operators have evacuated its hall. */
     readonly isEvacuated: () => boolean;
+    readonly statements: UpstreamStatements;
     readonly onSent: (view: UpstreamView) => void;
 };
 
@@ -43,12 +46,15 @@
     readonly #avoidance = new Avoidance();
     readonly #coldness = new Avoidance();
     readonly #fullness = new Fullness();
+    readonly #rateShare = new RateShare();
     readonly #penalty = new FailurePenalty();
     readonly #roundTrip = new RoundTrip();
     /** Attempts that may be given up when the gate falls silent. */
     readonly #abandonable = new Set<Cancel>();
 
-    constructor(public settings: Upstream, private readonly way: ViewParts) {}
+    constructor(public settings: Upstream, private readonly way: ViewParts) {
+        this.#rateShare.follow(this.limitPerSecond, -Infinity);
+    }
 
     get hop(): Hop {
         return this.way.hop;
@@ -70,6 +76,11 @@
         return this.settings.slots;
     }
 
+    /** Requests a second that it takes, as it has stated to this daemon; undefined where it states no limit. */
+    get limitPerSecond(): number | undefined {
+        return this.way.statements.limitPerSecond(this.upstream);
+    }
+
     get roundTripMs(): number {
         return this.#roundTrip.ms;
     }
@@ -98,14 +109,23 @@
         if (this.#coldness.isActive(now)) {
             return "cold";
         }
+        if (!this.#rateShare.isOpen(now)) {
+            return "limited";
+        }
         return this.#fullness.isActive(now) ? "full" : "available";
     }
 
+    /** True when it should be sent the next request, so that the end of the limit that it states is learnt. */
+    isDue(now: number): boolean {
+        return this.#rateShare.isDue(now);
+    }
+
     /** Counts an attempt; `cancel` gives up one that may be given up when the gate falls silent. */
     attemptStarted(now: number, cancel: Cancel | undefined): void {
         this.outstanding += 1;
         this.suspicion.probe(now);
         this.silence.sent(now);
+        this.#rateShare.recordSent(now);
         this.way.onSent(this);
         if (cancel !== undefined) {
             this.#abandonable.add(cancel);
@@ -136,10 +156,23 @@
         }
     }
 
-    /** Records the note of an answer or of a refusal; `elapsedMs` is from sending to the answer's head. */
+    /** Records the note of a gate's own refusal, where there is one. */
+    recordRefusalNote(note: AnswerNote, now: number): void {
+        this.recordAlive(now);
+        this.recordReport(note.report, now);
+        this.way.statements.recordRefusal(this.upstream, note);
+        this.#rateShare.follow(this.limitPerSecond, now);
+    }
+
+    /** Records the note of an upstream's answer; `elapsedMs` is from sending to the answer's head. */
     recordAnswer(note: AnswerNote | undefined, elapsedMs: number, now: number): void {
         this.recordAlive(now);
         this.recordReport(note?.report, now);
+        if (note !== undefined) {
+            this.way.statements.recordAnswer(this.upstream, note);
+        }
+        this.#rateShare.follow(this.limitPerSecond, now);
+        this.#rateShare.recordAnswer();
         if (note?.tookMs !== undefined) {
             this.#roundTrip.observe(elapsedMs, note.tookMs);
         }
@@ -175,6 +208,8 @@
                 return this.#fullness.turnedAway(now);
             case "cold":
                 return this.#coldness.avoid(effect, now);
+            case "limited":
+                return this.#rateShare.recordRefusal(now);
             case "leaving":
             case "absent":
                 return this.#avoidance.avoid(effect, now);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -47,6 +47,13 @@
         labelNames: ["service"] as const,
         registers: [this.registry],
     });
+    readonly #heldBack = new Counter({
+        name: "winglock_held_back_total",
+        help:
+            "Requests that a gate did not send to an upstream that states a limit, or is cold, since it takes no more in a time.",
+        labelNames: ["service", "reason"] as const,
+        registers: [this.registry],
+    });
     readonly #silent = new Counter({
         name: "winglock_silent_connections_total",
         help: "Open connections that were found to carry nothing any more.",
@@ -96,6 +103,15 @@
         this.#show("winglock_evacuated_halls", "Halls that operators have evacuated, as this daemon knows.", count);
     }
 
+    /** Shows how many upstreams beside this daemon state a limit; asked for at each scrape. */
+    showLimited(count: () => number): void {
+        this.#show(
+            "winglock_limited_upstreams",
+            "Upstreams beside this daemon that state how many requests a second they take.",
+            count,
+        );
+    }
+
     /** Shows how many requests are quarantined; asked for at each scrape. */
     showQuarantined(count: () => number): void {
         this.#show(
@@ -129,6 +145,11 @@
         this.#crashes.inc({ service });
     }
 
+    /** Records that a gate has refused a request since its upstream takes no more in a time. */
+    heldBack(service: ServiceName, reason: "cold" | "limited"): void {
+        this.#heldBack.inc({ service, reason });
+    }
+
     /** Records a connection that was found to carry nothing any more. */
     silentConnection(kind: ConnectionKind): void {
         this.#silent.inc({ kind });
--- a/src/policy/admission/admission.test.ts
+++ b/src/policy/admission/admission.test.ts
@@ -4,6 +4,8 @@
 import type { TeamName } from "../../ids/teamname.js";
 import { ColdGuard } from "../cold/coldguard.js";
 import { Pace } from "../failure/pace.js";
+import { RequestLimit } from "../rate/requestlimit.js";
+import { SendRate } from "../rate/sendrate.js";
 import { Admission } from "./admission.js";
 import { FixedLimit } from "./fixedlimit.js";
 import { LevelClock } from "./levelclock.js";
@@ -20,7 +22,13 @@
 });
 
 const admission = (slots: number): Admission<Waiting> =>
-    new Admission(new FixedLimit(slots), new RuleTimes(), new LevelClock(slots, 0), new Pace(), new ColdGuard(0));
+    new Admission(
+        new FixedLimit(slots),
+        new RuleTimes(),
+        new LevelClock(slots, 0),
+        new Pace(),
+        new SendRate(new ColdGuard(0), new RequestLimit()),
+    );
 
 const finish = (gate: Admission<Waiting>, ms: number, now = 0): void =>
     gate.finish(ms, { work: Float64Array.of(0, ms) }, now);
@@ -85,11 +93,11 @@
 
 test("admission: a held slot is for the offer alone", () => {
     const gate = admission(1);
-    assert.equal(gate.hold(), true);
-    assert.equal(gate.hold(), false);
+    assert.equal(gate.hold(0), true);
+    assert.equal(gate.hold(0), false);
     assert.equal(gate.arrive(item(), 0).type, "wait");
     const other = admission(1);
-    other.hold();
+    other.hold(0);
     assert.equal(other.arrive(item(), 0, true).type, "run");
 });
 
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -3,20 +3,22 @@
  *
  * The gate's counts are exact, so what an ingress only guessed is decided here. A request runs while slots are free; it waits
  * when its turn is expected within the time that it may wait and before its deadline; it is refused at once when it is known
- * not to be served here, or when it could go elsewhere sooner. One that is or may be cold is sent no more in a second than it takes
- * (policy/cold). Times are milliseconds on the gate's clock.
+ * not to be served here, or when it could go elsewhere sooner. An upstream that is or may be cold, or states a limit, is sent no more in a
+ * second than it takes (policy/rate). Times are milliseconds on the gate's clock.
  */
-import type { RuleName } from "../../ids/rulename.js";
-import type { ColdGuard } from "../cold/coldguard.js";
-import { coldLimit } from "../cold/coldlimit.js";
 import type { Pace } from "../failure/pace.js";
 import type { LoadReport } from "../placement/loadreport.js";
+import { limitAtRate } from "../rate/limitatrate.js";
+import type { SendRate } from "../rate/sendrate.js";
+import type { Ended } from "./ended.js";
 import { isWorthWaiting } from "./isworthwaiting.js";
 import type { LevelClock } from "./levelclock.js";
 import type { Refusal } from "./refusal.js";
+import type { Refused } from "./refused.js";
 import type { RuleTimes } from "./ruletimes.js";
 import type { SlotLimit } from "./slotlimit.js";
 import type { Verdict } from "./verdict.js";
+import { WaitEstimate } from "./waitestimate.js";
 import type { Waiting } from "./waiting.js";
 import { WaitQueue } from "./waitqueue.js";
 
@@ -24,19 +26,12 @@
 const QUEUE_PER_SLOT = 16;
 /**
  * A request that can go elsewhere does so when it would wait longer than this share of a usual service time: sooner
- * within the data hall than out of it. In the model (burst, loss, restart, all; six seeds) the worth is 0.864 with these two shares,
- * 0.858 with half of them and 0.855 with two and a half times as much.
+ * within the data hall than out of it.
  */
 const NEAR_SHARE = 0.1;
 /** The same where the request must leave the data hall. */
 const FAR_SHARE = 0.2;
-/** Of a usual service time, added: a caller that comes back just when the queue should have ended mostly finds that it has not. */
-const COME_BACK_SHARE = 0.5;
 const RUN: Verdict = { type: "run" };
-const WAIT: Verdict = { type: "wait" };
-
-/** What is known of a request that has ended: its rule, its work's time (worktime.ts), the upstream's pace when it began. */
-type Ended = { readonly rule?: RuleName; readonly work: Float64Array; readonly pace?: number; };
 
 /** What `next` gives: requests that may run now, and requests whose deadline has passed. */
 type Released<Item> = { readonly run: Item[]; readonly late: Item[]; };
@@ -44,6 +39,7 @@
 /** Counts what runs and what waits at one upstream. */
 export class Admission<Item extends Waiting> {
     readonly #queue = new WaitQueue<Item>();
+    readonly #waits: WaitEstimate;
     #running = 0;
     #held = 0;
 
@@ -52,8 +48,10 @@
         private readonly times: RuleTimes,
         private readonly levels: LevelClock,
         private readonly pace: Pace,
-        private readonly cold: ColdGuard,
-    ) {}
+        private readonly rate: SendRate,
+    ) {
+        this.#waits = new WaitEstimate(limit, times, rate);
+    }
 
     get running(): number {
         return this.#running;
@@ -63,9 +61,10 @@
         return this.#queue.length;
     }
 
-    /** Slots that are neither in use nor held. */
-    get free(): number {
-        return Math.max(0, this.limit.current() - this.#running - this.#held - this.#queue.length);
+    /** Slots for work of siblings: those that are neither in use nor held; none where what may be sent in a time is bounded. */
+    free(now: number): number {
+        const isBounded = this.rate.perSecond(now) !== undefined;
+        return isBounded ? 0 : Math.max(0, this.limit.current() - this.#running - this.#held - this.#queue.length);
     }
 
     /** Of the slots, above which the upstream was found to slow down; undefined while none is known. */
@@ -78,7 +77,7 @@
         return {
             running: this.#running + this.#held,
             waiting: this.#queue.length,
-            limit: coldLimit(this.limit.current(), this.times.all.slowMs, this.cold.perSecond(now)),
+            limit: limitAtRate(this.limit.current(), this.times.all.slowMs, this.rate.perSecond(now)),
             serviceMs: this.times.all.fastMs,
             baseMs: this.times.all.slowMs,
         };
@@ -89,11 +88,13 @@
         if (holdsOffer) {
             this.release();
         }
+        this.rate.recordArrival(item.priority, now);
         if (now >= item.deadline) {
             return { type: "refuse", refusal: { reason: "deadline", retryAfterMs: 0 } };
         }
-        if (this.#queue.length === 0 && this.#mayStart(now) && !this.#waitsForPace(item, now)) {
-            this.#start(now);
+        const isClassOpen = this.rate.opensForClass(item.priority, now) <= now;
+        if (this.#queue.length === 0 && isClassOpen && this.#mayStart(now) && !this.#waitsForPace(item, now)) {
+            this.#start(item, now);
             return RUN;
         }
         const refusal = this.#refusal(item, now);
@@ -101,12 +102,12 @@
             return { type: "refuse", refusal };
         }
         this.#queue.push(item);
-        return WAIT;
+        return { type: "wait" };
     }
 
     /** Keeps a slot free for a while; false when none is free. */
-    hold(): boolean {
-        if (this.free === 0) {
+    hold(now: number): boolean {
+        if (this.free(now) === 0) {
             return false;
         }
         this.#held += 1;
@@ -118,10 +119,13 @@
         this.#held = Math.max(0, this.#held - 1);
     }
 
-    /** Records that a running request has ended; `serviceMs` is undefined when it says nothing of the upstream. */
+    /**
+     * Records that a running request has ended; `serviceMs` is undefined when it says nothing of the upstream. While the upstream states a
+     * limit nothing is learnt from it: it runs few at once, and is in need.
+     */
     finish(serviceMs: number | undefined, ended: Ended | undefined, now: number): void {
         this.#setRunning(this.#running - 1, now);
-        if (serviceMs !== undefined && ended !== undefined) {
+        if (serviceMs !== undefined && ended !== undefined && !this.rate.isLimited) {
             const { rule, work, pace = 1 } = ended;
             this.times.observe(rule, serviceMs, work.reduce((sum, ms) => sum + ms, 0) / pace);
             const usualMs = this.times.longMs(rule) * pace;
@@ -135,10 +139,10 @@
         return item !== undefined && this.#mayStart(now) && this.#waitsForPace(item, now);
     }
 
-    /** When the first of those that wait may be sent to an upstream that is or may be cold; undefined where that is not what it waits for. */
+    /** When the first of those that wait may be sent, where it waits for no slot but for the rate; undefined where it does not. */
     opensAt(now: number): number | undefined {
-        const isHeld = this.#queue.length > 0 && this.#hasSlot && !this.cold.isOpen(now);
-        return isHeld ? this.cold.opensAt(1, now) : undefined;
+        const isHeld = this.#queue.length > 0 && this.#hasSlot && !this.rate.isOpen(now);
+        return isHeld ? this.rate.opensAt(1, now) : undefined;
     }
 
     /** Takes a waiting request out; false when it does not wait. */
@@ -146,6 +150,21 @@
         return this.#queue.remove(item);
     }
 
+    /** Decides anew on all that wait, since the upstream takes less than it did; gives those that are refused now. */
+    reconsider(now: number): Refused<Item>[] {
+        const refused: Refused<Item>[] = [];
+        for (const item of this.#queue.removeWhere(() => true)) {
+            const refusal = this.#refusal(item, now);
+            if (refusal === undefined) {
+                this.#queue.push(item);
+            }
+            else {
+                refused.push({ item, refusal });
+            }
+        }
+        return refused;
+    }
+
     /** Takes out up to `count` waiting requests that the test allows, to be served elsewhere. */
     handBack(count: number, test: (item: Item) => boolean): Item[] {
         let left = count;
@@ -165,7 +184,7 @@
                 released.late.push(item);
                 continue;
             }
-            this.#start(now);
+            this.#start(item, now);
             released.run.push(item);
         }
         return released;
@@ -173,7 +192,7 @@
 
     /** When a request that is refused now is likely to find a slot, in milliseconds. */
     retryAfterMs(item: Item, now: number): number {
-        return this.#comeBackMs(item, this.#waitMs(this.#placeOf(item), now));
+        return this.#waits.comeBackMs(item.rule, this.#waits.waitMs(this.#placeOf(item), item.priority, now));
     }
 
     get #hasSlot(): boolean {
@@ -181,12 +200,12 @@
     }
 
     #mayStart(now: number): boolean {
-        return this.#hasSlot && this.cold.isOpen(now);
+        return this.#hasSlot && this.rate.isOpen(now);
     }
 
-    #start(now: number): void {
+    #start({ priority }: Item, now: number): void {
         this.#setRunning(this.#running + 1, now);
-        this.cold.recordSent(now);
+        this.rate.recordSent(priority, now);
     }
 
     #waitsForPace({ rule }: Item, now: number): boolean {
@@ -200,35 +219,20 @@
         this.levels.setRunning(running, now);
     }
 
-    #comeBackMs({ rule }: Item, waitMs: number): number {
-        return Math.ceil(waitMs + this.times.usualMs(rule) * COME_BACK_SHARE);
-    }
-
     /** The turn that an arrival has, by what is ahead of it: the first is 1. */
     #placeOf(item: Item): number {
         return this.#queue.ahead(item) + 1;
     }
 
-    /** How long the one in this place waits for its turn. */
-    #waitMs(place: number, now: number): number {
-        const forSlotMs = place * this.times.all.fastMs / this.limit.current();
-        return Math.max(forSlotMs, this.#forColdMs(place, now));
-    }
-
-    /** How much of that is because the upstream is, or may be, cold. */
-    #forColdMs(place: number, now: number): number {
-        return Math.max(0, this.cold.opensAt(place, now) - now);
-    }
-
     #refusal(item: Item, now: number): Refusal | undefined {
         const limit = this.limit.current();
         const { slowMs } = this.times.all;
         const place = this.#placeOf(item);
-        const waitMs = this.#waitMs(place, now);
-        const retryAfterMs = this.#comeBackMs(item, waitMs);
+        const waitMs = this.#waits.waitMs(place, item.priority, now);
+        const retryAfterMs = this.#waits.comeBackMs(item.rule, waitMs);
         const worthWaitingMs = slowMs * (item.nearChoices > 0 ? NEAR_SHARE : FAR_SHARE);
-        if (item.choices > 0 && this.#forColdMs(place, now) > worthWaitingMs) {
-            return { reason: "cold", retryAfterMs };
+        if (item.choices > 0 && this.#waits.forRateMs(place, item.priority, now) > worthWaitingMs) {
+            return { reason: this.rate.reason(now), retryAfterMs };
         }
         if (this.#queue.length >= limit * QUEUE_PER_SLOT) {
             return { reason: "queue-full", retryAfterMs };
--- a/src/policy/admission/isworthwaiting.test.ts
+++ b/src/policy/admission/isworthwaiting.test.ts
@@ -3,6 +3,8 @@
 import type { TeamName } from "../../ids/teamname.js";
 import { ColdGuard } from "../cold/coldguard.js";
 import { Pace } from "../failure/pace.js";
+import { RequestLimit } from "../rate/requestlimit.js";
+import { SendRate } from "../rate/sendrate.js";
 import { Admission } from "./admission.js";
 import { FixedLimit } from "./fixedlimit.js";
 import { isWorthWaiting } from "./isworthwaiting.js";
@@ -26,7 +28,7 @@
         new RuleTimes(),
         new LevelClock(2, 0),
         pace,
-        new ColdGuard(0),
+        new SendRate(new ColdGuard(0), new RequestLimit()),
     );
     for (let at = 0; at < 100; at++) {
         gate.arrive(item(), 0);
--- a/src/policy/admission/refusal.ts
+++ b/src/policy/admission/refusal.ts
@@ -2,6 +2,6 @@
 
 /** The reason, and when to come back, in milliseconds. */
 export type Refusal = {
-    readonly reason: "queue-full" | "wait-too-long" | "busy" | "cold" | "deadline";
+    readonly reason: "queue-full" | "wait-too-long" | "busy" | "cold" | "limited" | "deadline";
     readonly retryAfterMs: number;
 };
--- a/src/policy/cold/coldguard.ts
+++ b/src/policy/cold/coldguard.ts
@@ -8,8 +8,9 @@
  *
  * Times are milliseconds on the daemon's clock.
  */
+import { EvenRate } from "../rate/evenrate.js";
 import type { ColdLimits } from "./coldlimits.js";
-import { EvenRate } from "./evenrate.js";
+import { coldRate } from "./coldrate.js";
 
 /** It is asked no oftener than this, in milliseconds. */
 const ASK_EVERY_MS = 20;
@@ -30,7 +31,7 @@
     setLimits(limits: ColdLimits | undefined): void {
         if (JSON.stringify(limits) !== JSON.stringify(this.#limits)) {
             this.#limits = limits;
-            this.#rate = limits && new EvenRate(limits);
+            this.#rate = limits && new EvenRate(coldRate(limits));
         }
     }
 
--- a/src/policy/model/modelend.ts
+++ b/src/policy/model/modelend.ts
@@ -6,6 +6,6 @@
     | { readonly outcome: "failed"; }
     | {
         readonly outcome: "refused";
-        readonly reason: "busy" | "cold" | "slow" | "wait-too-long" | "queue-full" | "deadline";
+        readonly reason: "busy" | "cold" | "limited" | "slow" | "wait-too-long" | "queue-full" | "deadline";
         readonly retryAfterMs: number;
     };
--- a/src/policy/model/modelgate.ts
+++ b/src/policy/model/modelgate.ts
@@ -9,6 +9,8 @@
 import { Pace } from "../failure/pace.js";
 import type { LoadReport } from "../placement/loadreport.js";
 import type { RandomSource } from "../randomsource.js";
+import { RequestLimit } from "../rate/requestlimit.js";
+import { SendRate } from "../rate/sendrate.js";
 import type { EventLoop } from "./eventloop.js";
 import type { ModelEnd } from "./modelend.js";
 import type { ModelPolicy } from "./modelpolicy.js";
@@ -57,7 +59,7 @@
             this.#times,
             this.#levels,
             heeded,
-            this.#cold,
+            new SendRate(this.#cold, new RequestLimit()),
         );
     }
 
--- a/src/policy/placement/selecttargets.ts
+++ b/src/policy/placement/selecttargets.ts
@@ -2,14 +2,14 @@
  * Which upstreams may a request be placed on?
  *
  * Available ones that it has not been sent to; or else suspected ones, so that suspicion alone never empties a service; or else
- * available ones that it has been sent to, which may take it by now; or else full and cold ones. Draining, leaving and evacuated ones never.
+ * available ones that it has been sent to, which may take it by now; or else full, cold and limited ones. Draining, leaving and evacuated ones never.
  */
 import type { Availability } from "./availability.js";
 import { availableOf } from "./availableof.js";
 import type { Selectable } from "./selectable.js";
 
 /** They take something now and then. */
-const lastResort: ReadonlySet<Availability> = new Set(["full", "cold"]);
+const lastResort: ReadonlySet<Availability> = new Set(["full", "cold", "limited"]);
 
 /** Empty when no upstream may be sent the request now. */
 export function selectTargets<Target extends Selectable>(
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -5,6 +5,7 @@
     | "slow"
     | "busy"
     | "cold"
+    | "limited"
     | "queue-full"
     | "wait-too-long"
     | "handed-back"
--- a/src/policy/retry/reasonfacts.ts
+++ b/src/policy/retry/reasonfacts.ts
@@ -1,8 +1,8 @@
 /** What follows from a reason. */
 import type { ProblemType } from "./problemtype.js";
 
-/** What the ingress holds of the upstream from then on; see placement/avoidance.ts, placement/fullness.ts and failure/suspicion.ts. */
-type UpstreamEffect = "none" | "full" | "cold" | "leaving" | "absent" | "suspected";
+/** What the ingress holds of the upstream from then on; see failure/suspicion.ts, and in placement avoidance.ts, fullness.ts and rateshare.ts. */
+type UpstreamEffect = "none" | "full" | "cold" | "limited" | "leaving" | "absent" | "suspected";
 
 /** One row of the table in `reasons.ts`. */
 export type ReasonFacts = {
--- a/src/policy/retry/reasons.test.ts
+++ b/src/policy/retry/reasons.test.ts
@@ -16,6 +16,7 @@
         "handed-back",
         "incarnation",
         "leaving",
+        "limited",
         "no-such-upstream",
         "slow",
         "stale-rule",
@@ -26,6 +27,7 @@
     assert.deepEqual(having(reason => reasons[reason].upstream === "suspected"), ["peer-broke", "unreachable"]);
     assert.deepEqual(having(reason => reasons[reason].upstream === "full"), ["shed"]);
     assert.deepEqual(having(reason => reasons[reason].upstream === "cold"), ["cold"]);
+    assert.deepEqual(having(reason => reasons[reason].upstream === "limited"), ["limited"]);
     assert.deepEqual(having(reason => reasons[reason].upstream === "leaving"), ["leaving"]);
     assert.deepEqual(having(reason => reasons[reason].upstream === "absent"), ["no-such-upstream"]);
 });
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -26,6 +26,7 @@
     "slow": movesForLoad,
     "busy": movesForLoad,
     "cold": { ...movesForLoad, upstream: "cold" },
+    "limited": { ...movesForLoad, upstream: "limited" },
     "handed-back": movesForLoad,
     "calls-spent": movesForLoad,
     "quarantined": { ...refusedForLoad, isFinal: true, problem: "quarantined" },
--- a/src/policy/retry/retrybudget.ts
+++ b/src/policy/retry/retrybudget.ts
@@ -6,8 +6,8 @@
  * storm. A call of a repeated run is counted and never refused here: its request has spent work already, so it takes from what
  * retries may have.
  */
+import { RollingCount } from "../rollingcount.js";
 import type { Allowance } from "./allowance.js";
-import { RollingCount } from "./rollingcount.js";
 
 /** Of one service at one daemon; times are milliseconds on its clock. */
 export class RetryBudget {
--- a/src/wire/answernote.ts
+++ b/src/wire/answernote.ts
@@ -27,6 +27,8 @@
     retriedBelow: z.boolean().optional(),
     /** The request was sent to the upstream, which gave no answer to pass on. */
     arrived: z.boolean().optional(),
+    /** Requests a second that the upstream takes, while it states a limit. */
+    limitPerSecond: z.number().min(0).optional(),
     /** The daemon answers probes of connections; said with the first answer on each. */
     probes: z.boolean().optional(),
 });
--- a/src/wire/callhead.ts
+++ b/src/wire/callhead.ts
@@ -37,6 +37,8 @@
     /** Where the sender receives load reports, IP:PORT. */
     from: z.string().max(64).optional(),
     arrival: arrivalSchema.default("first"),
+    /** Requests a second that the upstream takes, as the sender was told with its answers. */
+    limitPerSecond: z.number().min(0).optional(),
 });
 type CallHead = z.infer<typeof CallHead>;
 
--- a/src/wire/headcodec.ts
+++ b/src/wire/headcodec.ts
@@ -24,4 +24,5 @@
     { name: "answer", form: AnswerMode.options, usual: "whole" },
     { name: "offer" },
     { name: "arrival", form: arrivalSchema.options, usual: "first" },
+    { name: "limitPerSecond" },
 ]);
--- a/src/wire/notecodec.ts
+++ b/src/wire/notecodec.ts
@@ -27,4 +27,5 @@
     { name: "calls", usual: false },
     { name: "arrived", usual: false },
     { name: "probes", usual: false },
+    { name: "limitPerSecond" },
 ]);
