An upstream that says in its answers alone that it leaves gets nothing new from hosts that have passed that on

What was seen: 29 requests in 6 s, after its daemon's restart among them, at an upstream whose answers had said that it leaves; the platform's dialect said that no answer does.

The first such answer closes the gate for good (a name does not come back on the platform; where the document names the upstreams, a health answer takes it back as before), what waits and has another way is handed back, the host's record says draining, so that all others know, and each ingress remembers what it has passed on: after a restart the gate has forgotten, the hosts are bound still. A slot that was offered there is not used any more either.

--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -10,6 +10,7 @@
 import type { CrashId } from "../ids/crashid.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
+import type { UpstreamName } from "../ids/upstreamname.js";
 import { Ledger } from "../ledger/ledger.js";
 import type { ColdLimits } from "../policy/cold/coldlimits.js";
 import type { Arrival } from "../policy/retry/arrival.js";
@@ -42,6 +43,7 @@
     readonly retries: ServiceRetries;
     readonly guard: CrashGuard;
     #onChange: () => void = () => {};
+    #onEnding: (upstream: UpstreamName) => void = () => {};
     #usualShare: (service: ServiceName) => number | undefined = () => undefined;
 
     constructor(context: DaemonContext, { current }: ConfigurationGroup) {
@@ -71,6 +73,7 @@
                 this.guard.recordCrash({ service, crash, requests });
             },
             onHeldBack: (service: ServiceName, reason: "cold" | "limited") => metrics.heldBack(service, reason),
+            onEnding: (upstream: UpstreamName) => this.#onEnding(upstream),
             onServed: (request: RequestKey) => this.guard.recordServed(request),
             quarantinedForMs: (request: RequestKey | undefined) => this.guard.quarantinedForMs(request),
             onSilent: (address: Address) => context.silentConnections.record("upstream", address),
@@ -107,6 +110,11 @@
         this.#usualShare = usualShare;
     }
 
+    /** Calls the listener when an upstream has said that it leaves for good. */
+    onEnding(listener: (upstream: UpstreamName) => void): void {
+        this.#onEnding = listener;
+    }
+
     /** Calls the listener when a request arrives at a gate, and when one ends there. */
     onChange(listener: () => void): void {
         this.#onChange = listener;
--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -42,6 +42,7 @@
         this.heartbeats = this.#makeHeartbeats();
         context.silentConnections.onFound(() => this.#renewStore());
         gates.onUsualShare(service => this.announced?.usualShare(service));
+        gates.onEnding(name => this.announced?.recordEnding(name));
         context.metrics.showMembership(() => this.members.length, () => this.heartbeats.watching);
         configuration.current.onChange(() => this.#changed());
         this.announced?.onChange(() => this.#changed());
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -64,6 +64,8 @@
     abstract parentOf(headers: HttpHeaders): string | undefined;
     /** True when the upstream reports that it is about to stop. */
     abstract isLeaving(headers: HttpHeaders): boolean;
+    /** True where an upstream that leaves does not come back under its name. */
+    abstract readonly leavesForGood: boolean;
     /** The value of `retry-after`. */
     abstract retryAfter(ms: number): string;
 }
--- a/src/dialect/owndialect.ts
+++ b/src/dialect/owndialect.ts
@@ -21,6 +21,7 @@
     readonly requestLimit = headerName.limit;
     readonly ownName = headerName.upstream;
     readonly outcome = headerName.outcome;
+    readonly leavesForGood = false;
 
     coldMs(headers: HttpHeaders): number | undefined {
         return readMs(headers[headerName.cold]);
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -50,7 +50,7 @@
         this.#contact = new UpstreamContact(upstream, parts, {
             onPace: report => this.#checks.recordPace(report),
             onLess: () => this.#queue.reconsider(),
-            onLeaving: () => this.close("upstream"),
+            onLeaving: reason => this.close(reason),
             onStaying: () => this.reopen("upstream"),
         });
         const { questions, cold, rate } = this.#contact;
@@ -154,8 +154,8 @@
     /** Takes no new requests for a reason; what runs is finished, and so is what waits, unless it can or must be served elsewhere. */
     close(reason: CloseReason): void {
         this.#checks.close(reason);
-        if (reason === "evacuated") {
-            this.#queue.sendOn();
+        if (reason === "evacuated" || reason === "ending") {
+            this.#queue.sendOn(({ choices }) => reason === "evacuated" || choices > 0);
         }
     }
 
@@ -230,6 +230,7 @@
             ...this.parts.identity.note(this.parts.clock()),
             report: more.report ?? this.report(),
             limitPerSecond: this.limitPerSecond,
+            ending: this.#checks.isClosedFor("ending") || undefined,
             ...more,
         };
     }
--- a/src/gate/gatechecks.ts
+++ b/src/gate/gatechecks.ts
@@ -52,7 +52,7 @@
 
     /** True while the upstream is about to end as it, or its operators, have announced. */
     get isUpstreamLeaving(): boolean {
-        return this.#closedFor.has("upstream") || this.#closedFor.has("draining");
+        return (["upstream", "ending", "draining"] as const).some(reason => this.#closedFor.has(reason));
     }
 
     /** The upstream's last report of its pace; undefined of one that never reports. */
--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -4,6 +4,7 @@
 import type { CrashId } from "../ids/crashid.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
+import type { UpstreamName } from "../ids/upstreamname.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { LimitName } from "../policy/admission/limitname.js";
 import type { ColdLimits } from "../policy/cold/coldlimits.js";
@@ -39,6 +40,8 @@
     readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
     /** Told of each request that is refused since the upstream takes no more in a time. */
     readonly onHeldBack: (service: ServiceName, reason: "cold" | "limited") => void;
+    /** Told that an upstream has said that it leaves for good. */
+    readonly onEnding: (upstream: UpstreamName) => void;
     /** Told of each request that the upstream has served well. */
     readonly onServed: (request: RequestKey) => void;
     /** For how long a request is quarantined yet, in milliseconds; undefined for one that is not. */
--- a/src/gate/slotqueue.ts
+++ b/src/gate/slotqueue.ts
@@ -110,10 +110,10 @@
         return requests.length;
     }
 
-    /** Hands all that waits back to its ingresses: it belongs elsewhere. */
-    sendOn(): void {
+    /** Hands what waits and is picked back to its ingresses: it belongs elsewhere. */
+    sendOn(test: (request: GateRequest) => boolean): void {
         const { admission, refusals } = this.parts;
-        for (const request of admission.handBack(Infinity, () => true)) {
+        for (const request of admission.handBack(Infinity, test)) {
             this.withdraw(request);
             request.refuse(refusals.make("leaving"));
         }
--- a/src/gate/upstreamcontact.ts
+++ b/src/gate/upstreamcontact.ts
@@ -20,8 +20,8 @@
     readonly onPace: (pace: number) => void;
     /** Called when the upstream states a limit, or a lower one than before. */
     readonly onLess: () => void;
-    /** Called with each answer that says that it leaves. */
-    readonly onLeaving: () => void;
+    /** Called with each answer that says that it leaves; the reason says whether for good. */
+    readonly onLeaving: (reason: "upstream" | "ending") => void;
     /** Called with each answer of its health endpoint that does not. */
     readonly onStaying: () => void;
 };
@@ -36,7 +36,18 @@
 
     constructor(upstream: Upstream, parts: GateParts, events: ContactEvents) {
         const { name, service } = upstream;
-        this.notices = new UpstreamNotices({ ...parts, ...events, upstream: name });
+        const { leavesForGood } = parts.dialect;
+        this.notices = new UpstreamNotices({
+            ...parts,
+            ...events,
+            upstream: name,
+            onLeaving: () => {
+                events.onLeaving(leavesForGood ? "ending" : "upstream");
+                if (leavesForGood) {
+                    parts.onEnding(name);
+                }
+            },
+        });
         this.client = new UpstreamClient(upstream, {
             ...parts,
             onAnswer: (headers, answer) => {
--- a/src/ingress/targets.ts
+++ b/src/ingress/targets.ts
@@ -15,7 +15,7 @@
         const all = this.#all(service);
         const now = clock();
         const named = all.find(view => view.upstream === holdsSlot);
-        if (named !== undefined) {
+        if (named !== undefined && !named.isEnding) {
             return named;
         }
         const targets = selectTargets(all, this.tried, now);
--- a/src/ingress/upstreamstatements.test.ts
+++ b/src/ingress/upstreamstatements.test.ts
@@ -36,3 +36,15 @@
     statements.recordAnswer(UPSTREAM, note(2, {}, NEXT_LIFE));
     assert.equal(statements.limitPerSecond(UPSTREAM), undefined);
 });
+
+test("statements: one that leaves for good does so for good, and the memory is bounded", () => {
+    const statements = new UpstreamStatements();
+    statements.recordAnswer(UPSTREAM, note(10, { ending: true }));
+    statements.recordAnswer(UPSTREAM, note(20));
+    statements.recordAnswer(UPSTREAM, note(30, { limitPerSecond: 3 }));
+    assert.equal(statements.isEnding(UPSTREAM), true);
+    for (let at = 0; at < 1024; at++) {
+        statements.recordAnswer(`other-${at}` as UpstreamName, note(40, { ending: true }));
+    }
+    assert.equal(statements.isEnding(UPSTREAM), false);
+});
--- a/src/ingress/upstreamstatements.ts
+++ b/src/ingress/upstreamstatements.ts
@@ -1,5 +1,5 @@
 /**
- * What upstreams have said of themselves in answers that this daemon has passed on: a limit.
+ * What upstreams have said of themselves in answers that this daemon has passed on: a limit, and that they leave for good.
  *
  * It outlasts an upstream's place in the table and the daemon beside it: one that starts again has forgotten it, and learns it from those who
  * send there. Times are milliseconds on the gate's clock.
@@ -14,11 +14,12 @@
 /** `incarnation` and `at`: whose word it is, and when it was written. */
 type Statement = {
     readonly limitPerSecond: number | undefined;
+    readonly ending: boolean;
     readonly incarnation: Incarnation;
     readonly at: number;
 };
 
-type Noted = Pick<AnswerNote, "limitPerSecond" | "incarnation" | "gateTime">;
+type Noted = Pick<AnswerNote, "limitPerSecond" | "ending" | "incarnation" | "gateTime">;
 
 /** One for each daemon. */
 export class UpstreamStatements {
@@ -29,13 +30,18 @@
         return this.#byName.get(upstream)?.limitPerSecond;
     }
 
+    /** True when it has said that it leaves for good. */
+    isEnding(upstream: UpstreamName): boolean {
+        return this.#byName.get(upstream)?.ending === true;
+    }
+
     /** Records what goes with an answer of the upstream; one that says nothing takes a limit back. */
     recordAnswer(upstream: UpstreamName, note: Noted): void {
         const known = this.#byName.get(upstream);
         if (this.#says(note)) {
             this.#record(upstream, note);
         }
-        else if (known !== undefined && !this.#isOlder(note, known)) {
+        else if (known !== undefined && !known.ending && !this.#isOlder(note, known)) {
             this.#byName.delete(upstream);
         }
     }
@@ -47,8 +53,8 @@
         }
     }
 
-    #says({ limitPerSecond }: Noted): boolean {
-        return limitPerSecond !== undefined;
+    #says({ limitPerSecond, ending }: Noted): boolean {
+        return limitPerSecond !== undefined || ending === true;
     }
 
     #isOlder({ incarnation, gateTime }: Noted, known: Statement): boolean {
@@ -56,9 +62,11 @@
     }
 
     #record(upstream: UpstreamName, note: Noted): void {
+        const known = this.#byName.get(upstream);
         const { limitPerSecond, incarnation, gateTime: at } = note;
+        const ending = note.ending === true || known?.ending === true;
         this.#byName.delete(upstream);
-        this.#byName.set(upstream, { limitPerSecond, incarnation, at });
+        this.#byName.set(upstream, { limitPerSecond, ending, incarnation, at });
         if (this.#byName.size > MAX_UPSTREAMS) {
             this.#byName.delete(this.#byName.keys().next().value!);
         }
--- a/src/ingress/upstreamview.ts
+++ b/src/ingress/upstreamview.ts
@@ -81,6 +81,11 @@
         return this.way.statements.limitPerSecond(this.upstream);
     }
 
+    /** True when it has said to this daemon that it leaves for good. */
+    get isEnding(): boolean {
+        return this.way.statements.isEnding(this.upstream);
+    }
+
     get roundTripMs(): number {
         return this.#roundTrip.ms;
     }
@@ -100,7 +105,7 @@
         if (this.way.isEvacuated()) {
             return "evacuated";
         }
-        if (this.#avoidance.isActive(now)) {
+        if (this.isEnding || this.#avoidance.isActive(now)) {
             return "leaving";
         }
         if (this.suspicion.active(now)) {
--- a/src/membership/localupstreams.test.ts
+++ b/src/membership/localupstreams.test.ts
@@ -107,3 +107,15 @@
         assert.deepEqual(announced.all.map(({ slots }) => slots), hasLeft ? [] : [last]);
     }));
 });
+
+test("local upstreams: one that leaves by its answers is draining in the record, whatever it announces in this life", () => {
+    const announced = new LocalUpstreams();
+    announced.record(one, say(1, { born: 1000 }), 0);
+    assert.equal(announced.recordEnding(one), true);
+    assert.equal(announced.recordEnding(one), false);
+    announced.record(one, say(2, { born: 1000 }), 0);
+    assert.equal(announced.all[0]!.draining, true);
+    announced.removeEarlierLife(one, 1001);
+    announced.record(one, say(1, { born: 1001 }), 0);
+    assert.equal(announced.all[0]!.draining, false);
+});
--- a/src/membership/localupstreams.ts
+++ b/src/membership/localupstreams.ts
@@ -11,7 +11,8 @@
 /** Names of upstreams that have ended, remembered so that a late announcement does not bring one back. */
 const MAX_ENDED = 256;
 
-type Entry = { announcement: Announcement; heardAt: number; };
+/** `isEnding`: its answers say that it leaves for good, whatever it announces. */
+type Entry = { announcement: Announcement; heardAt: number; isEnding: boolean; };
 
 /** Pure; all times are milliseconds on the daemon's clock. */
 export class LocalUpstreams {
@@ -20,12 +21,12 @@
     readonly #ended = new Map<UpstreamName, Born | undefined>();
 
     get all(): HostedUpstream[] {
-        return [...this.#entries].map(([name, { announcement }]) => ({
+        return [...this.#entries].map(([name, { announcement, isEnding }]) => ({
             name,
             service: announcement.service,
             address: announcement.address,
             slots: announcement.slots,
-            draining: announcement.state === "draining",
+            draining: isEnding || announcement.state === "draining",
         }));
     }
 
@@ -38,7 +39,7 @@
         if (entry === undefined) {
             this.#replace(announcement.address);
             this.#ended.delete(name);
-            this.#entries.set(name, { announcement, heardAt: now });
+            this.#entries.set(name, { announcement, heardAt: now, isEnding: false });
             return true;
         }
         if (compareLives(announcement.born, entry.announcement.born) === "earlier") {
@@ -54,6 +55,16 @@
             || before.address !== announcement.address || before.service !== announcement.service;
     }
 
+    /** Records that an upstream says in its answers that it leaves for good; false when that is known. */
+    recordEnding(name: UpstreamName): boolean {
+        const entry = this.#entries.get(name);
+        if (entry === undefined || entry.isEnding) {
+            return false;
+        }
+        entry.isEnding = true;
+        return true;
+    }
+
     /** True when a new name claims an address where another upstream is known. */
     isContested(name: UpstreamName, address: Address): boolean {
         const isNew = !this.#entries.has(name) && !this.#ended.has(name);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -121,6 +121,11 @@
         return this.#shares.usual(service, this.#others.hosted);
     }
 
+    /** Records that an upstream beside this daemon says in its answers that it leaves for good. */
+    recordEnding(name: UpstreamName): void {
+        this.#own.recordEnding(name);
+    }
+
     /** Calls the listener at each change of the upstreams that there are. */
     onChange(listener: () => void): void {
         this.#listener = listener;
--- a/src/membership/ownupstreams.ts
+++ b/src/membership/ownupstreams.ts
@@ -81,6 +81,14 @@
         }
     }
 
+    /** Records that an upstream says in its answers that it leaves for good. */
+    recordEnding(name: UpstreamName): void {
+        if (this.#local.recordEnding(name)) {
+            logger.change("An upstream leaves, by its answers.", { upstream: name });
+            this.parts.onChange();
+        }
+    }
+
     /** From now on no upstream is looked for. */
     startLeaving(): void {
         this.#isLeaving = true;
--- a/src/wire/answernote.ts
+++ b/src/wire/answernote.ts
@@ -29,6 +29,8 @@
     arrived: z.boolean().optional(),
     /** Requests a second that the upstream takes, while it states a limit. */
     limitPerSecond: z.number().min(0).optional(),
+    /** The upstream has said that it leaves for good. */
+    ending: z.boolean().optional(),
     /** The daemon answers probes of connections; said with the first answer on each. */
     probes: z.boolean().optional(),
 });
--- a/src/wire/notecodec.ts
+++ b/src/wire/notecodec.ts
@@ -28,4 +28,5 @@
     { name: "arrived", usual: false },
     { name: "probes", usual: false },
     { name: "limitPerSecond" },
+    { name: "ending", usual: false },
 ]);
