Tests of limits and of leaving: who has passed an answer on is known, and both instances are used before

Found by taking the mend out: the test of an upstream that leaves was green without the ingresses' memory, since the sibling was preferred and nobody sent there. The stand-in says its state when it answers, not when a request comes. The limit's test across starts uses one that states 1 a second, whose slots alone would pass the bound in a few starts.

--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -67,7 +67,6 @@
             }
             return sendJson(res, this.control.state === "ready" ? 200 : 503, {});
         }
-        this.#sayState(res);
         const expected = req.headers["expected-instance"];
         if (expected !== undefined && expected !== this.options.id) {
             return sendJson(res, 421, {});
@@ -112,6 +111,7 @@
         }
         await wait(this.control.workMs * this.control.pace / 100);
         this.#running -= 1;
+        this.#sayState(res);
         res.setHeader("attempt-id", this.control.fault === "foreign" ? "another" : id);
         res.setHeader("server-signature", `of-${this.options.id}`);
         const { host } = req.headers;
--- a/test/limit.test.ts
+++ b/test/limit.test.ts
@@ -17,6 +17,12 @@
 const LIMIT = 4;
 /** Requests a second of all callers: many times the limit, and what one instance serves with ease. */
 const LOAD = 100;
+/** The same of one whose slots alone would pass the bound in a few starts. */
+const LOW = 1;
+/** Work of this many milliseconds lasts from a start until all slots are in use. */
+const LONG_MS = 400;
+/** With work of this many milliseconds both instances are used under the load, and one alone would do. */
+const BUSY_MS = 25;
 /** Work of this many milliseconds is more than one instance serves under the load, and two do. */
 const FULL_MS = 60;
 
@@ -59,6 +65,7 @@
 // Guards against sending an upstream more than the limit that it states in its answers, which nothing read.
 test("limit: an upstream that states one under load gets no more from all hosts together, and the others serve the rest", async () => {
     await withPlatform(async mesh => {
+        await Promise.all(["pages-1", "pages-2"].map(name => mesh.strikeInstance(name, { workMs: BUSY_MS })));
         const loaded = platformLoad(mesh, { perSecond: LOAD, forMs: 8000 });
         await pause(1000);
         await mesh.strikeInstance("pages-1", { limit: String(LIMIT) });
@@ -93,14 +100,15 @@
         const hosts = mesh.hosts.map(({ name }) => name).filter(name => name !== "pages-1");
         const loaded = platformLoad(mesh, { hosts, perSecond: LOAD, forMs: 9000 });
         await pause(1000);
-        await mesh.strikeInstance("pages-1", { limit: String(LIMIT) });
+        await mesh.strikeInstance("pages-1", { limit: String(LOW), workMs: LONG_MS });
+        await pause(1500);
         for (let time = 0; time < 3; time++) {
-            await pause(1500);
+            await pause(500);
             await mesh.daemons.get("pages-1")!.end("SIGKILL");
             await mesh.startDaemon("pages-1").ready();
         }
         await loaded;
-        checkBound(mesh);
+        checkBound(mesh, LOW);
     });
 });
 
