--- /dev/null
+++ b/test/runnerfixtures/empty.ts
@@ -0,0 +1,2 @@
+/** A test file without a test. */
+export {};
--- /dev/null
+++ b/test/runnerfixtures/green.ts
@@ -0,0 +1,4 @@
+/** A test file in which all is well. */
+import { test } from "node:test";
+
+test("one", () => {});
--- /dev/null
+++ b/test/runnerfixtures/rejects.ts
@@ -0,0 +1,7 @@
+/** A test file with a rejection that nobody handles, after its last test. */
+import { test } from "node:test";
+
+test("one", () => {});
+test("two", () => {
+    setTimeout(() => void Promise.reject(new Error("after the last test")), 20);
+});
