--- a/demo/audit.ts
+++ b/demo/audit.ts
@@ -2,7 +2,7 @@
 import type { RunRecord } from "./record.js";
 import type { Told } from "./told.js";
 
-/** Counts; the last four must be 0. */
+/** Counts; the last five must be 0. */
 type Audit = {
     readonly sent: number;
     readonly answered: number;
@@ -12,6 +12,8 @@
     readonly onceRunTwice: number;
     readonly falseNotRun: number;
     readonly wrongAnswer: number;
+    /** Spells in which an upstream got more than the limit that it stated allows. */
+    readonly overLimit: number;
 };
 
 /** A request that no daemon took counts as not run. */
@@ -27,5 +29,6 @@
         onceRunTwice: count(item => item.once && record.runs(item.id) > 1),
         falseNotRun: count(item => isNotRun(item) && record.runs(item.id) > 0),
         wrongAnswer: count(item => item.wrong),
+        overLimit: record.spellsOverLimit(),
     };
 }
--- a/demo/faultkinds.ts
+++ b/demo/faultkinds.ts
@@ -9,6 +9,9 @@
 
 const pick = (mesh: Mesh, random: Random): HostPlan => mesh.hosts[Math.floor(random() * mesh.hosts.length)]!;
 
+/** What an upstream that states a limit may get is counted over such a time. */
+const LIMIT_WINDOW_MS = 4000;
+
 const lastMs = (random: Random): number => 300 + 2500 * random();
 
 const makeKind = (name: string, happen: (mesh: Mesh, random: Random) => Promise<void>): FaultKind =>
@@ -105,6 +108,14 @@
     misbehave("upstreamSlow", { slowdown: 10 }, { slowdown: 1 }),
     misbehave("upstreamFailing", { failing: 0.8 }, { failing: 0 }),
     misbehave("upstreamSheds", { shed: "said" }, { shed: "no" }),
+    misbehave("upstreamLimited", { limitPerSecond: 3 }, { limitPerSecond: 0 }),
+    makeKind("upstreamLimitedLong", async (mesh, random) => {
+        const { upstream } = pick(mesh, random);
+        await control(upstream, { limitPerSecond: 0.5 + 8 * random() });
+        await wait(2 * LIMIT_WINDOW_MS);
+        await control(upstream, { limitPerSecond: 0 });
+    }),
+    misbehave("upstreamLeaves", { leaving: true }, { leaving: false }),
     misbehave("answersCut", { answerFault: "cut", faultShare: 0.3 }, { answerFault: "none" }),
     misbehave("answersDoubled", { answerFault: "doubled", faultShare: 0.3 }, { answerFault: "none" }),
     misbehave("answersForeign", { answerFault: "foreign", faultShare: 0.3 }, { answerFault: "none" }),
--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -64,6 +64,7 @@
     onceRunTwice: sum("onceRunTwice"),
     falseNotRun: sum("falseNotRun"),
     wrongAnswer: sum("wrongAnswer"),
+    overLimit: sum("overLimit"),
     diedAlone: sum("diedAlone"),
 };
 const requests = {
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -100,7 +100,7 @@
         measureBytesPerSecond: Math.round(Math.max(...rates)),
     };
     console.log(JSON.stringify(line));
-    const faults = counts.cut + counts.onceRunTwice + counts.falseNotRun + counts.wrongAnswer;
+    const faults = counts.cut + counts.onceRunTwice + counts.falseNotRun + counts.wrongAnswer + counts.overLimit;
     ok = faults === 0 && codes.every(code => code === 0);
 }
 finally {
--- a/standin/upstream.ts
+++ b/standin/upstream.ts
@@ -9,12 +9,14 @@
 const STREAM_EVERY_MS = 50;
 const STREAM_EVENTS = 10;
 const CRASH = "/crash";
+/** Milliseconds after the first answer that states a limit: whoever passed it on knows it. */
+const TOLD_AFTER_MS = 500;
 
 type Work = { readonly run: () => void; };
 
 /**
  * Serves a bounded number of requests at once, the rest in turn, and prints a line for each that arrives, `A id`, and for
- * each that it runs, `R id`.
+ * each that it runs, `R id`. One that arrives half a second after the first answer that states a limit, or later, gets `L spell limit id` too.
  * `/events` streams, `/poll?ms=N` waits without a slot, `/chain` calls the next service through the local daemon; a path that ends with
  * `/crash` ends the process in place of an answer.
  */
@@ -25,6 +27,9 @@
     #served = 0;
     #cancelled = 0;
     #inFlight = 0;
+    /** Spells in which a limit was stated, and since when it is in this one. */
+    #spells = 0;
+    #statedAt: number | undefined;
 
     constructor(private readonly slots: number, private readonly random: () => number) {
         super({
@@ -35,6 +40,7 @@
             shed: "no",
             shedShare: 1,
             leaving: false,
+            limitPerSecond: 0,
             answerFault: "none",
             faultShare: 1,
             noiseEveryMs: 0,
@@ -63,6 +69,9 @@
     }
 
     protected override async controlled(): Promise<object> {
+        if (this.control.limitPerSecond === 0) {
+            this.#statedAt = undefined;
+        }
         if (!this.#isNoisy && this.control.noiseEveryMs > 0) {
             this.#isNoisy = true;
             this.#scheduleNoise();
@@ -94,6 +103,7 @@
         const path = url.pathname;
         req.resume();
         this.#print("A", req);
+        this.#printLimited(req);
         if (this.#refuse(res)) {
             return;
         }
@@ -198,8 +208,26 @@
         });
     }
 
+    #printLimited(req: IncomingMessage): void {
+        if (this.#statedAt !== undefined && performance.now() - this.#statedAt > TOLD_AFTER_MS) {
+            process.stdout.write(
+                `L ${process.pid}.${this.#spells} ${this.control.limitPerSecond} ${req.headers["x-load-id"]}\n`,
+            );
+        }
+    }
+
+    #stateLimit(res: ServerResponse): void {
+        const { limitPerSecond } = this.control;
+        if (limitPerSecond > 0) {
+            this.#spells += this.#statedAt === undefined ? 1 : 0;
+            this.#statedAt ??= performance.now();
+            res.setHeader("winglock-limit", String(limitPerSecond));
+        }
+    }
+
     #answer(req: IncomingMessage, res: ServerResponse): void {
         if (!res.destroyed) {
+            this.#stateLimit(res);
             const fault = this.random() < this.control.faultShare ? this.control.answerFault : "none";
             writeAnswer(req, res, fault);
         }
--- a/standin/upstreamcontrol.ts
+++ b/standin/upstreamcontrol.ts
@@ -13,6 +13,8 @@
     /** Of the requests, that are refused where `shed` says so. */
     shedShare: number;
     leaving: boolean;
+    /** What it states in its answers as its limit of requests a second; 0 for none. */
+    limitPerSecond: number;
     answerFault: AnswerFault;
     faultShare: number;
     /** Mean pause between slow spells, in milliseconds; 0 for none. */
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,18 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { test } from "node:test";
+
+const FAULTS = new URL("../demo/faults.js", import.meta.url).pathname;
+const SEED = "41";
+
+test("soak: a minute of faults in pairs, on both meshes, breaks no promise", async () => {
+    const child = spawn(process.execPath, [FAULTS, "--minutes", "1", "--seed", SEED], {
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    let text = "";
+    child.stdout.setEncoding("utf8").on("data", chunk => text += chunk);
+    let errors = "";
+    child.stderr.setEncoding("utf8").on("data", chunk => errors += chunk);
+    const code = await new Promise(resolve => child.on("close", resolve));
+    assert.equal(code, 0, `seed ${SEED}: ${text}\n${errors.slice(-2000)}`);
+});
