Store: watches have connections of their own, and calls use the one that was used last, so that silent ones are found out

Cause, from the kept log: no call of the store failed in 5.4 s at any of four daemons. Watches hold the connections that were there; undici's pool gives a call whichever client it thinks is free, and opens another where that is late to say so, so renewals went over one that was opened after the others had gone silent: they were answered, and what watched waited for its 20 s. Now calls and watches do not share connections, and of those that rest the last used is taken: it was there before, and the next renewal shows the silence.

Evidence: store client: when all that is open has gone silent ..., red before (the call was answered over a new connection), green now, after one to five calls.

--- a/src/store/storeclient.test.ts
+++ b/src/store/storeclient.test.ts
@@ -53,3 +53,32 @@
         assert.ok(performance.now() - startedAt < WATCH_MS / 10);
     });
 });
+
+// Guards against watches that wait on silent connections while calls go on, over one that was opened after them.
+test("store client: when all that is open has gone silent, the next call finds it out, and what watches ends", async () => {
+    const rest = (): Promise<void> => new Promise(resolve => setTimeout(resolve, TIMEOUT_MS / 4));
+    const silent = new Set<unknown>();
+    const open = new Set<unknown>();
+    const serve: Serve = (path, res) => {
+        open.add(res.socket);
+        if (path === "/find" && !silent.has(res.socket)) {
+            res.end(JSON.stringify({ at: 1 }));
+        }
+    };
+    for (let calls = 1; calls < 6; calls++) {
+        await withClient(serve, async client => {
+            for (let call = 0; call < calls; call++) {
+                await find(client);
+            }
+            await rest();
+            const waiting = [watch(client), watch(client)].map(each =>
+                assert.rejects(each, { message: "the store did not answer" })
+            );
+            await rest();
+            open.forEach(socket => silent.add(socket));
+            await assert.rejects(find(client), { message: "the store did not answer" }, `after ${calls} calls`);
+            await find(client);
+            await Promise.all(waiting);
+        });
+    }
+});
--- a/src/store/storeclient.ts
+++ b/src/store/storeclient.ts
@@ -3,7 +3,6 @@
  *
  * What is asked, and in which form, is for `Store` and `Registry` to say.
  */
-import { Pool } from "undici";
 import type { z } from "zod";
 import { isConnectError } from "../http/connecterror.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
@@ -12,13 +11,12 @@
 import { log } from "../log/log.js";
 import type { StoreCallKind } from "../metrics/storecallkind.js";
 import { HistoryError } from "./historyerror.js";
+import { StoreConnections } from "./storeconnections.js";
 import { StoreError } from "./storeerror.js";
 import type { StoreEvents } from "./storeevents.js";
 
 const logger = log("connections");
 
-/** A store on the same network accepts a connection within milliseconds. */
-const CONNECT_TIMEOUT_MS = 500;
 /** How much later than asked for the answer to a watch may come. */
 const WATCH_SLACK_MS = 1500;
 /** The name of the error of a call that got no answer in time. */
@@ -30,6 +28,7 @@
 type ClientOptions = StoreEvents & {
     readonly address: Address;
     readonly localIp: string;
+    /** At the most, for calls and for watches each. */
     readonly connections: number;
     readonly timeoutMs: number;
     /** The header field by which the store says how often it has come back from a copy; undefined of one that does not. */
@@ -54,24 +53,29 @@
     readonly signal?: AbortSignal;
 };
 
+/** Calls go by connections of their own: one that rests is there before the watches, so that it shows when all that is open has gone silent. */
+type Connections = { readonly calls: StoreConnections; readonly watches: StoreConnections; };
+
 /** A call that gets no answer may have been done; the StoreError says what is proven. */
 export class StoreClient {
-    #pool: Pool;
+    #connections: Connections;
     #isRenewed = false;
     /** The latest that the store has said. */
     #era = 0;
     /** Calls off each watch that waits, with the connections that it waits on. */
-    readonly #watches = new Map<AbortController, Pool>();
+    readonly #watches = new Map<AbortController, Connections>();
 
     constructor(private readonly options: ClientOptions) {
-        this.#pool = this.#makePool();
+        this.#connections = this.#connect();
     }
 
     /** Makes later calls on new connections: the old ones may have gone silent. Calls under way end by their time limit. */
     renewConnections(): void {
-        const old = this.#pool;
-        this.#pool = this.#makePool();
-        old.close().catch((err: unknown) => logger.warn("Old connections to the store could not be ended.", err));
+        const { calls, watches } = this.#connections;
+        this.#connections = this.#connect();
+        Promise.all([calls.close(), watches.close()]).catch((err: unknown) =>
+            logger.warn("Old connections to the store could not be ended.", err)
+        );
     }
 
     /**
@@ -94,8 +98,9 @@
         return await this.#answer(call) !== undefined;
     }
 
-    close(): Promise<void> {
-        return this.#pool.destroy();
+    async close(): Promise<void> {
+        const { calls, watches } = this.#connections;
+        await Promise.all([calls.destroy(), watches.destroy()]);
     }
 
     async #answer(call: Call): Promise<Answer | undefined> {
@@ -115,17 +120,18 @@
     }
 
     async #send(call: Call): Promise<Answer> {
-        const { kind, method, path, headers, body } = call;
+        const { kind, method, path, headers, body, waitMs } = call;
+        const { calls, watches } = this.#connections;
         this.options.called(kind);
         const ended = new AbortController();
         const release = this.#bound(call, ended);
         try {
             const { signal } = ended;
-            const answer = await this.#pool.request({ method, path, headers, body, signal });
-            const text = await answer.body.text();
+            const connections = waitMs === undefined ? calls : watches;
+            const { status, headers: said, text } = await connections.request({ method, path, headers, body, signal });
             this.#recordAnswer();
             this.options.counted(text.length + (body?.length ?? 0));
-            return { status: answer.statusCode, text, era: this.#eraOf(answer.headers) };
+            return { status, text, era: this.#eraOf(said) };
         }
         catch (err) {
             this.#recordFailure(call, err);
@@ -173,16 +179,15 @@
 
     /** What waits on the connections of before would wait in vain: its caller watches anew. */
     #endOldWatches(): void {
-        [...this.#watches].filter(([, pool]) => pool !== this.#pool).forEach(([watch]) => watch.abort());
+        [...this.#watches].filter(([, connections]) => connections !== this.#connections).forEach(([watch]) =>
+            watch.abort()
+        );
     }
 
-    #makePool(): Pool {
-        const { address, localIp, connections } = this.options;
-        return new Pool(`http://${address}`, {
-            connections,
-            localAddress: localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
-        });
+    #connect(): Connections {
+        const { address, localIp, connections: most } = this.options;
+        const open = (): StoreConnections => new StoreConnections({ address, localIp, most });
+        return { calls: open(), watches: open() };
     }
 
     /** Ends the call in time, or when its caller calls it off; the return value takes that back. */
@@ -195,7 +200,7 @@
             callOff();
         }
         if (waitMs !== undefined) {
-            this.#watches.set(ended, this.#pool);
+            this.#watches.set(ended, this.#connections);
         }
         return () => {
             clearTimeout(timer);
