A class that more urgent ones leave no rate is refused at once; it does not wait for a turn that nothing gives

By reading, before it landed anywhere: a request that waited only for its class, with the rate open, had no timer, and waited to the end of its time. Tests: an upstream that states a limit gets nine urgent requests for one other, none waits; what waits is decided on anew when a limit is stated.

--- a/src/policy/admission/admission.test.ts
+++ b/src/policy/admission/admission.test.ts
@@ -119,3 +119,38 @@
     finish(gate, 1);
     assert.deepEqual(gate.next(0).run, [short]);
 });
+
+test("admission: an upstream that states a limit gets the urgent first; the others are refused at once, with when to come back", () => {
+    const limit = new RequestLimit();
+    limit.recordAnswer({ type: "perSecond", perSecond: 4 }, { sentAt: -1, isHealth: false }, 0);
+    const rate = new SendRate(new ColdGuard(0), limit);
+    const gate = new Admission(new FixedLimit(10), new RuleTimes(), new LevelClock(10, 0), new Pace(), rate);
+    const ran: Record<Priority, number> = { urgent: 0, normal: 0, background: 0 };
+    for (let now = 0; now < 10_000; now += 100) {
+        for (const priority of ["background", "urgent"] as const) {
+            const verdict = gate.arrive({ ...item(priority, "a", now + 1000), maxWaitMs: 0 }, now);
+            assert.notEqual(verdict.type, "wait");
+            if (verdict.type === "run") {
+                ran[priority] += 1;
+                finish(gate, 1, now);
+            }
+            else if (verdict.type === "refuse") {
+                assert.ok(verdict.refusal.retryAfterMs > 0);
+            }
+        }
+    }
+    assert.ok(ran.urgent >= 32, `${ran.urgent} urgent`);
+    assert.ok(ran.background >= 3 && ran.background <= 8, `${ran.background} others`);
+});
+
+test("admission: what waits is refused at once when its upstream states a limit by which it would not be served in time", () => {
+    const limit = new RequestLimit();
+    const rate = new SendRate(new ColdGuard(0), limit);
+    const gate = new Admission(new FixedLimit(1), new RuleTimes(), new LevelClock(1, 0), new Pace(), rate);
+    gate.arrive(item(), 0);
+    const waiting = [item("normal", "a", 400), item("normal", "b", 10_000)];
+    waiting.forEach(each => assert.equal(gate.arrive(each, 0).type, "wait"));
+    limit.recordAnswer({ type: "perSecond", perSecond: 2 }, { sentAt: -1, isHealth: false }, 10);
+    assert.deepEqual(gate.reconsider(10).map(refused => refused.item), [waiting[0]]);
+    assert.equal(gate.waiting, 1);
+});
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -92,8 +92,8 @@
         if (now >= item.deadline) {
             return { type: "refuse", refusal: { reason: "deadline", retryAfterMs: 0 } };
         }
-        const isClassOpen = this.rate.opensForClass(item.priority, now) <= now;
-        if (this.#queue.length === 0 && isClassOpen && this.#mayStart(now) && !this.#waitsForPace(item, now)) {
+        const isFirst = this.#queue.length === 0 && this.#waits.forClassMs(item.priority, now) === 0;
+        if (isFirst && this.#mayStart(now) && !this.#waitsForPace(item, now)) {
             this.#start(item, now);
             return RUN;
         }
@@ -192,7 +192,7 @@
 
     /** When a request that is refused now is likely to find a slot, in milliseconds. */
     retryAfterMs(item: Item, now: number): number {
-        return this.#waits.comeBackMs(item.rule, this.#waits.waitMs(this.#placeOf(item), item.priority, now));
+        return this.#waits.comeBackMs(item.rule, this.#waits.waitMs(this.#placeOf(item), now));
     }
 
     get #hasSlot(): boolean {
@@ -225,16 +225,18 @@
     }
 
     #refusal(item: Item, now: number): Refusal | undefined {
-        const limit = this.limit.current();
-        const { slowMs } = this.times.all;
         const place = this.#placeOf(item);
-        const waitMs = this.#waits.waitMs(place, item.priority, now);
+        const waitMs = this.#waits.waitMs(place, now);
         const retryAfterMs = this.#waits.comeBackMs(item.rule, waitMs);
-        const worthWaitingMs = slowMs * (item.nearChoices > 0 ? NEAR_SHARE : FAR_SHARE);
-        if (item.choices > 0 && this.#waits.forRateMs(place, item.priority, now) > worthWaitingMs) {
+        const classMs = this.#waits.forClassMs(item.priority, now);
+        if (classMs > 0) {
+            return { reason: "limited", retryAfterMs: this.#waits.comeBackMs(item.rule, classMs) };
+        }
+        const worthWaitingMs = this.times.all.slowMs * (item.nearChoices > 0 ? NEAR_SHARE : FAR_SHARE);
+        if (item.choices > 0 && this.#waits.forRateMs(place, now) > worthWaitingMs) {
             return { reason: this.rate.reason(now), retryAfterMs };
         }
-        if (this.#queue.length >= limit * QUEUE_PER_SLOT) {
+        if (this.#queue.length >= this.limit.current() * QUEUE_PER_SLOT) {
             return { reason: "queue-full", retryAfterMs };
         }
         if (waitMs > Math.min(item.maxWaitMs, item.deadline - now - this.times.usualMs(item.rule))) {
--- a/src/policy/admission/waitestimate.ts
+++ b/src/policy/admission/waitestimate.ts
@@ -21,15 +21,19 @@
     ) {}
 
     /** Until the turn of the one in this place. */
-    waitMs(place: number, priority: Priority, now: number): number {
+    waitMs(place: number, now: number): number {
         const forSlotMs = place * this.times.all.fastMs / this.limit.current();
-        return Math.max(forSlotMs, this.forRateMs(place, priority, now));
+        return Math.max(forSlotMs, this.forRateMs(place, now));
     }
 
     /** How much of that is because of how many the upstream takes in a time. */
-    forRateMs(place: number, priority: Priority, now: number): number {
-        const opensAt = Math.max(this.rate.opensAt(place, now), this.rate.opensForClass(priority, now));
-        return Math.max(0, opensAt - now);
+    forRateMs(place: number, now: number): number {
+        return Math.max(0, this.rate.opensAt(place, now) - now);
+    }
+
+    /** Until the next of a class may be sent, by what the more urgent ones leave of a limit. */
+    forClassMs(priority: Priority, now: number): number {
+        return Math.max(0, this.rate.opensForClass(priority, now) - now);
     }
 
     /** When one of a rule should come back that would have waited so long. */
