--- a/src/gate/gateparts.ts
+++ b/src/gate/gateparts.ts
@@ -38,7 +38,7 @@
     readonly repeatsLeft: (service: ServiceName) => number;
     /** Told of a crash of an upstream, and of the requests that were under way. */
     readonly onCrash: (service: ServiceName, crash: CrashId, requests: readonly RequestKey[]) => void;
-    /** Told of each request that is refused since the upstream takes no more in a time. */
+    /** Told of each request that is refused for the upstream's request rate. */
     readonly onHeldBack: (service: ServiceName, reason: "cold" | "limited") => void;
     /** Told that an upstream has said that it leaves for good. */
     readonly onEnding: (upstream: UpstreamName) => void;
--- a/src/gate/gaterefusals.ts
+++ b/src/gate/gaterefusals.ts
@@ -6,7 +6,7 @@
 
 /**
  * The table of reasons says whether a refused request is proven not to have run; the ledger guarantees it. `onHeldBack` is told of those
- * that the upstream does not take in a time.
+ * that are refused for the upstream's request rate.
  */
 export class GateRefusals {
     #count = 0;
--- a/src/gate/upstreamcontact.ts
+++ b/src/gate/upstreamcontact.ts
@@ -1,7 +1,7 @@
 /**
  * What passes between a gate and its upstream besides the runs: the upstream's notices in its answers, and the gate's questions.
  *
- * Owns the client, and what the upstream takes in a time.
+ * Owns the client, and the rate at which the upstream may be sent requests.
  */
 import type { Upstream } from "../config/upstream.js";
 import { SendRate } from "../policy/rate/sendrate.js";
--- a/src/gate/upstreamnotices.ts
+++ b/src/gate/upstreamnotices.ts
@@ -57,15 +57,8 @@
         const { upstream, dialect } = this.parts;
         if (text !== this.#unreadable) {
             const field = dialect.requestLimit;
-            logger.warn(
-                "The upstream's limit can't be read; the same again is not logged.",
-                "what it stated before holds",
-                {
-                    upstream,
-                    field,
-                    text,
-                },
-            );
+            const sentence = "The upstream's limit can't be read; the same again is not logged.";
+            logger.warn(sentence, "what it stated before holds", { upstream, field, text });
         }
         return text;
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -50,7 +50,7 @@
     readonly #heldBack = new Counter({
         name: "winglock_held_back_total",
         help:
-            "Requests that a gate did not send to an upstream that states a limit, or is cold, since it takes no more in a time.",
+            "Requests that a gate refused since its upstream is cold, or states a limit, and has been sent all that this allows.",
         labelNames: ["service", "reason"] as const,
         registers: [this.registry],
     });
@@ -145,7 +145,7 @@
         this.#crashes.inc({ service });
     }
 
-    /** Records that a gate has refused a request since its upstream takes no more in a time. */
+    /** Records that a gate has refused a request for its upstream's request rate. */
     heldBack(service: ServiceName, reason: "cold" | "limited"): void {
         this.#heldBack.inc({ service, reason });
     }
--- a/src/policy/admission/waitestimate.ts
+++ b/src/policy/admission/waitestimate.ts
@@ -26,7 +26,7 @@
         return Math.max(forSlotMs, this.forRateMs(place, now));
     }
 
-    /** How much of that is because of how many the upstream takes in a time. */
+    /** How much of that is because of the rate at which the upstream may be sent requests. */
     forRateMs(place: number, now: number): number {
         return Math.max(0, this.rate.opensAt(place, now) - now);
     }
--- a/src/policy/rate/rateof.ts
+++ b/src/policy/rate/rateof.ts
@@ -1,4 +1,4 @@
-/** At which even rate is an upstream sent what it takes in a second? */
+/** At which even rate may an upstream be sent requests that states so many a second? */
 import type { Rate } from "./rate.js";
 
 /** Milliseconds. */
--- a/src/policy/rate/sendrate.ts
+++ b/src/policy/rate/sendrate.ts
@@ -1,7 +1,7 @@
 /**
- * May one more request be sent to an upstream now, by how many it takes in a time?
+ * May one more request be sent to an upstream now, by its request rate?
  *
- * Two things bound that: it is or may be cold (policy/cold), and it states a limit. Each counts all that is sent; the later of both
+ * Two things bound that rate: it is or may be cold (policy/cold), and it states a limit. Each counts all that is sent; the later of both
  * decides. Times are milliseconds on the daemon's clock.
  */
 import type { Priority } from "../../config/priority.js";
