--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -23,12 +23,13 @@
 
 /**
  * Prints `R id` for each request that it runs, and the time for each that arrives while it is cold (`C ms`), states a limit (`L ms id`) or says
- * that it leaves (`V ms id`), health questions among them; `POST /control` drives it.
+ * that it leaves (`V ms id`), health questions among them, and of its first answer that states a limit (`S ms`); `POST /control` drives it.
  */
 export class InstanceStandin extends StandinServer<InstanceControl> {
     #running = 0;
     #sequence = 0;
     #coldUntil = 0;
+    #hasStated = false;
     readonly #born = Date.now();
 
     constructor(private readonly options: InstanceOptions) {
@@ -88,6 +89,10 @@
         const { limit, leaving } = this.control;
         if (limit !== "") {
             res.setHeader("server-limit", limit.split(";"));
+            if (!this.#hasStated) {
+                this.#hasStated = true;
+                console.log(`S ${performance.now()}`);
+            }
         }
         if (leaving) {
             res.setHeader("server-leaving", "1");
--- a/test/limit.test.ts
+++ b/test/limit.test.ts
@@ -55,8 +55,9 @@
     Math.max(0, ...times.map(from => times.filter(at => at >= from && at <= from + WINDOW_MS).length));
 
 const checkBound = (mesh: PlatformMesh, limit = LIMIT): number[] => {
-    const times = whileLimited(mesh);
-    const counted = times.filter(at => at > times[0]! + GRACE_MS);
+    const statedAt = mesh.runs.filter(line => line.startsWith("S ")).map(line => Number(line.split(" ")[1]))[0];
+    assert.ok(statedAt !== undefined, "it has answered, and stated its limit");
+    const counted = whileLimited(mesh).filter(at => at > statedAt + GRACE_MS);
     const allowed = limit * WINDOW_MS / 1000 * OVERAGE + SLACK;
     assert.ok(mostInAWindow(counted) <= allowed, `${mostInAWindow(counted)} in 4 s, ${allowed} allowed`);
     return counted;
@@ -98,6 +99,7 @@
 test("limit: it holds beside a daemon that was killed and has started again, as often as that happens", async () => {
     await withPlatform(async mesh => {
         const hosts = mesh.hosts.map(({ name }) => name).filter(name => name !== "pages-1");
+        await mesh.strikeInstance("pages-2", { workMs: LONG_MS });
         const loaded = platformLoad(mesh, { hosts, perSecond: LOAD, forMs: 9000 });
         await pause(1000);
         await mesh.strikeInstance("pages-1", { limit: String(LOW), workMs: LONG_MS });
