Logs when a request was connected and written, and delays of the event loop

No log line told whether a request that an upstream received late had waited in the gate or on its way to the upstream.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,7 @@
 import { DaemonContext } from "./daemoncontext.js";
 import { DatagramRouter } from "./datagramrouter.js";
 import type { Environment } from "./environment.js";
+import { EventLoopMonitor } from "./eventloopmonitor.js";
 import { GateGroup } from "./gategroup.js";
 import { MembershipGroup } from "./membershipgroup.js";
 import { OperatorGroup } from "./operatorgroup.js";
@@ -34,11 +35,13 @@
     readonly #requestPath: RequestPathGroup;
     readonly #operators: OperatorGroup;
     readonly #router: DatagramRouter;
+    readonly #eventLoopMonitor: EventLoopMonitor;
 
     constructor(settings: Settings, createEnvironment: (settings: Settings, metrics: Metrics) => Environment) {
         const metrics = new Metrics();
         const context = new DaemonContext(settings, createEnvironment(settings, metrics), metrics);
         this.#context = context;
+        this.#eventLoopMonitor = new EventLoopMonitor(context.clock, metrics);
         this.#configuration = new ConfigurationGroup(context);
         this.#gates = new GateGroup(context, this.#configuration);
         this.#membership = new MembershipGroup(context, this.#configuration, this.#gates);
@@ -78,6 +81,7 @@
         await this.#membership.start();
         this.#requestPath.loadSharing.start();
         this.#gates.healthCheck.start();
+        this.#eventLoopMonitor.start();
         logger.change("The daemon is up.", {
             ready: true,
             host: settings.host,
@@ -153,6 +157,7 @@
         this.#membership.stop();
         this.#configuration.evacuations.stop();
         this.#gates.healthCheck.stop();
+        this.#eventLoopMonitor.stop();
         datagrams.close();
         void environment.store.close();
         void peer.close();
--- a/src/gate/gatelog.ts
+++ b/src/gate/gatelog.ts
@@ -18,6 +18,7 @@
             arrival: request.call.head.arrival,
             waitedMs: Math.round(queuedMs),
             tookMs: Math.round(tookMs),
+            ...this.#sendFields(request),
             ...this.#loadFields(report),
         });
     }
@@ -34,6 +35,7 @@
             arrival: request.call.head.arrival,
             arrived: metadata?.arrived ?? false,
             request: request.key,
+            ...this.#sendFields(request),
             ...this.#loadFields(report),
         });
     }
@@ -42,6 +44,13 @@
         return this.dialect.idOf(request.call.headers, request.call.head.id);
     }
 
+    /** Returns the milliseconds from the start of the run until its connection was established and it was written. */
+    #sendFields({ startedAt, connectedAt, writtenAt }: GateRequest): object {
+        const sinceStart = (time: number | undefined): number | undefined =>
+            startedAt === undefined || time === undefined ? undefined : Math.round(time - startedAt);
+        return { connectedAfterMs: sinceStart(connectedAt), writtenAfterMs: sinceStart(writtenAt) };
+    }
+
     #loadFields({ running, waiting, limit, serviceMs, pace }: LoadReport): object {
         return { upstream: this.upstream, running, waiting, limit, serviceMs: Math.round(serviceMs), pace };
     }
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -25,6 +25,12 @@
     readonly ledgerDeadline: number;
     readonly once: boolean;
     readonly arrivedAt: number;
+    /** Time at which the request got a slot and was about to be sent; undefined before. */
+    startedAt: number | undefined;
+    /** Time at which a connection to the upstream was established for the request; undefined if one was reused. */
+    connectedAt: number | undefined;
+    /** Time at which the request was written to the upstream; undefined before. */
+    writtenAt: number | undefined;
     #resolve: () => void = () => {};
     #reject: (err: HopError) => void = () => {};
 
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -15,6 +15,15 @@
 /** A response whose body may still be arriving. */
 type UpstreamResponse = { readonly status: number; readonly headers: HttpHeaders; readonly body: Readable; };
 
+/** Cancellation and callbacks of one request. */
+type SendOptions = {
+    readonly cancel: Cancellation | undefined;
+    /** Called when a connection has been established for the request; not called if an open one is reused. */
+    readonly onConnected: () => void;
+    /** Called immediately before the request is written; it fails with the returned error instead, if there is one. */
+    readonly checkWrite: () => UpstreamError | undefined;
+};
+
 /** Settings and callbacks of the client. */
 type ClientOptions = {
     /** Local address from which connections are opened. */
@@ -42,11 +51,11 @@
     constructor(readonly upstream: Upstream, private readonly options: ClientOptions) {}
 
     /** Sends a request; throws an UpstreamError if it fails, or if the response belongs to another request. */
-    async send(call: GateCall, headers: HttpHeaders, cancel: Cancellation | undefined): Promise<UpstreamResponse> {
+    async send(call: GateCall, headers: HttpHeaders, options: SendOptions): Promise<UpstreamResponse> {
         const { dialect } = this.options;
         const connection = this.#acquire();
         const sentAt = this.options.clock();
-        const response = await this.#request(connection, call, headers, cancel, sentAt);
+        const response = await this.#request(connection, call, headers, options, sentAt);
         const reason = dialect.notRunReason(response.status, response.headers);
         const isOwnResponse = dialect.isOwnResponse(
             response.status,
@@ -81,7 +90,7 @@
                 method: "GET",
                 path,
                 signal: AbortSignal.timeout(timeoutMs),
-            });
+            }, { checkWrite: () => undefined });
             await body.dump();
             const name = dialect.upstreamName(headers);
             if (name === undefined || name === this.upstream.name) {
@@ -145,7 +154,7 @@
         connection: UpstreamConnection,
         call: GateCall,
         headers: HttpHeaders,
-        cancel: Cancellation | undefined,
+        { cancel, ...events }: SendOptions,
         sentAt: number,
     ): Promise<UpstreamResponse> {
         try {
@@ -155,7 +164,7 @@
                 headers,
                 body: call.body,
                 signal: cancel,
-            });
+            }, events);
             this.#lastRespondedSentAt = Math.max(this.#lastRespondedSentAt, sentAt);
             const body = ignoreBodyErrors(connection.checkedBody(response));
             body.once("close", () => this.#release(connection));
--- a/src/gate/upstreamconnection.ts
+++ b/src/gate/upstreamconnection.ts
@@ -3,6 +3,15 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Address } from "../ids/address.js";
 import { isFramed } from "./isframed.js";
+import { WriteCheckHandler } from "./writecheckhandler.js";
+
+/** Callbacks of one request. */
+type RequestEvents = {
+    /** Called when a connection has been established for the request; not called if an open one is reused. */
+    readonly onConnected?: () => void;
+    /** Called immediately before the request is written; it fails with the returned error instead, if there is one. */
+    readonly checkWrite: () => Error | undefined;
+};
 
 /** Shorter than servers usually keep idle connections open, so that they seldom close one that is just being reused. */
 const KEEP_ALIVE_MS = 2000;
@@ -16,7 +25,10 @@
 /** Reconnects when its connection has ended, and tracks whether the last connection was reset. */
 export class UpstreamConnection {
     readonly #client: Client;
+    /** The client, with the check before each write. */
+    readonly #checkedClient: Dispatcher;
     #wasReset = false;
+    #events: RequestEvents = { checkWrite: () => undefined };
 
     constructor(address: Address, localIp: string) {
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -33,13 +45,19 @@
                     const [, socket] = result;
                     this.#wasReset = false;
                     socket?.once("error", () => this.#wasReset = true);
+                    this.#events.onConnected?.();
                     callback(...result);
                 }),
         });
+        this.#checkedClient = this.#client.compose(dispatch => (options, handler) =>
+            dispatch(options, new WriteCheckHandler(handler, () => this.#events.checkWrite()))
+        );
     }
 
-    async request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-        return await this.#client.request(options);
+    /** Sends a request; undici may write it later, after it has connected. The previous request must have ended. */
+    async request(options: Dispatcher.RequestOptions, events: RequestEvents): Promise<Dispatcher.ResponseData> {
+        this.#events = events;
+        return await this.#checkedClient.request(options);
     }
 
     /**
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -69,6 +69,7 @@
 
     constructor(private readonly request: GateRequest, private readonly deps: RunDependencies) {
         this.#startedAt = deps.clock();
+        request.startedAt = this.#startedAt;
         const { headers, head } = request.call;
         const { deadline } = request;
         this.#workTime = new WorkTime(deps.levels, this.#startedAt);
@@ -128,7 +129,11 @@
             this.#cancel.abort();
         }
         try {
-            const response = await deps.client.send(request.call, this.#requestHeaders(), this.#cancel);
+            const response = await deps.client.send(request.call, this.#requestHeaders(), {
+                cancel: this.#cancel,
+                onConnected: () => request.connectedAt = deps.clock(),
+                checkWrite: () => this.#checkWrite(),
+            });
             this.#hasResponseHead = true;
             deps.crashDetector.recordResponse(this.#startedAt);
             const isStreamed = request.call.head.answer === "streamed";
@@ -155,6 +160,10 @@
         }
     }
 
+    #checkWrite(): undefined {
+        this.request.writtenAt = this.deps.clock();
+    }
+
     #recordFailure(err: unknown): void {
         const { request: { key }, deps: { crashDetector } } = this;
         const reason = err instanceof UpstreamError ? err.reason : undefined;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -65,6 +65,12 @@
         labelNames: ["kind"] as const,
         registers: [this.registry],
     });
+    readonly #eventLoopDelay = new Histogram({
+        name: "winglock_event_loop_delay_seconds",
+        help: "How late a timer of this daemon is, ten times a second.",
+        buckets: LATENCY_BUCKETS_S,
+        registers: [this.registry],
+    });
     readonly #controlMessages = new Counter({
         name: "winglock_control_messages_total",
         help: "Messages and calls sent for control.",
@@ -166,6 +172,11 @@
         this.#controlBytes.inc({ kind }, bytes);
     }
 
+    /** Records how late a timer was, in milliseconds. */
+    recordEventLoopDelay(delayMs: number): void {
+        this.#eventLoopDelay.observe(delayMs / MS_PER_SECOND);
+    }
+
     #show(name: string, help: string, read: () => number): void {
         new Gauge({
             name,
