A gate writes no request after its deadline

Cause: the deadline was checked when a request got its slot, then only by a timer. A request that waits for its connection, or the turn of the event loop that undici takes before it reuses one, was written whatever the time; a process that resumes handles sockets before timers.

Now the deadline is checked in undici's onRequestStart, immediately before the write, for new and reused connections; a streamed body breaks off at the deadline; probes are not written after their timeouts. A request that is refused there has proven not to have run, and counts as no arrival.

--- a/src/gate/requestrunner.ts
+++ b/src/gate/requestrunner.ts
@@ -126,7 +126,7 @@
             };
         }
         catch (err) {
-            const arrived = !(err instanceof UpstreamError && err.reason === "unreachable");
+            const arrived = request.writtenAt !== undefined;
             if (arrived) {
                 this.#recordArrival(request);
             }
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -90,7 +90,12 @@
                 method: "GET",
                 path,
                 signal: AbortSignal.timeout(timeoutMs),
-            }, { checkWrite: () => undefined });
+            }, {
+                checkWrite: () =>
+                    clock() - sentAt < timeoutMs
+                        ? undefined
+                        : new Error(`the probe was not sent: its timeout of ${timeoutMs} ms has passed`),
+            });
             await body.dump();
             const name = dialect.upstreamName(headers);
             if (name === undefined || name === this.upstream.name) {
@@ -172,6 +177,9 @@
         }
         catch (err) {
             this.#release(connection);
+            if (err instanceof UpstreamError) {
+                throw err;
+            }
             throw new UpstreamError(isConnectError(err) ? "unreachable" : "upstream-broke", { cause: err });
         }
     }
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -15,6 +15,7 @@
 import type { Clock } from "../time/clock.js";
 import type { CallContexts } from "./callcontexts.js";
 import type { CrashDetector } from "./crashdetector.js";
+import { endAtDeadline } from "./endatdeadline.js";
 import type { GateRequest } from "./gaterequest.js";
 import { isFramed } from "./isframed.js";
 import type { UpstreamClient } from "./upstreamclient.js";
@@ -129,7 +130,8 @@
             this.#cancel.abort();
         }
         try {
-            const response = await deps.client.send(request.call, this.#requestHeaders(), {
+            const body = endAtDeadline(request.call.body, request.deadline, deps.clock);
+            const response = await deps.client.send({ ...request.call, body }, this.#requestHeaders(), {
                 cancel: this.#cancel,
                 onConnected: () => request.connectedAt = deps.clock(),
                 checkWrite: () => this.#checkWrite(),
@@ -160,8 +162,17 @@
         }
     }
 
-    #checkWrite(): undefined {
-        this.request.writtenAt = this.deps.clock();
+    /**
+     * Refuses a request whose deadline has passed since its start, as while it waited for its connection. Its caller
+     * has had a response by then. After a pause of the process, sockets are handled before the timer of the deadline.
+     */
+    #checkWrite(): UpstreamError | undefined {
+        const now = this.deps.clock();
+        if (now >= this.request.deadline) {
+            return new UpstreamError("deadline-or-revoked");
+        }
+        this.request.writtenAt = now;
+        return undefined;
     }
 
     #recordFailure(err: unknown): void {
