A gate that has never responded to a ping is probed over a connection, and can become suspected

Cause: only a gate that had responded to a ping could become suspected, because datagrams may be lost for good; a gate that had never responded to anything had no other way to be found. First pings followed only a response to a request.

Why it works: a probe over a new connection is answered by any working daemon at once, whatever becomes of datagrams. Silence of requests, pings and that probe together suspects the gate after half a second; an answer keeps all as it was. At most one probe a second and gate.

--- a/src/failuredetection/failuredetector.ts
+++ b/src/failuredetection/failuredetector.ts
@@ -1,20 +1,26 @@
 /**
  * Pings gates that do not respond to outstanding requests, and suspects those that do not respond to the pings either.
+ * Those that have never responded to a ping are also probed over a connection.
  *
- * Owns the timer and the pings. policy/failure/livenesscheck.ts decides when to ping and when to suspect a gate.
+ * Owns the timer, the pings and the probes. policy/failure/livenesscheck.ts decides when to ping and when to suspect a gate.
  */
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
 import type { UpstreamTable } from "../ingress/upstreamtable.js";
 import type { UpstreamView } from "../ingress/upstreamview.js";
+import { log } from "../log/log.js";
 import { availableTargets } from "../policy/placement/availabletargets.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
 
+const logger = log("health");
+
 /** A third of the ping timeout in policy/failure/livenesscheck.ts. */
 const CHECK_INTERVAL_MS = 50;
 /** Minimum interval between first pings, which go to gates that have never responded to one: ten a second. */
 const FIRST_PING_INTERVAL_MS = 100;
+/** The time that a gate has to respond to two pings (policy/failure/livenesscheck.ts). */
+const CONNECTION_PROBE_TIMEOUT_MS = 300;
 
 type FailureDetectorDependencies = {
     readonly self: Address;
@@ -74,11 +80,37 @@
         }
         const action = view.livenessCheck.decide(input, now);
         if (action.type === "suspect") {
-            view.suspect(now, this.#hasAlternative(view, now));
+            this.#suspect(view, now);
         }
         else if (action.type === "ping" && (action.why !== "never-asked" || this.#maySendFirstPing(now))) {
             this.#ping(view, now);
+            if (action.why === "silent-unknown") {
+                void this.#probe(view, now);
+            }
+        }
+    }
+
+    /** Probes a gate over a new connection, and suspects it if it shows no sign of life until the probe's timeout. */
+    async #probe(view: UpstreamView, startedAt: number): Promise<void> {
+        view.livenessCheck.recordConnectionProbe(startedAt);
+        const hasResponded = await view.hop.probe(CONNECTION_PROBE_TIMEOUT_MS);
+        const now = this.deps.clock();
+        if (hasResponded) {
+            view.recordAlive(now);
+        }
+        else if (!view.livenessCheck.hasResponded(startedAt)) {
+            this.#suspect(view, now);
+        }
+    }
+
+    #suspect(view: UpstreamView, now: number): void {
+        const hasAlternative = this.#hasAlternative(view, now);
+        if (!view.suspicion.isSuspected) {
+            const { upstream, outstanding, settings: { gate } } = view;
+            const fields = { upstream, gate, outstanding, hasAlternative };
+            logger.change("A gate does not respond; its upstream is suspected.", fields);
         }
+        view.suspect(now, hasAlternative);
     }
 
     #ping(view: UpstreamView, now: number): void {
--- a/src/gate/localhop.ts
+++ b/src/gate/localhop.ts
@@ -40,5 +40,9 @@
 
     async handshake(): Promise<void> {}
 
+    async probe(): Promise<boolean> {
+        return true;
+    }
+
     async close(): Promise<void> {}
 }
--- a/src/hop/hop.ts
+++ b/src/hop/hop.ts
@@ -12,6 +12,8 @@
     abstract revoke(head: RequestMetadata): Promise<RevokeResult>;
     /** Asks the gate for its incarnation and clock; throws a HopError. */
     abstract handshake(): Promise<void>;
+    /** Probes the gate's daemon over a new connection; resolves with false if it does not respond in time. */
+    abstract probe(timeoutMs: number): Promise<boolean>;
     /** Closes connections as soon as they are idle; requests in flight are completed. */
     abstract close(): Promise<void>;
 }
--- a/src/link/linkpool.ts
+++ b/src/link/linkpool.ts
@@ -67,6 +67,20 @@
         return metadata;
     }
 
+    /**
+     * Probes the peer over a new connection, since idle ones may be unresponsive. Resolves with the peer's incarnation
+     * and clock, or undefined if it does not state them; rejects with a LinkError if it does not respond.
+     */
+    async probe(timeoutMs: number): Promise<ResponseMetadata | undefined> {
+        const connection = await this.#open();
+        const metadata = await connection.requestIdentity(timeoutMs);
+        this.#peerSupportsProbes ||= metadata !== undefined;
+        if (connection.open) {
+            this.#release(connection);
+        }
+        return metadata;
+    }
+
     /** Closes idle connections now, and each of the others after its request. */
     close(): void {
         this.#closed = true;
--- a/src/link/unresponsivelink.test.ts
+++ b/src/link/unresponsivelink.test.ts
@@ -113,6 +113,18 @@
     });
 });
 
+test("unresponsive link: a probe uses a new connection, and fails if the peer does not respond in time", async () => {
+    await between(serve, async ends => {
+        const { pool, sockets } = ends;
+        await send(pool);
+        ends.makeUnresponsive(sockets[0]!);
+        assert.equal((await pool.probe(300))?.incarnation, metadata.incarnation);
+        assert.equal(sockets.length, 2);
+        ends.stopReading();
+        await assert.rejects(pool.probe(100), { reason: "unreachable" });
+    });
+});
+
 /** Serves as an older version does, which closes a connection on which it receives a probe. */
 const serveWithoutProbes = (socket: Socket): void => {
     const reader = new FrameReader();
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -65,6 +65,21 @@
         }
     }
 
+    async probe(timeoutMs: number): Promise<boolean> {
+        const askedAt = this.options.clock();
+        try {
+            const metadata = await this.#pool.probe(timeoutMs);
+            if (metadata !== undefined) {
+                this.#observeClock(metadata, askedAt);
+            }
+            return true;
+        }
+        catch (err) {
+            logger.warn("A peer did not respond to a probe over a new connection.", err, { peer: this.address });
+            return false;
+        }
+    }
+
     /** Closes idle connections, which may be unresponsive. */
     closeIdle(): void {
         this.#pool.closeIdle();
--- a/src/policy/failure/livenesscheck.test.ts
+++ b/src/policy/failure/livenesscheck.test.ts
@@ -55,3 +55,33 @@
     liveness.recordPing(251);
     assert.deepEqual(liveness.decide(neverResponded, 402), { type: "none" });
 });
+
+// Guards against requests that wait out their time limit at a gate that has never responded to anything.
+test("liveness: an unresponsive gate that never responded to a ping is probed over a connection, once a second at most", () => {
+    const liveness = new LivenessCheck();
+    const neverResponded = { ...known, respondsToPings: false };
+    liveness.recordSent(0);
+    assert.deepEqual(liveness.decide(neverResponded, 150), { type: "none" });
+    assert.deepEqual(liveness.decide(neverResponded, 151), { type: "ping", why: "silent-unknown" });
+    liveness.recordPing(151);
+    liveness.recordConnectionProbe(151);
+    assert.deepEqual(liveness.decide(neverResponded, 302), { type: "none" });
+    assert.deepEqual(liveness.decide(neverResponded, 453), { type: "ping", why: "silent" });
+    assert.deepEqual(liveness.decide(neverResponded, 1151), { type: "ping", why: "silent-unknown" });
+    assert.equal(liveness.hasResponded(0), false);
+    liveness.recordAlive(1, 1200);
+    assert.deepEqual([liveness.hasResponded(1200), liveness.hasResponded(1201)], [true, false]);
+});
+
+test("liveness: a request that is sent to a suspected gate makes it due for another probe over a connection", () => {
+    const liveness = new LivenessCheck();
+    const suspected = { ...known, respondsToPings: false, isSuspected: true };
+    liveness.recordConnectionProbe(0);
+    liveness.recordPing(1300);
+    liveness.recordSent(1400);
+    assert.deepEqual(liveness.decide(suspected, 1451), { type: "none" }, "the ping has timed out");
+    assert.deepEqual(liveness.decide(suspected, 1500), { type: "ping", why: "suspected" });
+    liveness.recordPing(1500);
+    assert.deepEqual(liveness.decide(suspected, 1651), { type: "none" });
+    assert.deepEqual(liveness.decide(suspected, 1700), { type: "ping", why: "silent-unknown" });
+});
--- a/test/leaving.test.ts
+++ b/test/leaving.test.ts
@@ -64,6 +64,24 @@
     });
 });
 
+// Guards against requests that wait out their time limit at a gate that has never responded to their ingress, which suspected
+// only gates that had responded to a ping before.
+test("leaving: by silence, a daemon that stands still holds up no request of one that has just started", async () => {
+    await withMesh(async mesh => {
+        const started = mesh.host("pages-2");
+        mesh.daemons.get("pages-1")!.signal("SIGSTOP");
+        await mesh.daemons.get(started.name)!.end("SIGKILL");
+        await mesh.startDaemon(started).ready();
+        const { results } = await runLoadWithFault(mesh, async () => {}, {
+            seconds: 3,
+            ingresses: () => [started.ingress],
+        });
+        const repeatable = results.filter(result => !result.once);
+        assert.ok(repeatable.length > 0);
+        assert.deepEqual(repeatable.filter(result => result.outcome !== "answered"), []);
+    });
+});
+
 /**
  * Sends concurrent requests from each host while the upstream begins to leave; resolves with the hosts that forwarded
  * its leaving state.
