The learned limit compares limits in force, not numbers of running requests

Cause, from a kept log: the gate of the other upstream had learned a limit of 2 of its 4 slots under light load before, and kept it for 2.2 s. At an upstream with free slots the number of running requests follows from their times: whatever delays them lets more accumulate, which looked like a slowdown caused by their number.

Now the level of a response is the limit that was in force while it ran, which the policy sets itself in phases, whatever the times.

--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -10,6 +10,7 @@
 import type { LoadReport } from "../placement/loadreport.js";
 import { concurrencyAtRate } from "../rate/concurrencyatrate.js";
 import type { SendRate } from "../rate/sendrate.js";
+import { acceptableWaitMs } from "./acceptablewaitms.js";
 import type { AdmissionDecision } from "./admissiondecision.js";
 import type { FinishedRequest } from "./finishedrequest.js";
 import type { LevelClock } from "./levelclock.js";
@@ -24,13 +25,6 @@
 
 /** Maximum number of queued requests for each slot; bounds memory. */
 const MAX_QUEUED_PER_SLOT = 16;
-/**
- * Share of the mean service time that a request waits at most while another upstream in the ingress's data hall could
- * serve it. Lower than OTHER_HALL_SHARE, so that it goes elsewhere sooner within the data hall than out of it.
- */
-const SAME_HALL_SHARE = 0.1;
-/** The same while only upstreams in other data halls could serve the request. */
-const OTHER_HALL_SHARE = 0.2;
 const RUN: AdmissionDecision = { type: "run" };
 
 /** Requests that `dequeue` removes from the queue; those in `expired` have passed their deadlines. */
@@ -130,6 +124,7 @@
             this.times.observe(rule, serviceMs, work.reduce((sum, ms) => sum + ms, 0) / pace);
             const expectedMs = this.times.meanMs(rule) * pace;
             this.limit.observe(work.map(ms => ms / expectedMs));
+            this.#setRunning(this.#running, now);
         }
     }
 
@@ -214,9 +209,10 @@
             && shouldWaitForPace({ workMs: this.times.meanMs(rule), slowdown, slowForMs: this.pace.slowForMs(now) });
     }
 
+    /** The level is the limit in force; with free slots, the number of running requests follows from their times. */
     #setRunning(running: number, now: number): void {
         this.#running = running;
-        this.levelClock.setRunning(running, now);
+        this.levelClock.setConcurrency(Math.max(running, this.limit.current()), now);
     }
 
     /** Returns the position that a request would have in the queue; the first is 1. */
@@ -232,7 +228,7 @@
         if (priorityWaitMs > 0) {
             return { reason: "limited", retryAfterMs: this.#waitEstimate.retryAfterMs(item.rule, priorityWaitMs) };
         }
-        const acceptableMs = this.times.all.baselineMs * (item.nearChoices > 0 ? SAME_HALL_SHARE : OTHER_HALL_SHARE);
+        const acceptableMs = acceptableWaitMs(this.times.all.baselineMs, item.nearChoices);
         if (item.choices > 0 && this.#waitEstimate.rateWaitMs(position, now) > acceptableMs) {
             return { reason: this.sendRate.reason(now), retryAfterMs };
         }
--- a/src/policy/admission/learnedlimit.ts
+++ b/src/policy/admission/learnedlimit.ts
@@ -3,6 +3,8 @@
  * throughput is higher while its last slots stay free.
  *
  * The input is the time that each response took at each concurrency level, relative to what is usual for such requests.
+ * The level is the limit that was in force, not the number of requests that ran: an upstream with free slots that is
+ * slow for another reason accumulates requests, which must not be taken for the reason.
  *
  * Many upstreams slow down when they are nearly full, so that fewer requests at a time give a higher throughput. A full
  * upstream runs at one level only, which leaves nothing to compare it with. The policy therefore probes levels of which
--- a/src/policy/admission/levelclock.ts
+++ b/src/policy/admission/levelclock.ts
@@ -1,4 +1,4 @@
-/** Measures for how long an upstream has run at each concurrency level. */
+/** Measures for how long each concurrency level was in force at an upstream. */
 import { levelOf } from "./levelof.js";
 
 /** Accumulates the time of one upstream. `now` is the present time in milliseconds. */
@@ -12,10 +12,10 @@
         this.#updatedAt = now;
     }
 
-    /** Records that `running` requests run from now on. */
-    setRunning(running: number, now: number): void {
+    /** Records that the level of `concurrency` requests is in force from now on. */
+    setConcurrency(concurrency: number, now: number): void {
         this.#advance(now);
-        this.#level = levelOf(running, this.slots);
+        this.#level = levelOf(concurrency, this.slots);
     }
 
     /** Returns the milliseconds spent so far at each level; the index is the level. */
--- a/src/policy/admission/worktime.test.ts
+++ b/src/policy/admission/worktime.test.ts
@@ -7,21 +7,21 @@
 
 test("work time: is split by concurrency level and excludes the time of calls", () => {
     const clock = new LevelClock(4, 0);
-    clock.setRunning(1, 0);
+    clock.setConcurrency(1, 0);
     const work = new WorkTime(clock, 0);
-    clock.setRunning(2, 10);
+    clock.setConcurrency(2, 10);
     work.callBegan(15);
     work.callBegan(20);
-    clock.setRunning(3, 30);
+    clock.setConcurrency(3, 30);
     work.callEnded(35);
     work.callEnded(50);
-    clock.setRunning(1, 60);
+    clock.setConcurrency(1, 60);
     assert.deepEqual([...work.read(70)], [0, 20, 5, 10, 0]);
 });
 
 test("work time: a request that ends during a call has been worked on until the call began", () => {
     const clock = new LevelClock(2, 0);
-    clock.setRunning(1, 0);
+    clock.setConcurrency(1, 0);
     const work = new WorkTime(clock, 0);
     work.callBegan(40);
     assert.deepEqual([...work.read(100)], [0, 40, 0]);
--- a/src/policy/model/saturatedupstream.ts
+++ b/src/policy/model/saturatedupstream.ts
@@ -89,7 +89,7 @@
                 pace,
                 slowdown,
             });
-            this.#clock.setRunning(this.#jobs.length, this.#now);
+            this.#clock.setConcurrency(this.#jobs.length, this.#now);
         }
     }
 
@@ -114,7 +114,7 @@
             this.finishedCount += 1;
             const now = this.#clock.read(this.#now + 1);
             this.limit.observe(now.map((spentMs, level) => (spentMs - job.startReading[level]!) / (workMs * job.pace)));
-            this.#clock.setRunning(this.#jobs.length, this.#now + 1);
+            this.#clock.setConcurrency(this.#jobs.length, this.#now + 1);
         }
         return finishedJobs.reduce((sum, job) => sum + job.workMs, 0);
     }
