A request that would wait too long only for the rate is refused as limited

Cause, from a kept log: an urgent request without another available upstream was refused as wait-too-long, which ends it once the retry budget is spent, and never reached the other upstream. Its gate saw no urgent requests, reserved nothing for them and served the others.

--- a/src/policy/admission/admission.test.ts
+++ b/src/policy/admission/admission.test.ts
@@ -154,3 +154,26 @@
     assert.deepEqual(admission.reevaluate(10).map(refused => refused.item), [queued[0]]);
     assert.equal(admission.queued, 1);
 });
+
+// Guards against less urgent requests that take the rate of one upstream while urgent ones are refused at another: these
+// were refused as too long a wait, which ends a request, rather than for the rate, which redirects it.
+test("admission: a request that would wait too long only because of the rate is refused as limited", () => {
+    const limit = new StatedRateLimiter();
+    limit.recordResponse({ type: "perSecond", perSecond: 4 }, { sentAt: -1, isHealth: false }, 0);
+    const rate = new SendRate(new ColdGuard(0), limit);
+    const admission = new Admission(new FixedLimit(10), new RuleTimes(), new LevelClock(10, 0), new Pace(), rate);
+    const decision = admission.admit({ ...createItem("urgent"), maxWaitMs: 100 }, 0);
+    assert.equal(decision.type === "refuse" && decision.refusal.reason, "limited");
+});
+
+test("admission: a request that would wait too long for a slot is refused for that, also under a stated rate limit", () => {
+    const limit = new StatedRateLimiter();
+    limit.recordResponse({ type: "perSecond", perSecond: 400 }, { sentAt: -1, isHealth: false }, 0);
+    const rate = new SendRate(new ColdGuard(0), limit);
+    const times = new RuleTimes();
+    times.observe(undefined, 500, 500);
+    const admission = new Admission(new FixedLimit(1), times, new LevelClock(1, 0), new Pace(), rate);
+    assert.equal(admission.admit(createItem(), 10).type, "run");
+    const decision = admission.admit({ ...createItem(), maxWaitMs: 100 }, 20);
+    assert.equal(decision.type === "refuse" && decision.refusal.reason, "wait-too-long");
+});
--- a/src/policy/admission/admission.ts
+++ b/src/policy/admission/admission.ts
@@ -236,7 +236,8 @@
             return { reason: "queue-full", retryAfterMs };
         }
         if (waitMs > Math.min(item.maxWaitMs, item.deadline - now - this.times.meanServiceMs(item.rule))) {
-            return { reason: "wait-too-long", retryAfterMs };
+            const isDueToRate = this.#waitEstimate.rateWaitMs(position, now) >= waitMs;
+            return { reason: isDueToRate ? this.sendRate.reason(now) : "wait-too-long", retryAfterMs };
         }
         if (item.choices > 0 && waitMs > acceptableMs) {
             return { reason: "busy", retryAfterMs };
