--- a/src/failuredetection/failuredetector.test.ts
+++ b/src/failuredetection/failuredetector.test.ts
@@ -65,8 +65,8 @@
 });
 
 /**
- * Starts an attempt at each of two gates that have never responded to a ping, nor do now, and returns the upstreams whose
- * attempts are cancelled within a second. Only the gates of `responsive` respond to probes over a connection.
+ * Starts an attempt at each of two gates that have never responded to a ping, nor do now, and returns the upstreams
+ * whose attempts are cancelled within a second. Only the gates of `responsive` respond to probes over a connection.
  */
 const cancelledAtUnknownGates = async (t: TestTimers, responsive: string[]): Promise<string[]> => {
     t.mock.timers.enable();
--- a/src/failuredetection/failuredetector.ts
+++ b/src/failuredetection/failuredetector.ts
@@ -2,7 +2,8 @@
  * Pings gates that do not respond to outstanding requests, and suspects those that do not respond to the pings either.
  * Those that have never responded to a ping are also probed over a connection.
  *
- * Owns the timer, the pings and the probes. policy/failure/livenesscheck.ts decides when to ping and when to suspect a gate.
+ * Owns the timer, the pings and the probes. policy/failure/livenesscheck.ts decides when to ping and when to suspect a
+ * gate.
  */
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
--- a/src/gate/endatdeadline.ts
+++ b/src/gate/endatdeadline.ts
@@ -4,8 +4,8 @@
 import type { Clock } from "../time/clock.js";
 
 /**
- * Returns a body that breaks off with the first part that arrives at or after `deadline`, in milliseconds of `clock`, so
- * that the upstream never receives a whole request after its deadline. A buffered body is written with its request.
+ * Returns a body that breaks off with the first part that arrives at or after `deadline`, in milliseconds of `clock`,
+ * so that the upstream never receives a whole request after its deadline. A buffered body is written with its request.
  */
 export function endAtDeadline(body: GateCall["body"], deadline: number, clock: Clock): GateCall["body"] {
     if (!(body instanceof Readable)) {
--- a/src/gate/upstreamrun.test.ts
+++ b/src/gate/upstreamrun.test.ts
@@ -118,7 +118,8 @@
     && err.metadata?.arrived === false;
 
 for (const connection of ["new", "reused"]) {
-    // Guards against a request that starts after its caller got 504: a daemon that had been stopped wrote it when it resumed.
+    // Guards against a request that starts after its caller got 504: a daemon that had been stopped wrote it when it
+    // resumed.
     test(`upstream run: a request whose deadline passes before it is written to a ${connection} connection is not sent`, async t => {
         const { address, received } = await startUpstream(t);
         const { gate, ledger, time, arrivals } = createGate(address);
--- a/src/policy/admission/admission.test.ts
+++ b/src/policy/admission/admission.test.ts
@@ -155,8 +155,8 @@
     assert.equal(admission.queued, 1);
 });
 
-// Guards against less urgent requests that take the rate of one upstream while urgent ones are refused at another: these
-// were refused as too long a wait, which ends a request, rather than for the rate, which redirects it.
+// Guards against less urgent requests that take the rate of one upstream while urgent ones are refused at another:
+// these were refused as too long a wait, which ends a request, rather than for the rate, which redirects it.
 test("admission: a request that would wait too long only because of the rate is refused as limited", () => {
     const limit = new StatedRateLimiter();
     limit.recordResponse({ type: "perSecond", perSecond: 4 }, { sentAt: -1, isHealth: false }, 0);
--- a/src/policy/admission/stalledupstream.test.ts
+++ b/src/policy/admission/stalledupstream.test.ts
@@ -31,8 +31,8 @@
 });
 
 /**
- * Simulates an upstream with free slots, whose work takes as long at each level, but which stands still for 30 to 100 ms
- * now and then. Returns the share of the time in which its limit was below its slots.
+ * Simulates an upstream with free slots, whose work takes as long at each level, but which stands still for 30 to
+ * 100 ms now and then. Returns the share of the time in which its limit was below its slots.
  */
 const shareOfTimeLimited = ({ slots, requestsPerSecond, workMs }: Shape, seed: number): number => {
     const random = seededRandom(seed);
@@ -79,7 +79,8 @@
     { slots: 12, requestsPerSecond: 100, workMs: 50 },
 ];
 
-// Guards against callers that are refused although slots are free: requests that accumulated in a stall looked like its cause.
+// Guards against callers that are refused although slots are free: requests that accumulated in a stall looked like its
+// cause.
 for (const shape of SHAPES) {
     test(`learned limit: stalls of an upstream with ${shape.slots} slots do not lower its limit`, () => {
         const share = SEEDS.reduce((sum, seed) => sum + shareOfTimeLimited(shape, seed), 0) / SEEDS.length;
--- a/src/policy/failure/livenesscheck.ts
+++ b/src/policy/failure/livenesscheck.ts
@@ -22,7 +22,7 @@
 /** Long enough for the response to a ping to pass through two busy processes. */
 const PING_TIMEOUT_MS = 150;
 
-/** Bounds the cost where datagrams are lost for good and requests or streams last long: each probe opens a connection. */
+/** Bounds the cost where datagrams are lost for good and requests last long: each probe opens a connection. */
 const CONNECTION_PROBE_INTERVAL_MS = 1000;
 
 /** Further facts about the gate; `serviceMs` is the upstream's last reported service time. */
--- a/test/leaving.test.ts
+++ b/test/leaving.test.ts
@@ -64,8 +64,8 @@
     });
 });
 
-// Guards against requests that wait out their time limit at a gate that has never responded to their ingress, which suspected
-// only gates that had responded to a ping before.
+// Guards against requests that wait out their time limit at a gate that has never responded to their ingress, which
+// suspected only gates that had responded to a ping before.
 test("leaving: by silence, a daemon that stands still holds up no request of one that has just started", async () => {
     await withMesh(async mesh => {
         const started = mesh.host("pages-2");
