--- a/src/cli/ruleresource.ts
+++ b/src/cli/ruleresource.ts
@@ -2,8 +2,8 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { array, multioption, number, oneOf, option, optional, string } from "cmd-ts";
 import { Priority } from "../config/priority.js";
-import { RequestKind } from "../config/requestkind.js";
 import { ResponseMode } from "../config/responsemode.js";
+import { RuleKind } from "../config/rulekind.js";
 import type { ChangeSchema, Configuration } from "../gen/winglock/operator/v1/operator_pb.js";
 import { enumKeyOf } from "../operator/enumkeyof.js";
 import { protoPriority } from "../operator/protopriority.js";
@@ -12,7 +12,7 @@
 import { Resource } from "./resource.js";
 import { toPlainItem } from "./toplainitem.js";
 
-type RuleItem = { name: string; kind?: RequestKind; priority?: Priority; answer?: ResponseMode; };
+type RuleItem = { name: string; kind?: RuleKind; priority?: Priority; answer?: ResponseMode; };
 
 /** Rules, which define how the requests that they match are handled. */
 export class RuleResource extends Resource {
@@ -49,7 +49,7 @@
             description: "The team that the requests belong to.",
         }),
         kind: option({
-            type: optional(oneOf(RequestKind.options)),
+            type: optional(oneOf(RuleKind.options)),
             long: "kind",
             description: "Whether a request may run again.",
         }),
--- a/src/config/applypatch.ts
+++ b/src/config/applypatch.ts
@@ -28,6 +28,9 @@
         upstreams: merge(document.upstreams, patch.upstreams, patch.deletedUpstreams),
         rules: merge(document.rules, patch.rules, patch.deletedRules),
         ...(patch.limits === undefined ? {} : { limits: patch.limits }),
+        ...(patch.teams === undefined
+            ? {}
+            : { teams: merge(document.teams ?? [], patch.teams, patch.deletedTeams ?? []) }),
         ...(patch.evacuated === undefined ? {} : { evacuated: patch.evacuated }),
     };
 }
--- a/src/config/checkdocument.ts
+++ b/src/config/checkdocument.ts
@@ -1,4 +1,5 @@
 /** Checks that the parts of a document are consistent; the schema checks each part for itself. */
+import { checkTeams } from "./checkteams.js";
 import type { Document } from "./document.js";
 import type { Issue } from "./issue.js";
 
@@ -53,5 +54,6 @@
         ...findUnknownServices(document, "upstreams"),
         ...findUnknownServices(document, "rules"),
         ...findUnknownSplitServices(document),
+        ...checkTeams(document.teams ?? []),
     ];
 }
--- a/src/config/makepatch.ts
+++ b/src/config/makepatch.ts
@@ -24,6 +24,10 @@
         upstreams: changedItems(before.upstreams, after.upstreams),
         rules: changedItems(before.rules, after.rules),
         limits: after.limits,
+        ...after.teams !== undefined && {
+            teams: changedItems(before.teams ?? [], after.teams),
+            deletedTeams: deletedNames(before.teams ?? [], after.teams),
+        },
         evacuated: after.evacuated,
         deletedServices: deletedNames(before.services, after.services),
         deletedUpstreams: deletedNames(before.upstreams, after.upstreams),
--- a/src/config/patch.ts
+++ b/src/config/patch.ts
@@ -5,6 +5,7 @@
 import { ChangeRecord } from "./changerecord.js";
 import { Rule } from "./rule.js";
 import { Service } from "./service.js";
+import { Team } from "./team.js";
 import { Upstream } from "./upstream.js";
 
 const Patch = z.strictObject({
@@ -15,10 +16,13 @@
     upstreams: z.array(Upstream),
     rules: z.array(Rule),
     limits: CallerLimits.optional(),
+    /** The changed teams; undefined if the document that results has no teams. */
+    teams: z.array(Team).optional(),
     evacuated: z.array(HallName).optional(),
     deletedServices: z.array(z.string()),
     deletedUpstreams: z.array(z.string()),
     deletedRules: z.array(z.string()),
+    deletedTeams: z.array(z.string()).optional(),
 });
 type Patch = z.infer<typeof Patch>;
 
--- a/src/config/rule.ts
+++ b/src/config/rule.ts
@@ -1,12 +1,13 @@
 /** Defines the rules by which operators select requests and set how they are handled. */
 import { z } from "zod";
+import { RegionName } from "../ids/regionname.js";
 import { RuleName } from "../ids/rulename.js";
 import { ServiceName } from "../ids/servicename.js";
 import { TeamName } from "../ids/teamname.js";
 import { Priority } from "./priority.js";
 import { priorityOfRank } from "./priorityofrank.js";
-import { RequestKind } from "./requestkind.js";
 import { ResponseMode } from "./responsemode.js";
+import { RuleKind } from "./rulekind.js";
 import { WeightedService } from "./weightedservice.js";
 
 const DEFAULT_TIME_LIMIT_MS = 10_000;
@@ -20,6 +21,8 @@
 const MAX_SHARES = 64;
 /** Limits the attempts of a request; further attempts would only add load. */
 const MAX_ATTEMPTS = 16;
+/** Limits the regions of a rule; more than any deployment has. */
+const MAX_REGIONS = 64;
 
 const Method = z.string().regex(/^[A-Z][A-Z-]{0,31}$/, "must be an HTTP method in capitals");
 
@@ -39,11 +42,13 @@
         .optional(),
     priority: z.union([Priority, z.int().min(0).transform(priorityOfRank)]).default("normal"),
     tenant: TeamName.default("none" as TeamName),
-    kind: RequestKind.optional(),
+    kind: RuleKind.optional(),
     timeLimitMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).default(DEFAULT_TIME_LIMIT_MS),
     targetMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).optional(),
     maxTries: z.int().min(1).max(MAX_ATTEMPTS).optional(),
     answer: ResponseMode.default("whole"),
+    public: z.boolean().default(false),
+    regions: z.array(RegionName).max(MAX_REGIONS).optional(),
 });
 type Rule = z.infer<typeof Rule>;
 
@@ -54,5 +59,7 @@
  * - `kind`: derived from the method if omitted.
  * - `targetMs`: the time within which a response is most useful to the caller.
  * - `maxTries`: the largest number of attempts for a request.
+ * - `public`: if true, requests need no key, also where the document has teams.
+ * - `regions`: the only regions in which the requests may be served; all regions if omitted.
  */
 export { Rule };
