--- a/src/operator/explain.ts
+++ b/src/operator/explain.ts
@@ -5,7 +5,7 @@
 import type { UpstreamView } from "../ingress/upstreamview.js";
 import { ExpectedTime } from "../policy/placement/expectedtime.js";
 import { decideKind } from "../policy/retry/decidekind.js";
-import { matchRule } from "../policy/routing/matchrule.js";
+import { routingTableOf } from "../policy/routing/routingtableof.js";
 import type { Explanation } from "./explanation.js";
 
 const expectedTime = new ExpectedTime();
@@ -36,7 +36,7 @@
     { method, url }: { readonly method: string; readonly url: URL; },
     now: number,
 ): Explanation {
-    const rule = matchRule(document.rules, { method, host: url.host, path: url.pathname });
+    const rule = routingTableOf(document).rules.match({ method, host: url.host, path: url.pathname });
     if (rule === undefined) {
         return { rule, kind: undefined, kindReason: "no rule matches", candidates: [] };
     }
--- a/src/policy/routing/matchrequest.ts
+++ b/src/policy/routing/matchrequest.ts
@@ -7,8 +7,8 @@
 import type { Document } from "../../config/document.js";
 import { decideKind } from "../retry/decidekind.js";
 import type { MatchedRule } from "./matchedrule.js";
-import { matchRule } from "./matchrule.js";
 import type { RequestTarget } from "./requesttarget.js";
+import { routingTableOf } from "./routingtableof.js";
 import { selectService } from "./selectservice.js";
 
 /**
@@ -23,12 +23,13 @@
     isConfigFresh: boolean,
     sample: number,
 ): MatchedRule | undefined {
-    const rule = matchRule(document.rules, target);
+    const { rules, services } = routingTableOf(document);
+    const rule = rules.match(target);
     if (rule === undefined) {
         return undefined;
     }
     const name = selectService(rule, sample);
-    const service = document.services.find(item => item.name === name);
+    const service = services.get(name);
     if (service === undefined) {
         return undefined;
     }
