--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -183,7 +183,7 @@
     ): void {
         const elapsedMs = this.deps.clock() - plan.startedAt;
         this.#reportFailureToParent(req, outcome, status);
-        const { priority, tenant: team } = plan.rule;
+        const { priority, team } = plan;
         this.deps.metrics.recordFinishedRequest({ service: plan.service.name, priority, team }, outcome, elapsedMs);
         requestLog.requestEnded(plan, { outcome, status, revision: this.deps.revision(), attempts, elapsedMs });
     }
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -1,10 +1,15 @@
 /** The plan for a request: what is known of it before an upstream is chosen. */
+import type { Priority } from "../config/priority.js";
+import type { TeamName } from "../ids/teamname.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 
 /** The rule and service of a request, with its deadline. Times are milliseconds on the daemon's clock. */
 export type Plan = MatchedRule & {
     readonly type: "plan";
+    /** The team that the request is accounted to; `none` if there is none. */
+    readonly team: TeamName;
+    readonly priority: Priority;
     /** Selects the part of a split: from 0 (inclusive) to 1 (exclusive), sampled once per request. */
     readonly splitSample: number;
     readonly startedAt: number;
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -58,6 +58,8 @@
         return {
             type: "plan",
             ...matched,
+            team: matched.rule.tenant,
+            priority: matched.rule.priority,
             splitSample: sample,
             startedAt,
             deadline: this.#deadline(req, matched, parent, startedAt),
