--- a/src/daemon/rulematcher.test.ts
+++ b/src/daemon/rulematcher.test.ts
@@ -6,6 +6,7 @@
 import { Rule } from "../config/rule.js";
 import { Service } from "../config/service.js";
 import { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import type { TeamName } from "../ids/teamname.js";
 import type { OutgoingRequest } from "../ingress/outgoingrequest.js";
 import type { Plan } from "../ingress/plan.js";
 import { RuleMatcher } from "./rulematcher.js";
@@ -27,6 +28,8 @@
         const matched = matcher.find(target, splitSample)!;
         const plan: Plan = {
             type: "plan",
+            team: "none" as TeamName,
+            priority: "normal",
             ...matched,
             splitSample,
             startedAt: 0,
