--- a/src/config/rule.ts
+++ b/src/config/rule.ts
@@ -47,7 +47,7 @@
     targetMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).optional(),
     maxTries: z.int().min(1).max(MAX_ATTEMPTS).optional(),
     answer: ResponseMode.default("whole"),
-    public: z.boolean().default(false),
+    public: z.boolean().optional(),
     regions: z.array(RegionName).max(MAX_REGIONS).optional(),
 });
 type Rule = z.infer<typeof Rule>;
