--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -5,6 +5,7 @@
 import { Planner } from "../ingress/planner.js";
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
+import { keyedAgeLimitMs } from "../policy/access/keyedagelimitms.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -116,7 +117,10 @@
         const planner = new Planner({
             dialect,
             random,
-            revision,
+            document: () => current.document,
+            configurationAgeMs: () => current.ageMs(clock()),
+            keyedAgeLimitMs: keyedAgeLimitMs(policy.keys.maxConfigurationAgeMs),
+            onAccessRefused: reason => metrics.countAccessRefusal(reason),
             contexts: this.gates.callContexts,
             findRule: (target, sample) => rules.find(target, sample),
         });
--- a/src/daemon/rulematcher.ts
+++ b/src/daemon/rulematcher.ts
@@ -2,6 +2,8 @@
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import type { OutgoingRequest } from "../ingress/outgoingrequest.js";
 import type { Plan } from "../ingress/plan.js";
+import { allowedRegions } from "../policy/access/allowedregions.js";
+import { teamIndexOf } from "../policy/access/teamindexof.js";
 import { isStaleKind } from "../policy/retry/isstalekind.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import { matchRequest } from "../policy/routing/matchrequest.js";
@@ -25,10 +27,12 @@
     /** Returns the plan updated to the current rules, or unchanged if no rule matches. */
     replan(out: OutgoingRequest, plan: Plan): Plan {
         const { method, path, headers } = out;
-        return {
-            ...plan,
-            ...this.find({ method, host: headers["host"] as string | undefined, path }, plan.splitSample),
-        };
+        const matched = this.find({ method, host: headers["host"] as string | undefined, path }, plan.splitSample);
+        if (matched === undefined) {
+            return plan;
+        }
+        const team = teamIndexOf(this.configuration.document)?.byName.get(plan.team);
+        return { ...plan, ...matched, regions: allowedRegions(matched.rule.regions, team?.regions) };
     }
 
     /** Returns true if the sender treats the request as repeatable by an older revision and the rules here do not. */
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -14,6 +14,9 @@
 /** Minimum length of `peerKey` in characters; a shorter key could be guessed within seconds. */
 const MIN_KEY_LENGTH = 16;
 
+/** A shorter limit would be reached between two confirmations of the configuration. */
+const MIN_STRICT_AGE_MS = 1500;
+
 const Ms = z.int().min(1).max(3_600_000);
 
 const Limits = z.strictObject({
@@ -57,6 +60,14 @@
     slack: z.number().min(0).max(1_000_000).default(2),
 });
 
+/**
+ * `maxConfigurationAgeMs`: strict revocation. A removed key is accepted nowhere for longer than this after its removal,
+ * also by daemons that are cut off.
+ */
+const Keys = z.strictObject({
+    maxConfigurationAgeMs: Ms.min(MIN_STRICT_AGE_MS).optional(),
+});
+
 const Policy = z.strictObject({
     profile: z.enum(["frugal", "responsive"]).default("responsive"),
     placement: z.enum(["expected-time", "round-robin", "random", "least-outstanding", "two-choices"])
@@ -68,6 +79,7 @@
     repeats: Repeats.prefault({}),
     cold: Cold.prefault({}),
     placementOptions: PlacementOptions.prefault({}),
+    keys: Keys.prefault({}),
 });
 
 const Log = z.strictObject({
--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -22,6 +22,10 @@
     abstract readonly upstream: string;
     /** Names the service on the host that a request to an upstream comes from. */
     abstract readonly callerService: string;
+    /** Carries the caller's key; never sent to upstreams where the document has teams. */
+    abstract readonly key: string;
+    /** Names the team of the caller to an upstream. */
+    abstract readonly team: string;
     /** Links a call to its request: sent to upstreams, and returned by them on the calls that they make. */
     abstract readonly context: string;
     /** Carries the load report of an upstream. */
@@ -67,10 +71,10 @@
     /** Returns true if the response is the upstream's own response to the request with this id. */
     abstract isOwnResponse(status: number, headers: HttpHeaders, id: string): boolean;
     /**
-     * Returns the id of the request during which an upstream makes this call, or undefined if the call does not show
-     * it.
+     * Returns the ids that the request during which an upstream makes this call may have, the most likely first; empty
+     * if the call does not show it. The caller chooses them, so they prove nothing.
      */
-    abstract parentOf(headers: HttpHeaders): string | undefined;
+    abstract parentIdsOf(headers: HttpHeaders): readonly string[];
     /** Returns true if the upstream reports that it is about to stop. */
     abstract isLeaving(headers: HttpHeaders): boolean;
     /** True if an upstream that leaves never returns under its name. */
--- a/src/dialect/headername.ts
+++ b/src/dialect/headername.ts
@@ -2,7 +2,7 @@
 
 /** All start with `winglock-`, so that one check of the prefix strips them from callers' requests. */
 export const headerName = {
-    /** Carries the key that daemons share, on every call between them. */
+    /** Carries the key that daemons share, on every call between them; callers' keys come on another listener. */
     key: "winglock-key",
     /** Carries `not-run` or `unknown`: sent to callers on problems, and by upstreams that shed load. */
     outcome: "winglock-outcome",
@@ -16,6 +16,10 @@
     upstream: "winglock-upstream",
     /** Names the service on the host that a request to an upstream comes from. */
     caller: "winglock-caller",
+    /** Carries the key of a caller's team. */
+    callerKey: "winglock-key",
+    /** Names the team of the caller to an upstream. */
+    team: "winglock-team",
     /** Carries an upstream's running requests, queued requests, slots and pace in hundredths, separated by commas. */
     load: "winglock-load",
     /** States on health endpoints for how many more milliseconds the upstream is cold. */
--- a/src/dialect/owndialect.ts
+++ b/src/dialect/owndialect.ts
@@ -15,6 +15,8 @@
     readonly timeLimit = headerName.timeout;
     readonly upstream = headerName.upstream;
     readonly callerService = headerName.caller;
+    readonly key = headerName.callerKey;
+    readonly team = headerName.team;
     readonly context = headerName.context;
     readonly upstreamLoad = headerName.load;
     readonly requestLimit = headerName.limit;
@@ -39,9 +41,9 @@
         return echo === undefined || echo === id;
     }
 
-    /** Returns undefined: the context field links a call to its request instead. */
-    parentOf(): undefined {
-        return undefined;
+    /** Returns no id: the context field links a call to its request instead. */
+    parentIdsOf(): readonly string[] {
+        return [];
     }
 
     isLeaving(headers: HttpHeaders): boolean {
--- a/src/dialect/requestkeyof.test.ts
+++ b/src/dialect/requestkeyof.test.ts
@@ -21,6 +21,8 @@
         { ...request, headers: { host: "i" } },
         { ...request, headers: { host: "h", authorization: "someone" } },
         { ...request, headers: { host: "h", cookie: "session=1" } },
+        { ...request, headers: { host: "h", [dialect.team]: "red" } },
+        { ...request, headers: { host: "h", [dialect.team]: "blue" } },
         { ...request, body: Buffer.from("y") },
         { ...request, body: undefined },
     ];
--- a/src/dialect/requestkeyof.ts
+++ b/src/dialect/requestkeyof.ts
@@ -18,6 +18,9 @@
 };
 
 /**
+ * Callers are told apart by their identifying fields and by the team that the ingress states; the key that a caller
+ * presents was removed before.
+ *
  * Returns the key, or undefined for a request with a streamed body, since its content is not known before it is sent.
  * Ingress and gate each compute the key, which takes about 5 microseconds, so that it adds no traffic between data
  * halls.
@@ -27,6 +30,10 @@
         return undefined;
     }
     const fields = dialect.callerFields.map(name => headers[name] ?? "");
+    const team = headers[dialect.team];
+    if (team !== undefined) {
+        fields.push(team);
+    }
     const hash = createHash("sha256").update(JSON.stringify([method, siteOf(headers.host), path, ...fields]));
     if (body !== undefined) {
         hash.update(body);
--- a/src/gate/callcontexts.ts
+++ b/src/gate/callcontexts.ts
@@ -1,6 +1,7 @@
 /** Links the calls that a local upstream makes to the request for which it makes them. */
 import { randomBytes } from "node:crypto";
 import type { ServiceName } from "../ids/servicename.js";
+import type { TeamName } from "../ids/teamname.js";
 import type { WorkTime } from "../policy/admission/worktime.js";
 
 /** Long enough that a token cannot be guessed. */
@@ -13,6 +14,8 @@
     readonly requestId: string;
     /** Time at which the request's time limit ends, in milliseconds on the daemon's clock. */
     readonly deadline: number;
+    /** The team that the request is accounted to, and so are its calls. */
+    readonly team: TeamName;
     /** Number of calls in the chain that led to the request. */
     readonly depth: number;
     /** True if the run is a repeat; the calls that it makes are repeats too. */
@@ -25,28 +28,31 @@
     retriedBelow: boolean;
 };
 
-type RunDetails = Pick<CallContext, "deadline" | "depth" | "isRepeat" | "work">;
+type RunDetails = Pick<CallContext, "deadline" | "team" | "depth" | "isRepeat" | "work">;
 
 /**
- * The contexts of the running requests, by token. A caller cannot guess a token, so it cannot set its own depth or
- * deadline.
+ * The contexts of the requests that run at an upstream beside this daemon; a context is closed when its run ends. Only
+ * the upstream knows the token, so it proves that a call is the upstream's. The id of a request does not prove this
+ * where callers choose it: whoever knows the id and reaches this daemon's listener for callers while the request runs
+ * can make requests that count as its calls (docs/design/teams-and-keys.md).
  */
 export class CallContexts {
     readonly #byToken = new Map<string, CallContext>();
     readonly #byRequest = new Map<string, CallContext>();
 
     /** Opens the context of a run; `requestId` is the id by which the upstream knows the request. */
-    open(requestId: string, { deadline, depth, isRepeat, work }: RunDetails): CallContext {
+    open(requestId: string, details: RunDetails): CallContext {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
-        const context = { token, requestId, deadline, depth, isRepeat, work, calls: new Map(), retriedBelow: false };
+        const context = { ...details, token, requestId, calls: new Map(), retriedBelow: false };
         this.#byToken.set(token, context);
         this.#byRequest.set(requestId, context);
         return context;
     }
 
-    /** Returns the context of the running request with this id; undefined if there is none. */
-    findByRequest(requestId: string | undefined): CallContext | undefined {
-        return requestId === undefined ? undefined : this.#byRequest.get(requestId);
+    /** Returns the context of the first of these requests that is running; undefined if none is. */
+    findByRequests(requestIds: readonly string[]): CallContext | undefined {
+        const runningId = requestIds.find(id => this.#byRequest.has(id));
+        return runningId === undefined ? undefined : this.#byRequest.get(runningId);
     }
 
     /** Returns the context with this token; undefined if there is none. */
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -75,7 +75,8 @@
         const { deadline } = request;
         this.#workTime = new WorkTime(deps.levels, this.#startedAt);
         this.#requestId = deps.dialect.idOf(headers, head.id);
-        const runDetails = { deadline, depth: head.depth, isRepeat: head.arrival !== "first", work: this.#workTime };
+        const { team, depth, arrival } = head;
+        const runDetails = { deadline, team, depth, isRepeat: arrival !== "first", work: this.#workTime };
         this.#context = deps.contexts.open(this.#requestId, runDetails);
         this.#deadlineTimer = setTimeout(() => {
             this.#abortUnanswered();
--- a/src/http/httpstatus.ts
+++ b/src/http/httpstatus.ts
@@ -8,6 +8,7 @@
     multipleChoices: 300,
     notModified: 304,
     badRequest: 400,
+    unauthorized: 401,
     forbidden: 403,
     notFound: 404,
     conflict: 409,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -167,7 +167,7 @@
         if (body === undefined || "type" in body) {
             return body;
         }
-        const outgoing = { id, method: req.method ?? "GET", headers: this.#headers(req), path, body };
+        const outgoing = { id, method: req.method ?? "GET", headers: this.#headers(req, plan), path, body };
         const handler = new RequestHandler(callerResponse, plan, outgoing, this.deps);
         const outcome = await handler.run();
         this.#recordEnd(req, res, plan, requestLog, { outcome, attempts: handler.attempts });
@@ -204,11 +204,20 @@
         }
     }
 
-    #headers(req: IncomingMessage): HttpHeaders {
+    /** Where keys are checked, the key is left out, and the team is the one that the key proves, or none. */
+    #headers(req: IncomingMessage, { identity }: Plan): HttpHeaders {
         const headers = forwardableHeaders(req.headers);
+        const { dialect } = this.deps;
         const { callerService } = this.listenerParts;
         if (callerService !== undefined) {
-            headers[this.deps.dialect.callerService] = callerService;
+            headers[dialect.callerService] = callerService;
+        }
+        if (identity !== undefined) {
+            delete headers[dialect.key];
+            delete headers[dialect.team];
+            if (identity.statedTeam !== undefined) {
+                headers[dialect.team] = identity.statedTeam;
+            }
         }
         return headers;
     }
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -1,6 +1,8 @@
 /** The plan for a request: what is known of it before an upstream is chosen. */
 import type { Priority } from "../config/priority.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { TeamName } from "../ids/teamname.js";
+import type { AccessDecision } from "../policy/access/accessdecision.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 
@@ -10,6 +12,10 @@
     /** The team that the request is accounted to; `none` if there is none. */
     readonly team: TeamName;
     readonly priority: Priority;
+    /** Who sends the request; undefined if the document has no teams. */
+    readonly identity?: Extract<AccessDecision, { type: "granted"; }>["identity"];
+    /** The only regions in which the request may be served, on each attempt; all regions if undefined. */
+    readonly regions?: readonly RegionName[];
     /** Selects the part of a split: from 0 (inclusive) to 1 (exclusive), sampled once per request. */
     readonly splitSample: number;
     readonly startedAt: number;
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -1,7 +1,14 @@
 /** Plans a caller's request before an upstream is chosen: finds its rule and computes its deadline and depth. */
 import type { IncomingMessage } from "node:http";
+import type { Document } from "../config/document.js";
 import type { Dialect } from "../dialect/dialect.js";
+import { presentedKeyOf } from "../dialect/presentedkeyof.js";
 import type { CallContexts } from "../gate/callcontexts.js";
+import type { AccessDecision } from "../policy/access/accessdecision.js";
+import type { AccessRefusalReason } from "../policy/access/accessrefusalreason.js";
+import { decideAccess } from "../policy/access/decideaccess.js";
+import type { PresentedKey } from "../policy/access/presentedkey.js";
+import { staleRetryAfterMs } from "../policy/access/staleretryafterms.js";
 import { maxDepth } from "../policy/admission/maxdepth.js";
 import { requestDeadline } from "../policy/admission/requestdeadline.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
@@ -19,12 +26,19 @@
     readonly dialect: Dialect;
     readonly contexts: CallContexts;
     readonly random: RandomSource;
-    /** Returns the revision of the configuration, or 0 while none is known. */
-    readonly revision: () => number;
+    /** Returns the configuration, of revision 0 while none is known. */
+    readonly document: () => Document;
+    /** Returns the milliseconds since the configuration was last known to be the newest. */
+    readonly configurationAgeMs: () => number;
+    /** Age of the configuration from which on keyed requests are refused; undefined if revocation is not strict. */
+    readonly keyedAgeLimitMs: number | undefined;
+    /** Called for each request that is refused because of its key. */
+    readonly onAccessRefused: (reason: AccessRefusalReason) => void;
     /** Returns the rule for a request, or undefined if none matches. */
     readonly findRule: (target: RequestTarget, sample: number) => MatchedRule | undefined;
 };
 
+type Refused = Extract<AccessDecision, { type: "refused"; }>;
 type Parent = NonNullable<ReturnType<CallContexts["findByToken"]>>;
 
 /** Gathers the inputs of each plan; the decisions are made in src/policy/routing and src/policy/admission. */
@@ -37,18 +51,23 @@
 
     /** Returns the plan for a request, or the refusal to send; `startedAt` is in milliseconds on the daemon's clock. */
     plan(req: IncomingMessage, path: string, startedAt: number, log: RequestLog): Plan | RequestRefusal {
-        const { revision } = this.deps;
-        if (revision() === 0) {
+        const { revision } = this.deps.document();
+        if (revision === 0) {
             log.noConfiguration();
             return { type: "refusal", problem: "not-ready", detail: "", retryAfterMs: unplacedRetryAfterMs };
         }
         const { method = "GET", headers: { host } } = req;
         const { sample, matched } = this.#match({ method, host, path });
         if (matched === undefined) {
-            log.noRuleMatched(host, path, revision());
+            log.noRuleMatched(host, path, revision);
             return { type: "refusal", problem: "no-rule", detail: `${method} ${path}` };
         }
         const parent = this.parentOf(req);
+        const key = this.#keyOf(req);
+        const access = this.#decideAccess(matched, key, parent);
+        if (access.type === "refused") {
+            return this.#refuse(access, key, matched, log);
+        }
         const { name } = matched.service;
         parent?.calls.set(name, (parent.calls.get(name) ?? 0) + 1);
         const depth = parent === undefined ? 0 : parent.depth + 1;
@@ -58,8 +77,10 @@
         return {
             type: "plan",
             ...matched,
-            team: matched.rule.tenant,
-            priority: matched.rule.priority,
+            team: access.team,
+            priority: access.priority,
+            identity: access.identity,
+            regions: access.regions,
             splitSample: sample,
             startedAt,
             deadline: this.#deadline(req, matched, parent, startedAt),
@@ -79,11 +100,48 @@
         return { sample, matched: findRule(target, sample) };
     }
 
-    /** Returns the request during which a local upstream makes this call, or undefined if it is not such a call. */
+    /**
+     * Returns the request during which a local upstream makes this call, or undefined if it is not such a call. Where
+     * keys are checked, a request with a key is no call: upstreams have no keys.
+     */
     parentOf(req: IncomingMessage): Parent | undefined {
-        const { dialect, contexts } = this.deps;
+        const { dialect, contexts, document } = this.deps;
+        if (document().teams !== undefined && req.headers[dialect.key] !== undefined) {
+            return undefined;
+        }
         const token = req.headers[dialect.context] as string | undefined;
-        return contexts.findByToken(token) ?? contexts.findByRequest(dialect.parentOf(req.headers));
+        return contexts.findByToken(token) ?? contexts.findByRequests(dialect.parentIdsOf(req.headers));
+    }
+
+    /** Node.js joins repeated fields with commas, so only a value with a comma may come from several fields. */
+    #keyOf(req: IncomingMessage): PresentedKey {
+        const { dialect, document } = this.deps;
+        const value = req.headers[dialect.key];
+        if (value === undefined || document().teams === undefined) {
+            return { type: "none" };
+        }
+        return presentedKeyOf(
+            typeof value === "string" && !value.includes(",") ? [value] : req.headersDistinct[dialect.key] ?? [],
+        );
+    }
+
+    #decideAccess({ rule }: MatchedRule, key: PresentedKey, parent: Parent | undefined): AccessDecision {
+        const { document, configurationAgeMs, keyedAgeLimitMs } = this.deps;
+        return decideAccess({
+            document: document(),
+            rule,
+            key,
+            parentTeam: parent?.team,
+            configurationAgeMs: configurationAgeMs(),
+            keyedAgeLimitMs,
+        });
+    }
+
+    #refuse({ problem, reason }: Refused, key: PresentedKey, { rule }: MatchedRule, log: RequestLog): RequestRefusal {
+        this.deps.onAccessRefused(reason);
+        log.accessRefused(reason, key, rule.name, Math.round(this.deps.configurationAgeMs()));
+        const retryAfterMs = problem === "stale" ? staleRetryAfterMs : undefined;
+        return { type: "refusal", problem, detail: reason, retryAfterMs };
     }
 
     #deadline(req: IncomingMessage, { rule }: MatchedRule, parent: Parent | undefined, startedAt: number): number {
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -9,6 +9,11 @@
 export const problems: Readonly<Record<ProblemType, Problem>> = {
     "no-rule": { status: httpStatus.notFound, title: "No rule matches the request." },
     "not-ready": { status: httpStatus.serviceUnavailable, title: "The daemon has no configuration yet." },
+    "unauthorized": { status: httpStatus.unauthorized, title: "The request needs the key of a team." },
+    "stale": {
+        status: httpStatus.serviceUnavailable,
+        title: "The daemon's configuration is too old for it to accept keys.",
+    },
     "too-deep": { status: httpStatus.loopDetected, title: "Calls between services are nested too deep." },
     "head-too-large": {
         status: httpStatus.requestHeaderFieldsTooLarge,
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -1,5 +1,9 @@
 /** Writes the ingress's log lines of one request; the gates that it is sent to log the same id. */
+import { fingerprintOf } from "../config/fingerprintof.js";
+import type { RuleName } from "../ids/rulename.js";
 import { log } from "../log/log.js";
+import type { AccessRefusalReason } from "../policy/access/accessrefusalreason.js";
+import type { PresentedKey } from "../policy/access/presentedkey.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { reasonLabel } from "../policy/retry/reasonlabel.js";
 import type { RetryDecision } from "../policy/retry/retrydecision.js";
@@ -91,7 +95,17 @@
         logger.failure(this.id, "The daemon has no configuration yet; the request is refused.", {});
     }
 
-    requestEnded({ rule, kind, service, startedAt, deadline }: Plan, ended: EndedRequest): void {
+    /** `configurationAgeMs` is the time since the configuration was last confirmed, in milliseconds. */
+    accessRefused(reason: AccessRefusalReason, key: PresentedKey, rule: RuleName, configurationAgeMs: number): void {
+        logger.failure(this.id, "The request is refused because of its key.", {
+            reason,
+            key: key.type === "digest" ? fingerprintOf(key.digest) : key.type,
+            rule,
+            configurationAgeMs,
+        });
+    }
+
+    requestEnded({ rule, kind, service, team, priority, startedAt, deadline }: Plan, ended: EndedRequest): void {
         const { outcome, status, revision, attempts, elapsedMs } = ended;
         logger[outcome === "served" ? "decision" : "failure"](this.id, "The request has ended.", {
             outcome,
@@ -99,6 +113,8 @@
             rule: rule.name,
             kind,
             service: service.name,
+            team,
+            priority,
             revision,
             tries: attempts,
             ms: Math.round(elapsedMs),
--- a/src/ingress/sendproblem.ts
+++ b/src/ingress/sendproblem.ts
@@ -1,6 +1,7 @@
 /** Sends a problem document (RFC 9457) to a caller. */
 import type { ServerResponse } from "node:http";
 import type { Dialect } from "../dialect/dialect.js";
+import { httpStatus } from "../http/httpstatus.js";
 import type { ProblemType } from "../policy/retry/problemtype.js";
 import { problems } from "./problems.js";
 
@@ -19,6 +20,9 @@
     const { status, title } = problems[type];
     const { outcome, detail, retryAfterMs } = details;
     const body = JSON.stringify({ type: `urn:winglock:problem:${type}`, title, status, detail, outcome });
+    if (status === httpStatus.unauthorized) {
+        res.setHeader("www-authenticate", `ApiKey header="${dialect.key}"`);
+    }
     if (retryAfterMs !== undefined) {
         res.setHeader("retry-after", dialect.retryAfter(retryAfterMs));
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -3,6 +3,7 @@
 import type { Priority } from "../config/priority.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
+import type { AccessRefusalReason } from "../policy/access/accessrefusalreason.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { ConnectionKind } from "./connectionkind.js";
 import type { StoreCallKind } from "./storecallkind.js";
@@ -53,6 +54,12 @@
         labelNames: ["service", "reason"] as const,
         registers: [this.registry],
     });
+    readonly #accessRefusals = new Counter({
+        name: "winglock_access_refused_total",
+        help: "Callers' requests that were refused because of their key, by reason.",
+        labelNames: ["reason"] as const,
+        registers: [this.registry],
+    });
     readonly #unresponsiveConnections = new Counter({
         name: "winglock_silent_connections_total",
         help: "Open connections that were found to carry nothing any more.",
@@ -156,6 +163,11 @@
         this.#heldBack.inc({ service, reason });
     }
 
+    /** Records that a caller's request was refused because of its key. */
+    countAccessRefusal(reason: AccessRefusalReason): void {
+        this.#accessRefusals.inc({ reason });
+    }
+
     /** Records an open connection that was found to be unresponsive. */
     countUnresponsiveConnection(kind: ConnectionKind): void {
         this.#unresponsiveConnections.inc({ kind });
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -5,6 +5,8 @@
 export type ProblemType =
     | "no-rule"
     | "not-ready"
+    | "unauthorized"
+    | "stale"
     | "too-deep"
     | "head-too-large"
     | "body-too-large"
