--- a/src/config/checkteams.test.ts
+++ b/src/config/checkteams.test.ts
@@ -20,6 +20,10 @@
     assert.ok(!JSON.stringify(issues).includes("key-1") && !JSON.stringify(issues).includes(digestKey("key-1")));
 });
 
+test("teams: a key that one team lists twice is accepted", () => {
+    assert.deepEqual(checkTeams([team("red", ["key-1", "key-1"]), team("blue", ["key-2"])]), []);
+});
+
 test("teams: a rate below 0 is rejected with its field", () => {
     assert.throws(() => team("red", [], { ratePerSecond: -1 }), /ratePerSecond/);
 });
--- a/src/config/checkteams.ts
+++ b/src/config/checkteams.ts
@@ -5,6 +5,7 @@
 
 /**
  * Returns an issue for each team name that is used again and each key that several teams have; no issue contains a key.
+ * A key that a team lists twice does no harm.
  */
 export function checkTeams(teams: readonly Team[]): Issue[] {
     const issues: Issue[] = [];
@@ -21,7 +22,7 @@
         names.add(name);
         keyDigests.forEach((digest, index) => {
             const owner = owners.get(digest);
-            if (owner !== undefined) {
+            if (owner !== undefined && owner !== name) {
                 issues.push({
                     code: "shared-key",
                     path: `teams.${teamIndex}.keyDigests.${index}`,
--- a/src/config/parse.ts
+++ b/src/config/parse.ts
@@ -17,17 +17,26 @@
     return text === undefined ? "nothing" : text.slice(0, MAX_VALUE_CHARS);
 };
 
-const toIssue = (input: unknown, issue: z.core.$ZodIssue): Issue => ({
+/** Returns false if the value at the path may contain a key, so that errors must not show it. */
+type MayShow = (path: readonly PropertyKey[]) => boolean;
+
+const toIssue = (input: unknown, issue: z.core.$ZodIssue, mayShow: MayShow): Issue => ({
     code: issue.code,
     path: issue.path.map(String).join("."),
-    message: `${issue.message}; got ${formatValue(valueAt(input, issue.path))}`,
+    message: mayShow(issue.path)
+        ? `${issue.message}; got ${formatValue(valueAt(input, issue.path))}`
+        : issue.message,
 });
 
 /** Returns the validated value. Throws a ConfigError that names each invalid field, its value and what is allowed. */
-export function parse<Schema extends z.ZodType>(schema: Schema, input: unknown): z.infer<Schema> {
+export function parse<Schema extends z.ZodType>(
+    schema: Schema,
+    input: unknown,
+    mayShow: MayShow = () => true,
+): z.infer<Schema> {
     const result = schema.safeParse(input);
     if (result.success) {
         return result.data;
     }
-    throw new ConfigError(result.error.issues.map(issue => toIssue(input, issue)));
+    throw new ConfigError(result.error.issues.map(issue => toIssue(input, issue, mayShow)));
 }
--- a/src/policy/access/decideaccess.ts
+++ b/src/policy/access/decideaccess.ts
@@ -13,6 +13,7 @@
 import type { AccessDecision } from "./accessdecision.js";
 import { allowedRegions } from "./allowedregions.js";
 import type { PresentedKey } from "./presentedkey.js";
+import type { TeamIndex } from "./teamindex.js";
 import { teamIndexOf } from "./teamindexof.js";
 
 const NO_TEAM = "none" as TeamName;
@@ -45,6 +46,10 @@
     regions: allowedRegions(rule.regions, team?.regions),
 });
 
+/** `name` is `none` for a request to a public rule and for the calls that such a request makes. */
+const grantWithoutKey = (rule: Rule, name: TeamName, { byName }: TeamIndex): Granted =>
+    grant(rule, name, name === NO_TEAM ? undefined : byName.get(name), { statedTeam: undefined });
+
 /** Returns the team, priority and regions of the request, or why it is refused. */
 export function decideAccess(input: AccessInput): AccessDecision {
     const { document, rule, key, parentTeam, configurationAgeMs, keyedAgeLimitMs } = input;
@@ -57,7 +62,7 @@
     }
     if (key.type === "none") {
         return parentTeam !== undefined || rule.public === true
-            ? grant(rule, parentTeam ?? NO_TEAM, teams.byName.get(parentTeam ?? NO_TEAM), { statedTeam: undefined })
+            ? grantWithoutKey(rule, parentTeam ?? NO_TEAM, teams)
             : { type: "refused", problem: "unauthorized", reason: "missing-key" };
     }
     if (keyedAgeLimitMs !== undefined && configurationAgeMs >= keyedAgeLimitMs) {
