--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -15,6 +15,8 @@
 import { UnknownHalls } from "../evacuation/unknownhalls.js";
 import { Membership } from "../membership/membership.js";
 import { selectRelays } from "../membership/selectrelays.js";
+import { confirmationIntervalMs } from "../policy/access/confirmationintervalms.js";
+import { keyedAgeLimitMs } from "../policy/access/keyedagelimitms.js";
 import type { Member } from "../wire/member.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
@@ -169,6 +171,9 @@
             hall: settings.hall,
             host: settings.host,
             configuration: current,
+            confirmationIntervalMs: confirmationIntervalMs(
+                keyedAgeLimitMs(settings.policy.keys.maxConfigurationAgeMs),
+            ),
             puller,
             election: new WatcherElection(self, clock(), this.registryMembership === undefined ? 0 : DISCOVERY_MS),
             watch: this.registryMembership?.watch ?? new ConfigurationWatch(watcher),
--- a/src/daemon/ownenvironment.ts
+++ b/src/daemon/ownenvironment.ts
@@ -2,6 +2,8 @@
 import { OwnDialect } from "../dialect/owndialect.js";
 import { splitAddress } from "../ids/splitaddress.js";
 import type { Metrics } from "../metrics/metrics.js";
+import { confirmationIntervalMs } from "../policy/access/confirmationintervalms.js";
+import { keyedAgeLimitMs } from "../policy/access/keyedagelimitms.js";
 import { countStoreEvents } from "../store/countstoreevents.js";
 import { HttpStore } from "../store/httpstore.js";
 import type { Environment } from "./environment.js";
@@ -10,6 +12,7 @@
 /** Creates an environment without a registry; `metrics` counts the calls to its store and their bytes. */
 export function ownEnvironment(settings: Settings, metrics: Metrics): Environment {
     const localIp = splitAddress(settings.peer).ip;
-    const store = new HttpStore(settings.store, localIp, countStoreEvents(metrics));
+    const maxWatchMs = confirmationIntervalMs(keyedAgeLimitMs(settings.policy.keys.maxConfigurationAgeMs));
+    const store = new HttpStore(settings.store, localIp, countStoreEvents(metrics), maxWatchMs);
     return { dialect: new OwnDialect(), store, registry: undefined };
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -14,8 +14,8 @@
 /** Minimum length of `peerKey` in characters; a shorter key could be guessed within seconds. */
 const MIN_KEY_LENGTH = 16;
 
-/** A shorter limit would be reached between two confirmations of the configuration. */
-const MIN_STRICT_AGE_MS = 1500;
+/** A shorter limit would need confirmations of the configuration more often than eight times a second. */
+const MIN_STRICT_AGE_MS = 1000;
 
 const Ms = z.int().min(1).max(3_600_000);
 
--- a/src/distribution/currentconfiguration.ts
+++ b/src/distribution/currentconfiguration.ts
@@ -40,6 +40,11 @@
         this.#listeners.push(listener);
     }
 
+    /** The time at which this revision was last known to be the newest in the store; -Infinity if it never was. */
+    get confirmedAt(): number {
+        return this.#confirmedAt;
+    }
+
     /**
      * Returns the milliseconds since this revision was last known to be the newest in the store; Infinity if it never
      * was.
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -8,25 +8,17 @@
  * Owns the timers. watcherelection.ts decides which daemons watch, heartbeatsender.ts who gets a heartbeat when.
  */
 import type { Message } from "../datagram/message.js";
-import type { Evacuations } from "../evacuation/evacuations.js";
 import type { Address } from "../ids/address.js";
-import type { HallName } from "../ids/hallname.js";
-import type { HostName } from "../ids/hostname.js";
 import { sample } from "../policy/placement/sample.js";
-import type { RandomSource } from "../policy/randomsource.js";
-import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
 import { ChangeThrottle } from "./changethrottle.js";
-import type { ConfigurationPuller } from "./configurationpuller.js";
-import type { CurrentConfiguration } from "./currentconfiguration.js";
-import type { DaemonLocation } from "./daemonlocation.js";
 import { hallMembers } from "./hallmembers.js";
+import { HeartbeatConfirmations } from "./heartbeatconfirmations.js";
+import type { HeartbeatDependencies } from "./heartbeatdependencies.js";
 import { HeartbeatSender } from "./heartbeatsender.js";
-import type { LeavingHosts } from "./leavinghosts.js";
 import { otherHallCandidates } from "./otherhallcandidates.js";
+import { partitionHall } from "./partitionhall.js";
 import { rank } from "./rank.js";
-import type { StoreWatch } from "./storewatch.js";
-import type { WatcherElection } from "./watcherelection.js";
 import type { WatchScope } from "./watchscope.js";
 
 /** Interval at which a watcher sends the heartbeats that are due: divides a round of 2 s into 40 parts. */
@@ -51,37 +43,10 @@
 /** Number of likely watchers of another hall, the first in rank; one of them gets a heartbeat in each round. */
 const MAX_CANDIDATES = 2;
 
-/** The state that heartbeats carry and update, and the callbacks for received changes. */
-type HeartbeatDependencies = {
-    readonly self: Address;
-    readonly hall: HallName;
-    readonly host: HostName;
-    readonly clock: Clock;
-    readonly random: RandomSource;
-    readonly configuration: CurrentConfiguration;
-    readonly puller: ConfigurationPuller;
-    readonly election: WatcherElection;
-    readonly watch: StoreWatch;
-    /** Returns the location of every known daemon, including this one. */
-    readonly locations: () => readonly DaemonLocation[];
-    readonly leavingHosts: LeavingHosts;
-    /** Returns a digest of the records of requests that crashed upstreams, or undefined if there are none. */
-    readonly crashDigest: () => number | undefined;
-    /** Returns a digest of the records of requests that crashed several upstreams, or undefined if there are none. */
-    readonly suspectDigest: () => number | undefined;
-    /** Called with the digest of crash records that a received heartbeat carries. */
-    readonly onCrashDigest: (from: Address, digest: number | undefined) => void;
-    readonly evacuations: Evacuations;
-    readonly send: (to: Address, message: Message) => boolean;
-    /** Called when the scope that this daemon watches in the store has changed. */
-    readonly onScopeChange: () => void;
-    /** Called with whether this daemon's own host is leaving according to the platform's host list. */
-    readonly onHostLeaving: (leaving: boolean) => void;
-};
-
 /** Sends and applies the heartbeats of one daemon. `start` and `stop` are each called once. */
 export class HallHeartbeats {
     readonly #sender: HeartbeatSender;
+    readonly #confirmations: HeartbeatConfirmations;
     readonly #tickers = [
         new Ticker(ELECTION_INTERVAL_MS, () => this.#updateScope()),
         new Ticker(HOST_LIST_INTERVAL_MS, () => void this.#refreshLeavingHosts()),
@@ -91,6 +56,7 @@
     readonly #suspectsThrottle = new ChangeThrottle<number | undefined>(SUSPECTS_NOTICE_INTERVAL_MS, undefined);
 
     constructor(private readonly deps: HeartbeatDependencies) {
+        this.#confirmations = new HeartbeatConfirmations(deps.confirmationIntervalMs);
         this.#sender = new HeartbeatSender(() => this.#recipients(), to => deps.send(to, this.#createHeartbeat()));
         deps.configuration.onChange(() => this.#sender.sendSoon());
         deps.evacuations.onChange(() => this.#sender.sendSoon());
@@ -127,9 +93,10 @@
         const now = clock();
         evacuations.recordPropagated(heartbeat.evacuated);
         election.recordHeartbeat(heartbeat.from, heartbeat.watching, now);
-        configuration.confirm(heartbeat.revision, now - heartbeat.ageMs);
+        const confirmedAt = this.#confirmations.confirmedAt(heartbeat.ageMs, now);
+        configuration.confirm(heartbeat.revision, confirmedAt);
         void puller.pull(heartbeat.revision, heartbeat.from).then(() =>
-            configuration.confirm(heartbeat.revision, now - heartbeat.ageMs)
+            configuration.confirm(heartbeat.revision, confirmedAt)
         );
         if (heartbeat.watching && !this.isWatcher) {
             this.deps.onHostLeaving(heartbeat.leaving.includes(host));
@@ -155,6 +122,7 @@
     #updateScope(): void {
         const { clock, election, watch } = this.deps;
         const now = clock();
+        this.#confirmations.tick(now);
         this.#setScope(election.scopeAt(now, watch.isStoreReachable(now)));
     }
 
@@ -179,14 +147,21 @@
         election.recordHeartbeat(self, this.#isActiveWatcher(now), now);
         this.#notifyRecordChange(now);
         this.#notifySuspectChange(now);
+        this.#notifyConfirmation(now);
         this.#sender.tick(now);
     }
 
     /** Sends heartbeats at once to this daemon's followers; the rest of the hall gets the change in the next round. */
     #notifyRecordChange(now: number): void {
-        const { hall, locations, watch } = this.deps;
-        if (this.#recordsThrottle.pass(watch.records?.at ?? 0, now)) {
-            this.#sender.sendSoon(this.#partitionHall(hallMembers(locations(), hall), now).followers);
+        if (this.#recordsThrottle.pass(this.deps.watch.records?.at ?? 0, now)) {
+            this.#sender.sendSoon(this.#partitionHall(now).followers);
+        }
+    }
+
+    /** Under strict revocation, sends heartbeats to this daemon's followers once the store has responded. */
+    #notifyConfirmation(now: number): void {
+        if (this.#confirmations.shouldSend(this.deps.configuration.confirmedAt, now)) {
+            this.#sender.sendSoon(this.#partitionHall(now).followers);
         }
     }
 
@@ -213,21 +188,16 @@
     /** Returns the recipients, followers first: if the send budget runs out, the other watcher reaches the rest. */
     #recipients(): Address[] {
         const { hall, random, locations, clock } = this.deps;
-        const daemons = locations();
-        const remote = otherHallCandidates(daemons, hall, MAX_CANDIDATES).flatMap(gates => sample(gates, 1, random));
-        const { followers, rest } = this.#partitionHall(hallMembers(daemons, hall), clock());
+        const remote = otherHallCandidates(locations(), hall, MAX_CANDIDATES).flatMap(gates =>
+            sample(gates, 1, random)
+        );
+        const { followers, rest } = this.#partitionHall(clock());
         return [...followers, ...remote, ...rest];
     }
 
-    /** Splits the other daemons of the hall into this daemon's followers and those of another watcher (`rest`). */
-    #partitionHall(
-        members: readonly Address[],
-        now: number,
-    ): { readonly followers: Address[]; readonly rest: Address[]; } {
-        const { election, self } = this.deps;
-        const others = members.filter(gate => gate !== self);
-        const isFollower = (gate: Address): boolean => election.watcherFor(gate, now) === self;
-        return { followers: others.filter(isFollower), rest: others.filter(gate => !isFollower(gate)) };
+    #partitionHall(now: number): ReturnType<typeof partitionHall> {
+        const { election, self, hall, locations } = this.deps;
+        return partitionHall(hallMembers(locations(), hall), self, gate => election.watcherFor(gate, now));
     }
 
     #createHeartbeat(): Message {
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -25,8 +25,12 @@
 export class HttpStore extends Store {
     readonly #client: StoreClient;
 
-    constructor(address: Address, localIp: string, events: StoreEvents) {
+    readonly #watchWaitMs: number;
+
+    /** `maxWatchMs` limits how long the store holds a watch open, and so the age of its last response. */
+    constructor(address: Address, localIp: string, events: StoreEvents, maxWatchMs = WATCH_WAIT_MS) {
         super();
+        this.#watchWaitMs = Math.min(maxWatchMs, WATCH_WAIT_MS);
         const bounds = { connections: CONNECTION_LIMIT, timeoutMs: CALL_TIMEOUT_MS };
         this.#client = new StoreClient({ address, localIp, ...bounds, ...events });
     }
@@ -53,12 +57,12 @@
     }
 
     async watch(version: number, signal: AbortSignal): Promise<StoreUpdate> {
-        const path = `${KEY_PATH}?after=${version}&waitMs=${WATCH_WAIT_MS}`;
+        const path = `${KEY_PATH}?after=${version}&waitMs=${this.#watchWaitMs}`;
         const document = await this.#client.call(StoredValue, {
             kind: "watch-configuration",
             method: "GET",
             path,
-            waitMs: WATCH_WAIT_MS,
+            waitMs: this.#watchWaitMs,
             signal,
             emptyStatuses: [httpStatus.noContent],
         });
