--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -13,6 +13,8 @@
     limit: string;
     /** Whether responses state that the instance is leaving. */
     leaving: boolean;
+    /** URL that each run calls before it responds, with the id of the run and a suffix; empty for none. */
+    callUrl: string;
     /** Whether responses to health checks also state the limit and leaving. */
     saysOnHealth: boolean;
 };
--- a/standin/instancestandin.ts
+++ b/standin/instancestandin.ts
@@ -1,5 +1,5 @@
 /** Stands in for an instance on the users' platform: announces itself to its daemon, and serves requests. */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import { type IncomingMessage, request, type ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import type { InstanceControl } from "./instancecontrol.js";
 import { sendJson } from "./sendjson.js";
@@ -46,6 +46,7 @@
             coldMs: 0,
             limit: "",
             leaving: false,
+            callUrl: "",
             saysOnHealth: false,
         });
         setInterval(() => void this.#announce(), ANNOUNCE_EVERY_MS);
@@ -119,12 +120,13 @@
             process.exit(1);
         }
         await wait(this.control.workMs * this.control.pace / 100);
+        const callStatus = await this.#call(id);
         this.#running -= 1;
         this.#setStateHeaders(res);
         res.setHeader("attempt-id", this.control.fault === "foreign" ? "another" : id);
         res.setHeader("server-signature", `of-${this.options.id}`);
-        const { host } = req.headers;
-        const body = JSON.stringify({ id, host, caller: req.headers["caller-service"], url: req.url });
+        const { host, tenant: team, "caller-service": caller, "x-api-key": key } = req.headers;
+        const body = JSON.stringify({ id, host, caller, team, hasKey: key !== undefined, url: req.url, callStatus });
         switch (this.control.fault) {
             case "lost":
                 req.socket.resetAndDestroy();
@@ -147,6 +149,21 @@
         }
     }
 
+    /** Makes the call of a run, without a key; returns the status of its response, or undefined if there is no call. */
+    async #call(id: string): Promise<number | undefined> {
+        const { callUrl } = this.control;
+        if (callUrl === "") {
+            return undefined;
+        }
+        const headers = { "host": "site.example", "attempt-id": `${id}.1`, "deadline-ms": "1000" };
+        return await new Promise(resolve => {
+            const call = request(callUrl, { headers, agent: false }, res => {
+                res.resume().on("end", () => resolve(res.statusCode));
+            });
+            call.on("error", () => resolve(0)).end();
+        });
+    }
+
     async #announce(): Promise<boolean> {
         if (this.control.silent) {
             return false;
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -82,9 +82,10 @@
         return this.hosts.find(host => host.name === name)!;
     }
 
-    startDaemon(name: string): Child {
+    /** Starts a host's daemon; `overrides` replaces fields of its settings. */
+    startDaemon(name: string, overrides: object = {}): Child {
         const child = new Child(scriptPath("platform/bin/winglockd.cjs"), [], line => this.log.push(line), {
-            env: { WINGLOCK_BOOT: this.#settings(this.host(name)) },
+            env: { WINGLOCK_BOOT: this.#settings(this.host(name), overrides) },
         });
         this.daemons.set(name, child);
         return child;
@@ -137,6 +138,12 @@
         return control(`${this.host(name).ip}:7200`, value);
     }
 
+    /** Returns the text of a page of the operators' listener. */
+    async operatorPage(name: string, path: string): Promise<string> {
+        const response = await fetch(`http://${this.host(name).ip}:7105${path}`);
+        return await response.text();
+    }
+
     isReady(name: string): Promise<boolean> {
         return fetch(`http://${this.host(name).ip}:7102/readyz`).then(res => res.status === 200, () => false);
     }
