--- a/src/http/httpstatus.ts
+++ b/src/http/httpstatus.ts
@@ -10,6 +10,7 @@
     badRequest: 400,
     forbidden: 403,
     notFound: 404,
+    requestTimeout: 408,
     conflict: 409,
     gone: 410,
     preconditionFailed: 412,
--- /dev/null
+++ b/src/ingress/callerconnection.ts
@@ -0,0 +1,237 @@
+/**
+ * Bounds and orders the requests of one caller's connection.
+ *
+ * Owns the list of accepted requests that have no complete response, and the requests that were parsed but not
+ * accepted. Relies on Node's HTTP server, which parses requests as they arrive and sends the responses in the order of
+ * the requests: a response has a socket only while it is the first one.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../time/clock.js";
+import { connectionProblem } from "./connectionproblem.js";
+import { DisconnectProbe } from "./disconnectprobe.js";
+
+/** A paused connection is read again after this time, since a caller's leaving shows only when its socket is read. */
+const READ_PAUSE_MS = 200;
+/** Requests that are parsed beyond the accepted ones before reading stops for good. */
+const MAX_PARSED_AHEAD = 256;
+
+/** A request that was parsed and not accepted; `arrivedAt` is in milliseconds on the daemon's clock. */
+type ParsedRequest = {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly arrivedAt: number;
+};
+
+/** Dependencies that the listener provides. */
+type ConnectionDependencies = {
+    readonly clock: Clock;
+    /** The most requests that are accepted and not answered. */
+    readonly maxAccepted: number;
+    /** True during a planned stop. */
+    readonly isStopping: () => boolean;
+    /** Serves an accepted request. */
+    readonly serve: (request: ParsedRequest, connection: CallerConnection) => void;
+};
+
+/** The state of one connection, from its acceptance to its end. */
+export class CallerConnection {
+    readonly #accepted: ServerResponse[] = [];
+    readonly #waiting: ParsedRequest[] = [];
+    readonly #probe: DisconnectProbe;
+    /** True once no further request may be accepted; those that are parsed are dropped. */
+    #isSealed = false;
+    #isHalfClosed = false;
+    #isPaused = false;
+    #droppedCount = 0;
+    #readTimer: NodeJS.Timeout | undefined;
+    /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
+    #problem: string | undefined;
+
+    constructor(private readonly socket: Socket, private readonly deps: ConnectionDependencies) {
+        this.#probe = new DisconnectProbe(socket, () => this.#accepted[0]?.headersSent === false);
+        socket.on("end", () => this.#handleEnd());
+        socket.on("close", () => this.#handleClose());
+    }
+
+    /** The number of requests that wait behind another one on this connection, whether accepted or not. */
+    get waitingCount(): number {
+        return Math.max(0, this.#accepted.length - 1) + this.#waiting.length;
+    }
+
+    /** Returns the number of requests that wait behind the given accepted one. */
+    behind(res: ServerResponse): number {
+        const index = this.#accepted.indexOf(res);
+        return index < 0 ? 0 : this.#accepted.length - 1 - index + this.#waiting.length;
+    }
+
+    /** Returns true if no request behind this one has been accepted. */
+    isLast(res: ServerResponse): boolean {
+        return this.#accepted.at(-1) === res;
+    }
+
+    /** Accepts a request that was parsed, keeps it until it can be accepted, or drops it. */
+    offer(req: IncomingMessage, res: ServerResponse): void {
+        if (this.#isSealed) {
+            this.#droppedCount += 1;
+        }
+        else if (this.#waiting.length === 0 && this.#accepted.length < this.deps.maxAccepted) {
+            this.#accept({ req, res, arrivedAt: this.deps.clock() });
+            return;
+        }
+        else {
+            this.#waiting.push({ req, res, arrivedAt: this.deps.clock() });
+        }
+        this.#pauseIfNeeded();
+    }
+
+    /** Ends the connection with an error response as soon as the requests before it are answered. */
+    fail(errorCode: string | undefined): void {
+        if (this.#isSealed || this.#problem !== undefined) {
+            return;
+        }
+        this.#problem = connectionProblem(errorCode);
+        this.#sendProblemIfDue();
+    }
+
+    /** Accepts nothing more if requests are accepted. An idle connection serves one more request, which closes it. */
+    startClosing(): void {
+        if (this.#accepted.length > 0) {
+            this.#seal();
+        }
+    }
+
+    /** Makes the response the last one of the connection, if nothing behind it has been accepted. */
+    closeAfter(res: ServerResponse): void {
+        if (this.isLast(res)) {
+            this.#seal();
+        }
+    }
+
+    /** Decides, immediately before a response is written, whether it closes the connection. */
+    prepareResponse(res: ServerResponse): void {
+        if (!this.isLast(res)) {
+            return;
+        }
+        const isEnding = this.#isSealed || this.#isHalfClosed && this.#waiting.length === 0;
+        if (isEnding && this.#problem === undefined) {
+            res.shouldKeepAlive = false;
+        }
+        if (!res.shouldKeepAlive) {
+            this.#seal();
+        }
+    }
+
+    #accept(request: ParsedRequest): void {
+        const { res } = request;
+        this.#accepted.push(res);
+        res.on("close", () => this.#handleAnswered(res));
+        if (!res.shouldKeepAlive || this.deps.isStopping()) {
+            this.#seal();
+        }
+        this.deps.serve(request, this);
+    }
+
+    #seal(): void {
+        if (this.#isSealed) {
+            return;
+        }
+        this.#isSealed = true;
+        this.#droppedCount = this.#waiting.length;
+        this.#waiting.length = 0;
+        // Unread data would make the system reset the connection when it is closed, and discard the last response.
+        this.#resume();
+    }
+
+    #handleAnswered(res: ServerResponse): void {
+        const index = this.#accepted.indexOf(res);
+        if (index >= 0) {
+            this.#accepted.splice(index, 1);
+        }
+        if (this.socket.destroyed) {
+            return;
+        }
+        this.#acceptWaiting();
+        this.#sendProblemIfDue();
+        if (this.#isSealed && this.#accepted.length === 0) {
+            this.socket.destroySoon();
+        }
+    }
+
+    #acceptWaiting(): void {
+        while (!this.#isSealed && this.#waiting.length > 0 && this.#accepted.length < this.deps.maxAccepted) {
+            this.#accept(this.#waiting.shift()!);
+        }
+        if (this.#isPaused && this.#waiting.length === 0) {
+            this.#resume();
+        }
+    }
+
+    /** The request whose body could not be parsed is the last accepted one, and gets the response to the error. */
+    #sendProblemIfDue(): void {
+        const [first] = this.#accepted;
+        const isDue = first === undefined || this.#accepted.length === 1 && !first.req.complete;
+        if (this.#problem === undefined || this.#waiting.length > 0 || !isDue) {
+            return;
+        }
+        this.#isSealed = true;
+        if (first?.headersSent === true) {
+            this.socket.destroy();
+            return;
+        }
+        this.socket.write(this.#problem);
+        this.socket.destroySoon();
+    }
+
+    #pauseIfNeeded(): void {
+        const aheadCount = this.#waiting.length + this.#droppedCount;
+        if (this.#isPaused || this.#isSealed && aheadCount < MAX_PARSED_AHEAD) {
+            return;
+        }
+        this.#isPaused = true;
+        this.socket.on("resume", this.#keepPaused);
+        this.socket.pause();
+        if (aheadCount < MAX_PARSED_AHEAD) {
+            this.#readTimer = setTimeout(() => this.#resume(), READ_PAUSE_MS);
+        }
+    }
+
+    /** Node's HTTP server resumes its socket whenever a request was parsed or its body is read. */
+    readonly #keepPaused = (): void => void this.socket.pause();
+
+    #resume(): void {
+        if (this.#isPaused) {
+            this.#isPaused = false;
+            clearTimeout(this.#readTimer);
+            this.socket.off("resume", this.#keepPaused);
+            this.socket.resume();
+        }
+    }
+
+    /** A caller that has ended its side may still read, unless it has left, which a probe finds out. */
+    #handleEnd(): void {
+        this.#isHalfClosed = true;
+        const [first] = this.#accepted;
+        if (first?.headersSent === true && !first.writableEnded) {
+            // A stream can't be probed; a caller that leaves during one is far more usual than one that half-closes.
+            this.socket.destroy();
+        }
+        else if (first !== undefined) {
+            this.#probe.start();
+        }
+    }
+
+    /** Node emits `close` only for the first response; the others are cancelled here. */
+    #handleClose(): void {
+        this.#probe.stop();
+        clearTimeout(this.#readTimer);
+        this.#isSealed = true;
+        this.#waiting.length = 0;
+        for (const res of this.#accepted.splice(0)) {
+            if (res.socket === null) {
+                res.destroy();
+                res.emit("close");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/callerconnections.test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
+import { withConnection } from "./withconnection.js";
+
+const MAX_ACCEPTED = 3;
+/** The bound on the time from a caller's leaving to the cancellation of its requests. */
+const CANCEL_BOUND_MS = 500;
+/** Long enough for everything that was written on loopback to be read. */
+const SETTLE_MS = 50;
+
+type Body = Parameters<typeof withConnection>[1];
+type Accepted = Parameters<Body>[0]["accepted"][number];
+
+const withBench = (body: Body): Promise<void> => withConnection(MAX_ACCEPTED, body);
+
+const get = (path: string, fields = ""): string => `GET /${path} HTTP/1.1\r\nhost: h\r\n${fields}\r\n`;
+
+const answer = ({ path, res, turn }: Accepted): void => {
+    res.setHeader("content-length", path.length);
+    turn.whenFirst(() => res.end(path));
+};
+
+const pathsOf = (accepted: readonly Accepted[]): string => accepted.map(({ path }) => path).join("");
+/** Returns the bodies of the responses, which are the paths of their requests. */
+const bodiesOf = (text: string): string => [...text.matchAll(/\r\n\r\n(\w?)/g)].map(([, body]) => body).join("");
+const closingOf = (text: string): string => [...text.matchAll(/onnection: (\w)/g)].map(([, value]) => value).join("");
+
+test("connection: responses that are ready early are sent in the order of the requests", async () => {
+    await withBench(async ({ accepted, socket, received }) => {
+        socket.write(get("a") + get("b") + get("c"));
+        await pause(SETTLE_MS);
+        answer(accepted[2]!);
+        answer(accepted[1]!);
+        await pause(SETTLE_MS);
+        assert.equal(received(), "");
+        answer(accepted[0]!);
+        await pause(SETTLE_MS);
+        assert.equal(bodiesOf(received()), "abc");
+        assert.equal(closingOf(received()), "kkk");
+    });
+});
+
+test("connection: requests beyond the bound are accepted in order as earlier ones are answered", async () => {
+    await withBench(async ({ connections, accepted, socket, received }) => {
+        const names = "abcdefghij";
+        socket.write([...names].map(name => get(name)).join(""));
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "abc");
+        assert.equal(connections.waitingCount, names.length - 1);
+        assert.equal(accepted[0]!.connection.behind(accepted[0]!.res), names.length - 1);
+        for (let index = 0; index < names.length; index++) {
+            answer(accepted[index]!);
+            await pause(5);
+            assert.ok(accepted.filter(({ isClosed }) => !isClosed).length <= MAX_ACCEPTED);
+        }
+        await pause(SETTLE_MS);
+        assert.equal(bodiesOf(received()), names);
+    });
+});
+
+test("connection: a caller that sends far more than the bound is not read on", async () => {
+    await withBench(async ({ connections, accepted, socket }) => {
+        const flood = get("a", `x-fill: ${"f".repeat(8000)}\r\n`).repeat(4000);
+        socket.write(flood);
+        await pause(SETTLE_MS * 10);
+        assert.equal(accepted.length, MAX_ACCEPTED);
+        assert.ok(connections.waitingCount < 100, `${connections.waitingCount} were parsed`);
+    });
+});
+
+test("connection: heads and bodies that are split at every byte are read", async () => {
+    await withBench(async ({ accepted, socket, received }) => {
+        const text = get("a") + "POST /b HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nxyz" + get("c");
+        for (const byte of text) {
+            socket.write(byte);
+            await pause(1);
+        }
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "abc");
+        assert.equal(accepted[1]!.bodyBytes(), 3);
+        accepted.forEach(answer);
+        await pause(SETTLE_MS);
+        assert.equal(bodiesOf(received()), "abc");
+    });
+});
+
+test("connection: a caller that has shut down its sending side gets all responses, and the last one closes", async () => {
+    await withBench(async ({ accepted, socket, received, isEnded }) => {
+        socket.end("abcde".replace(/./g, name => get(name)));
+        await pause(CANCEL_BOUND_MS);
+        assert.ok(accepted.every(({ isClosed }) => !isClosed));
+        for (let index = 0; index < 5; index++) {
+            answer(accepted[index]!);
+            await pause(5);
+        }
+        await pause(SETTLE_MS);
+        assert.equal(bodiesOf(received()), "abcde");
+        assert.equal(received().match(/HTTP\/1\.1 200 OK/g)?.length, 5, received());
+        assert.ok(received().startsWith("HTTP/1.1 200"), received());
+        assert.equal(closingOf(received()), "kkkkc");
+        assert.ok(isEnded());
+    });
+});
+
+test("connection: the requests before a bad one are answered, then 400 closes the connection", async () => {
+    await withBench(async ({ accepted, socket, received, isEnded }) => {
+        socket.write("abcd".replace(/./g, name => get(name)) + "no request\r\n\r\n" + get("e"));
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "abc");
+        assert.equal(received(), "");
+        for (let index = 0; index < 4; index++) {
+            answer(accepted[index]!);
+            await pause(5);
+        }
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "abcd");
+        assert.deepEqual(received().match(/HTTP\/1\.1 \d+/g)?.map(line => line.slice(9)), [
+            "200",
+            "200",
+            "200",
+            "200",
+            "400",
+        ]);
+        assert.equal(closingOf(received()), "kkkkc");
+        assert.ok(isEnded());
+    });
+});
+
+test("connection: a body that can't be parsed gets 400 once the requests before it are answered", async () => {
+    await withBench(async ({ accepted, socket, received, isEnded }) => {
+        socket.write(get("a") + "POST /b HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nno size\r\n");
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "ab");
+        answer(accepted[0]!);
+        await pause(SETTLE_MS);
+        assert.deepEqual(received().match(/HTTP\/1\.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 400"]);
+        assert.ok(isEnded());
+        assert.ok(accepted.every(({ isClosed }) => isClosed));
+    });
+});
--- /dev/null
+++ b/src/ingress/callerconnections.ts
@@ -0,0 +1,64 @@
+/** Keeps the state of every caller's connection of a server, and passes the server's events to it. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../time/clock.js";
+import { CallerConnection } from "./callerconnection.js";
+
+type Serve = (
+    request: { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number; },
+    connection: CallerConnection,
+) => void;
+
+/** Dependencies of the connections; `maxAccepted` bounds the accepted, unanswered requests of each. */
+type ConnectionsDependencies = { readonly clock: Clock; readonly maxAccepted: number; readonly serve: Serve; };
+
+/** Errors of the parser begin so; all others are errors of the socket. */
+const PARSER_ERROR_PREFIX = "HPE_";
+const REQUEST_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
+
+/** Owns the connections' states; the server must have no other listener for requests. */
+export class CallerConnections {
+    readonly #connections = new Map<Socket, CallerConnection>();
+    #isStopping = false;
+
+    constructor(server: Server, deps: ConnectionsDependencies) {
+        const connectionDeps = { ...deps, isStopping: () => this.#isStopping };
+        // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
+        Object.assign(server, { httpAllowHalfOpen: true });
+        server.on("connection", (socket: Socket) => {
+            this.#connections.set(socket, new CallerConnection(socket, connectionDeps));
+            socket.on("close", () => this.#connections.delete(socket));
+        });
+        server.on("request", (req, res) => this.#connections.get(req.socket)?.offer(req, res));
+        server.on("clientError", (err: NodeJS.ErrnoException, socket) => this.#handleError(err, socket as Socket));
+        server.on("connect", (_req, socket) => this.#connections.get(socket as Socket)?.fail(undefined));
+    }
+
+    /** The number of requests that wait behind others on their connections. */
+    get waitingCount(): number {
+        let count = 0;
+        for (const connection of this.#connections.values()) {
+            count += connection.waitingCount;
+        }
+        return count;
+    }
+
+    /** Accepts no further requests on connections that have accepted ones; the last response closes each connection. */
+    startClosing(): void {
+        this.#isStopping = true;
+        for (const connection of this.#connections.values()) {
+            connection.startClosing();
+        }
+    }
+
+    #handleError({ code }: NodeJS.ErrnoException, socket: Socket): void {
+        const isOfParser = code?.startsWith(PARSER_ERROR_PREFIX) === true || code === REQUEST_TIMEOUT;
+        const connection = this.#connections.get(socket);
+        if (isOfParser && connection !== undefined && socket.writable) {
+            connection.fail(code);
+        }
+        else {
+            socket.destroy();
+        }
+    }
+}
--- /dev/null
+++ b/src/ingress/closingconnections.test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
+import { withConnection } from "./withconnection.js";
+
+const MAX_ACCEPTED = 3;
+/** The bound on the time from a caller's leaving to the cancellation of its requests. */
+const CANCEL_BOUND_MS = 500;
+/** Long enough for everything that was written on loopback to be read. */
+const SETTLE_MS = 50;
+
+type Body = Parameters<typeof withConnection>[1];
+type Accepted = Parameters<Body>[0]["accepted"][number];
+
+const withBench = (body: Body): Promise<void> => withConnection(MAX_ACCEPTED, body);
+
+const get = (path: string, fields = ""): string => `GET /${path} HTTP/1.1\r\nhost: h\r\n${fields}\r\n`;
+
+const answer = ({ path, res, turn }: Accepted): void => {
+    res.setHeader("content-length", path.length);
+    turn.whenFirst(() => res.end(path));
+};
+
+const pathsOf = (accepted: readonly Accepted[]): string => accepted.map(({ path }) => path).join("");
+/** Returns the bodies of the responses, which are the paths of their requests. */
+const bodiesOf = (text: string): string => [...text.matchAll(/\r\n\r\n(\w?)/g)].map(([, body]) => body).join("");
+const closingOf = (text: string): string => [...text.matchAll(/onnection: (\w)/g)].map(([, value]) => value).join("");
+
+test("connection: a stop accepts nothing more, and only the last accepted response closes the connection", async () => {
+    await withBench(async ({ connections, accepted, socket, received, isEnded }) => {
+        socket.write("abcdef".replace(/./g, name => get(name)));
+        await pause(SETTLE_MS);
+        answer(accepted[1]!);
+        connections.startClosing();
+        answer(accepted[2]!);
+        socket.write(get("g"));
+        await pause(SETTLE_MS);
+        answer(accepted[0]!);
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "abc");
+        assert.equal(bodiesOf(received()), "abc");
+        assert.equal(closingOf(received()), "kkc");
+        assert.ok(isEnded());
+    });
+});
+
+test("connection: during a stop an idle connection serves one more request, which closes it", async () => {
+    await withBench(async ({ connections, accepted, socket, received, isEnded }) => {
+        connections.startClosing();
+        socket.write(get("a") + get("b"));
+        await pause(SETTLE_MS);
+        accepted.forEach(answer);
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "a");
+        assert.equal(closingOf(received()), "c");
+        assert.ok(isEnded());
+    });
+});
+
+test("connection: a stop after the last response began closes the connection when it is complete", async () => {
+    await withBench(async ({ connections, accepted, socket, received, isEnded }) => {
+        socket.write(get("a"));
+        await pause(SETTLE_MS);
+        accepted[0]!.turn.begin();
+        accepted[0]!.res.write("part");
+        connections.startClosing();
+        socket.write(get("b"));
+        await pause(SETTLE_MS);
+        accepted[0]!.res.end();
+        await pause(SETTLE_MS);
+        assert.equal(accepted.length, 1);
+        assert.match(received(), /part/);
+        assert.ok(isEnded());
+    });
+});
+
+test("connection: a request that asks to close its connection is the last one accepted", async () => {
+    await withBench(async ({ accepted, socket, received, isEnded }) => {
+        socket.write(get("a") + get("b", "connection: close\r\n") + get("c"));
+        await pause(SETTLE_MS);
+        assert.equal(pathsOf(accepted), "ab");
+        answer(accepted[1]!);
+        answer(accepted[0]!);
+        await pause(SETTLE_MS);
+        assert.equal(bodiesOf(received()), "ab");
+        assert.equal(closingOf(received()), "kc");
+        assert.ok(isEnded());
+    });
+});
+
+const leaving: readonly (readonly [string, (socket: Socket) => void])[] = [
+    ["closes its connection", socket => void socket.destroy()],
+    ["resets its connection", socket => void socket.resetAndDestroy()],
+];
+for (const [how, leave] of leaving) {
+    for (const count of [1, MAX_ACCEPTED, MAX_ACCEPTED + 2]) {
+        test(`connection: a caller that ${how} with ${count} requests cancels all accepted ones in time`, async () => {
+            await withBench(async ({ connections, accepted, socket }) => {
+                socket.write(get("a").repeat(count));
+                await pause(SETTLE_MS);
+                leave(socket);
+                await pause(CANCEL_BOUND_MS);
+                assert.equal(accepted.length, Math.min(count, MAX_ACCEPTED));
+                assert.ok(accepted.every(({ isClosed, res }) => isClosed && res.destroyed));
+                assert.equal(connections.waitingCount, 0);
+            });
+        });
+    }
+}
+
+test("connection: a response can close the connection only if nothing behind it was accepted", async () => {
+    await withBench(async ({ accepted, socket }) => {
+        socket.write(get("a") + get("b"));
+        await pause(SETTLE_MS);
+        assert.deepEqual(accepted.map(({ turn }) => turn.mayClose), [false, true]);
+    });
+});
--- a/src/ingress/deliver.test.ts
+++ b/src/ingress/deliver.test.ts
@@ -5,13 +5,17 @@
 import { Readable } from "node:stream";
 import { test } from "node:test";
 import { deliver } from "./deliver.js";
+import { ResponseTurn } from "./responseturn.js";
 
 const BUFFER_BYTES = 5;
 
 test("deliver: a response that exceeds the buffer but ends while it is read is sent whole", async () => {
     const server = createServer((_req, res) => {
         const body = Readable.from([Buffer.from("0123456789")], { objectMode: false });
-        void deliver(res, { status: 200, headers: {}, body, metadata: undefined }, true, false, BUFFER_BYTES);
+        const response = { status: 200, headers: {}, body, metadata: undefined };
+        const connection = { isLast: () => true, prepareResponse: () => {} };
+        const turn = new ResponseTurn(res, connection as never);
+        void deliver(res, response, { isBuffered: true, headOnly: false, bufferBytes: BUFFER_BYTES, turn });
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
--- /dev/null
+++ b/src/ingress/disconnectprobe.ts
@@ -0,0 +1,55 @@
+/**
+ * Finds out whether a caller that has shut down its sending side still reads, or has closed its connection.
+ *
+ * Both look the same until something is sent: a closed connection then answers with a reset. The first characters of
+ * every response are the same, so the probe sends them one at a time and removes them from the response that follows.
+ * A reset is noticed at the next write, therefore at least two characters are sent.
+ */
+import type { Socket } from "node:net";
+
+/** The beginning of every response; one character is sent with each probe. */
+const PROBE_TEXT = "HTTP";
+/** The time between two probes, longer than the round trip to any caller whose leaving must be noticed. */
+const PROBE_INTERVAL_MS = 100;
+
+/** Probes one connection; `start` may be called once, and only while no response has begun on it. */
+export class DisconnectProbe {
+    #sent = 0;
+    #timer: NodeJS.Timeout | undefined;
+
+    /** `mayProbe` returns false once a response has begun, which ends the probing. */
+    constructor(private readonly socket: Socket, private readonly mayProbe: () => boolean) {}
+
+    start(): void {
+        if (this.#sent < PROBE_TEXT.length && !this.socket.destroyed && this.mayProbe()) {
+            this.#sendNext();
+            this.#timer = setTimeout(() => this.start(), PROBE_INTERVAL_MS);
+        }
+    }
+
+    stop(): void {
+        clearTimeout(this.#timer);
+    }
+
+    #sendNext(): void {
+        const { socket } = this;
+        if (this.#sent === 0) {
+            this.#removeFromNextWrite();
+        }
+        Object.getPrototypeOf(socket).write.call(socket, PROBE_TEXT.charAt(this.#sent));
+        this.#sent += 1;
+    }
+
+    /** Shadows the socket's `write` until the response begins. */
+    #removeFromNextWrite(): void {
+        const { socket } = this;
+        const writeFirst = (chunk: string | Buffer, ...rest: []): boolean => {
+            Reflect.deleteProperty(socket, "write");
+            return socket.write(
+                typeof chunk === "string" ? chunk.slice(this.#sent) : chunk.subarray(this.#sent),
+                ...rest,
+            );
+        };
+        socket.write = writeFirst as Socket["write"];
+    }
+}
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -12,16 +12,16 @@
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
 import { listen } from "../time/listen.js";
-import { BodyError } from "./bodyerror.js";
+import type { CallerConnection } from "./callerconnection.js";
+import { CallerConnections } from "./callerconnections.js";
 import { CallerResponse } from "./callerresponse.js";
 import { closeServer } from "./closeserver.js";
 import { headBytes } from "./headbytes.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
-import type { OutgoingRequest } from "./outgoingrequest.js";
 import { pathOf } from "./pathof.js";
 import type { Plan } from "./plan.js";
 import type { Planner } from "./planner.js";
-import { readBody } from "./readbody.js";
+import { readCallerBody } from "./readcallerbody.js";
 import { RequestHandler } from "./requesthandler.js";
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
@@ -29,6 +29,9 @@
 
 const logger = log("ingress");
 
+/** The version of HTTP whose requests must have a host field (RFC 9112, 3.2). */
+const HOST_REQUIRED_VERSION = "1.1";
+
 /** Limits on what callers send; sizes in bytes, times in milliseconds. */
 type IngressLimits = {
     readonly headerBytes: number;
@@ -38,8 +41,13 @@
     readonly headersTimeoutMs: number;
     readonly requestTimeoutMs: number;
     readonly keepAliveMs: number;
+    /** The most requests of a connection that are accepted and not answered. */
+    readonly requestsPerConnection: number;
 };
 
+/** A request that its connection has accepted; `arrivedAt` is in milliseconds on the daemon's clock. */
+type AcceptedRequest = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number; };
+
 /** Dependencies of the listener besides those of the request handlers. */
 type ListenerDependencies = {
     readonly planner: Planner;
@@ -47,16 +55,14 @@
     readonly callerService: ServiceName | undefined;
 };
 
-type Body = OutgoingRequest["body"];
-
 /** A request that was planned and not refused. */
 type PlannedRequest = { readonly id: string; readonly path: string; readonly plan: Plan; readonly log: RequestLog; };
 
 /** Reads callers' requests, refuses those that are invalid or too large, and passes the others to a request handler. */
 export class Ingress {
     readonly #server: Server;
+    readonly #connections: CallerConnections;
     #callerLimits: CallerLimits = {};
-    #isStopping = false;
     #inFlight = 0;
 
     constructor(
@@ -69,7 +75,14 @@
             headersTimeout: limits.headersTimeoutMs,
             requestTimeout: limits.requestTimeoutMs,
             keepAliveTimeout: limits.keepAliveMs,
-        }, (req, res) => void this.#handle(req, res));
+            // Node's own response would close the connection after requests behind it were accepted.
+            requireHostHeader: false,
+        });
+        this.#connections = new CallerConnections(this.#server, {
+            clock: deps.clock,
+            maxAccepted: limits.requestsPerConnection,
+            serve: (request, connection) => void this.#handle(request, connection),
+        });
     }
 
     /** Applies the operators' limits on callers; the daemon's own limits apply where the operators set none. */
@@ -88,9 +101,12 @@
         return listen(this.#server, address);
     }
 
-    /** Makes every response from now on close its connection; requests that still arrive are served. */
+    /**
+     * Accepts no further requests on connections that have unanswered ones; the response to the last of them closes the
+     * connection. On other connections one more request is served.
+     */
     startClosing(): void {
-        this.#isStopping = true;
+        this.#connections.startClosing();
     }
 
     /** Stops accepting connections, closes idle ones, and resolves when no new request can arrive. */
@@ -103,13 +119,11 @@
         this.#server.closeAllConnections();
     }
 
-    async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const startedAt = this.deps.clock();
-        const callerResponse = new CallerResponse(res, this.deps.dialect, req.method === "HEAD");
+    async #handle({ req, res, arrivedAt }: AcceptedRequest, connection: CallerConnection): Promise<void> {
+        const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
         this.#inFlight += 1;
-        res.shouldKeepAlive = res.shouldKeepAlive && !this.#isStopping;
         try {
-            const refusal = await this.#serve(req, res, callerResponse, startedAt);
+            const refusal = await this.#serve(req, res, callerResponse, arrivedAt);
             if (refusal !== undefined) {
                 const { problem, detail, retryAfterMs } = refusal;
                 callerResponse.sendProblem(problem, { outcome: "not-run", detail, retryAfterMs });
@@ -123,6 +137,16 @@
             callerResponse.sendProblem("internal", { outcome: "unknown", detail: "internal" });
         }
         finally {
+            this.#countEnd(res, callerResponse);
+        }
+    }
+
+    /** A response that is held is in flight until it was sent. */
+    #countEnd(res: ServerResponse, { isHeld }: CallerResponse): void {
+        if (isHeld && !res.destroyed) {
+            res.once("close", () => this.#inFlight -= 1);
+        }
+        else {
             this.#inFlight -= 1;
         }
     }
@@ -138,6 +162,9 @@
         if (path === undefined) {
             return { type: "refusal", problem: "bad-request", detail: "target" };
         }
+        if (req.headers.host === undefined && req.httpVersion === HOST_REQUIRED_VERSION) {
+            return { type: "refusal", problem: "bad-request", detail: "host" };
+        }
         if (headBytes(req) > (this.#callerLimits.headerBytes ?? this.limits.headerBytes)) {
             return { type: "refusal", problem: "head-too-large", detail: "header" };
         }
@@ -163,7 +190,9 @@
         res: ServerResponse,
         callerResponse: CallerResponse,
     ): Promise<RequestRefusal | undefined> {
-        const body = await this.#readBody(req, res);
+        const { keepBytes, bodyBytes } = this.limits;
+        const maxBytes = this.#callerLimits.bodyBytes ?? bodyBytes;
+        const body = await readCallerBody(req, { keepBytes, maxBytes }, callerResponse);
         if (body === undefined || "type" in body) {
             return body;
         }
@@ -188,22 +217,6 @@
         requestLog.requestEnded(plan, { outcome, status, revision: this.deps.revision(), attempts, elapsedMs });
     }
 
-    async #readBody(req: IncomingMessage, res: ServerResponse): Promise<Body | RequestRefusal | undefined> {
-        const { keepBytes } = this.limits;
-        const maxBytes = this.#callerLimits.bodyBytes ?? this.limits.bodyBytes;
-        try {
-            return await readBody(req, { keepBytes, maxBytes });
-        }
-        catch (err) {
-            if (err instanceof BodyError && err.tooLarge) {
-                res.shouldKeepAlive = false;
-                return { type: "refusal", problem: "body-too-large", detail: `at most ${maxBytes} bytes` };
-            }
-            res.destroy();
-            return undefined;
-        }
-    }
-
     #headers(req: IncomingMessage): HttpHeaders {
         const headers = forwardableHeaders(req.headers);
         const { callerService } = this.listenerParts;
--- a/src/ingress/sendproblem.ts
+++ b/src/ingress/sendproblem.ts
@@ -3,6 +3,9 @@
 import type { Dialect } from "../dialect/dialect.js";
 import type { ProblemType } from "../policy/retry/problemtype.js";
 import { problems } from "./problems.js";
+import type { ResponseTurn } from "./responseturn.js";
+
+type ProblemContext = { readonly dialect: Dialect; readonly turn: ResponseTurn; };
 
 /** `not-run`: no upstream has run the request, which is proven; `retryAfterMs` is in milliseconds. */
 type ProblemDetails = {
@@ -11,8 +14,13 @@
     readonly retryAfterMs?: number;
 };
 
-/** Responds with a problem; does nothing if a response has begun or the caller has left. */
-export function sendProblem(res: ServerResponse, dialect: Dialect, type: ProblemType, details: ProblemDetails): void {
+/** Responds with a problem when it is its turn; does nothing if a response has begun or the caller has left. */
+export function sendProblem(
+    res: ServerResponse,
+    { dialect, turn }: ProblemContext,
+    type: ProblemType,
+    details: ProblemDetails,
+): void {
     if (res.headersSent || res.destroyed) {
         return;
     }
@@ -25,6 +33,6 @@
     res.setHeader("content-type", "application/problem+json");
     res.setHeader("content-length", Buffer.byteLength(body));
     res.setHeader(dialect.outcome, outcome);
-    res.writeHead(status);
-    res.end(body);
+    res.statusCode = status;
+    turn.whenFirst(() => res.end(body));
 }
