--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -94,9 +94,12 @@
         this.#sendProblemIfDue();
     }
 
-    /** Accepts nothing more if requests are accepted. An idle connection serves one more request, which closes it. */
+    /**
+     * Accepts nothing more if the last response can still close the connection. One that has begun has told the caller
+     * that the connection stays open; then, and on an idle connection, one more request is served, which closes it.
+     */
     startClosing(): void {
-        if (this.#accepted.length > 0) {
+        if (this.#accepted.at(-1)?.headersSent === false) {
             this.#seal();
         }
     }
