--- a/src/http/httpstatus.ts
+++ b/src/http/httpstatus.ts
@@ -11,6 +11,7 @@
     unauthorized: 401,
     forbidden: 403,
     notFound: 404,
+    requestTimeout: 408,
     conflict: 409,
     gone: 410,
     preconditionFailed: 412,
