--- a/bench/makeviews.ts
+++ b/bench/makeviews.ts
@@ -3,9 +3,17 @@
 import { UpstreamStatements } from "../src/ingress/upstreamstatements.js";
 import { UpstreamView } from "../src/ingress/upstreamview.js";
 import { RemoteHop } from "../src/peer/remotehop.js";
+import { RegionRoundTrips } from "../src/policy/placement/regionroundtrips.js";
 import { makeDocument } from "./makedocument.js";
 
-const idle = { local: false, isEvacuated: () => false, statements: new UpstreamStatements(), onSent: () => {} };
+const idle = {
+    sameRegion: true,
+    regionRoundTrips: new RegionRoundTrips(),
+    local: false,
+    isEvacuated: () => false,
+    statements: new UpstreamStatements(),
+    onSent: () => {},
+};
 
 /** Returns `count` views, each with a load report; `hall` is the data hall of the ingress. */
 export function makeViews(count: number, hall: HallName): UpstreamView[] {
--- a/src/daemon/hops.ts
+++ b/src/daemon/hops.ts
@@ -6,6 +6,7 @@
 import type { Hop } from "../hop/hop.js";
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { PeerClient } from "../peer/peerclient.js";
 import type { PeerOptions } from "../peer/peeroptions.js";
@@ -15,6 +16,7 @@
 type HopsDependencies = {
     readonly self: Address;
     readonly hall: HallName;
+    readonly region: RegionName;
     readonly gateSet: GateSet;
     readonly identity: GateIdentity;
     readonly ledger: Ledger;
@@ -30,17 +32,21 @@
 
     /**
      * Returns the hop to an upstream's gate. `local` is true if the gate is in this daemon, which needs no network;
-     * `sameHall` if it is in this daemon's hall.
+     * `sameHall` and `sameRegion` if it is in this daemon's hall and region.
      */
-    open(upstream: Upstream): { readonly hop: Hop; readonly sameHall: boolean; readonly local: boolean; } {
-        const { self, hall, gateSet, identity, ledger, peerOptions, peer } = this.deps;
+    open(
+        upstream: Upstream,
+    ): { readonly hop: Hop; readonly sameHall: boolean; readonly sameRegion: boolean; readonly local: boolean; } {
+        const { self, hall, region, gateSet, identity, ledger, peerOptions, peer } = this.deps;
         if (upstream.gate === self) {
             const gate = (): Gate | undefined => gateSet.find(upstream.name);
-            return { hop: new LocalHop(gate, identity, ledger, peerOptions.clock), sameHall: true, local: true };
+            const hop = new LocalHop(gate, identity, ledger, peerOptions.clock);
+            return { hop, sameHall: true, sameRegion: true, local: true };
         }
         const hop = this.#remoteHops.get(upstream.gate) ?? new RemoteHop(upstream.gate, peer, peerOptions);
         this.#remoteHops.set(upstream.gate, hop);
-        return { hop, sameHall: upstream.hall === hall, local: false };
+        const sameRegion = upstream.region === region;
+        return { hop, sameHall: upstream.hall === hall, sameRegion, local: false };
     }
 
     /** Closes the idle connections to all gates, because they may be unresponsive. */
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -35,6 +35,7 @@
         this.#hops = new Hops({
             self,
             hall: settings.hall,
+            region: settings.region,
             gateSet: gates.gateSet,
             identity,
             ledger,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -39,6 +39,7 @@
     loadFadeMs: Ms.optional(),
     paceFadeMs: Ms.optional(),
     leaveHallCost: z.number().min(0).max(100).optional(),
+    leaveRegionCost: z.number().min(0).max(100).optional(),
 });
 
 /** Bounds the repeats that all daemons together send to a service (policy/retry/repeatbound.ts). */
--- a/src/failuredetection/failuredetector.test.ts
+++ b/src/failuredetection/failuredetector.test.ts
@@ -26,7 +26,7 @@
     t.mock.timers.enable();
     let now = 0;
     const upstreams = new UpstreamTable(
-        () => ({ hop: undefined as never, sameHall: true, local: false }),
+        () => ({ hop: undefined as never, sameHall: true, sameRegion: true, local: false }),
         new Evacuations(),
     );
     upstreams.apply([upstream("a", 1), upstream("b", 2)]);
@@ -74,6 +74,7 @@
     const upstreams = new UpstreamTable(({ name }) => ({
         hop: { probe: () => Promise.resolve(responsive.includes(name)) } as unknown as Hop,
         sameHall: true,
+        sameRegion: true,
         local: false,
     }), new Evacuations());
     upstreams.apply([upstream("a", 1), upstream("b", 2)]);
--- a/src/ingress/attempt.test.ts
+++ b/src/ingress/attempt.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { HopError } from "../hop/hoperror.js";
 import { Cancellation } from "../http/cancellation.js";
+import { RegionRoundTrips } from "../policy/placement/regionroundtrips.js";
 import type { Reason } from "../policy/retry/reason.js";
 import { Attempt } from "./attempt.js";
 import { RequestLog } from "./requestlog.js";
@@ -15,6 +16,8 @@
     const target = new UpstreamView(settings as never, {
         hop: hop as never,
         sameHall: true,
+        sameRegion: true,
+        regionRoundTrips: new RegionRoundTrips(),
         local: false,
         isEvacuated: () => false,
         statements: new UpstreamStatements(),
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -1,5 +1,6 @@
 /** The plan for a request: what is known of it before an upstream is chosen. */
 import type { Priority } from "../config/priority.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
@@ -10,6 +11,8 @@
     /** The team that the request is accounted to; `none` if there is none. */
     readonly team: TeamName;
     readonly priority: Priority;
+    /** The only regions in which the request may be served; all regions if absent. */
+    readonly regions?: readonly RegionName[] | undefined;
     /** Selects the part of a split: from 0 (inclusive) to 1 (exclusive), sampled once per request. */
     readonly splitSample: number;
     readonly startedAt: number;
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -60,6 +60,7 @@
             ...matched,
             team: matched.rule.tenant,
             priority: matched.rule.priority,
+            regions: matched.rule.regions,
             splitSample: sample,
             startedAt,
             deadline: this.#deadline(req, matched, parent, startedAt),
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -18,6 +18,10 @@
     "bad-request": { status: httpStatus.badRequest, title: "The request can't be read." },
     "internal": { status: httpStatus.internalServerError, title: "Winglock has failed." },
     "no-upstream": { status: httpStatus.serviceUnavailable, title: "No upstream of the service takes work now." },
+    "region-unavailable": {
+        status: httpStatus.serviceUnavailable,
+        title: "No upstream in the regions that may serve the request takes work now.",
+    },
     "overloaded": { status: httpStatus.serviceUnavailable, title: "All upstreams of the service are busy." },
     "quarantined": {
         status: httpStatus.serviceUnavailable,
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -17,6 +17,7 @@
 import { decideProblem } from "../policy/retry/decideproblem.js";
 import { reasonLabel } from "../policy/retry/reasonlabel.js";
 import { Attempt } from "./attempt.js";
+import { bodyBytes } from "./bodybytes.js";
 import type { CallerResponse } from "./callerresponse.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { OutgoingRequest } from "./outgoingrequest.js";
@@ -32,8 +33,6 @@
 type Result = AttemptResult<GateResponse>;
 type NoResponse = Exclude<UnservedResult, { readonly outcome: "failed"; }>;
 
-const NO_UPSTREAM: NoResponse = { outcome: "not-run", reason: "no-upstream", retryAfterMs: unplacedRetryAfterMs };
-
 /** Handles one request; `run` must be called only once. */
 export class RequestHandler {
     /** Aborts when the caller has left or the deadline has passed. */
@@ -61,7 +60,11 @@
             quarantineStatus: () => this.#quarantineStatus(),
             log: this.#log,
         });
-        this.#targets = new TargetSelector(deps, this.#retries.history.attempted);
+        this.#targets = new TargetSelector(deps, {
+            plan: () => this.plan,
+            bodyBytes: bodyBytes(outgoing),
+            tried: this.#retries.history.attempted,
+        });
     }
 
     /** The number of attempts, including those that reached no upstream. */
@@ -92,10 +95,10 @@
             return await this.#respondUnserved(last);
         }
         for (;;) {
-            const { goTo, offer } = last === undefined || last.outcome === "failed" ? NO_UPSTREAM : last;
-            const target = this.#targets.choose(this.plan.service.name, goTo);
+            const { goTo, offer }: Partial<NoResponse> = last === undefined || last.outcome === "failed" ? {} : last;
+            const target = this.#targets.choose(goTo);
             if (target === undefined) {
-                return await this.#endWithoutUpstream(last ?? NO_UPSTREAM);
+                return await this.#endWithoutUpstream(last ?? this.#targets.unplacedResult);
             }
             const result = await this.#attemptWithHedge(target, offer);
             if (result.outcome === "served") {
@@ -136,7 +139,7 @@
         return this.#cachedKey.key;
     }
 
-    /** Ends a request for which no upstream is eligible; `last` is the result of its last attempt, or NO_UPSTREAM. */
+    /** Ends a request for which no upstream is eligible; `last` is the result of its last attempt, or that of none. */
     async #endWithoutUpstream(last: UnservedResult): Promise<RequestOutcome> {
         if (this.response.hasCallerLeft) {
             return "left";
@@ -157,7 +160,7 @@
             return undefined;
         }
         overdue.recordOverdue(afterMs, this.deps.clock());
-        const target = this.#targets.choose(this.plan.service.name, undefined);
+        const target = this.#targets.chooseForHedge();
         if (target === undefined || this.#retries.history.attempted.has(target)) {
             return undefined;
         }
@@ -169,7 +172,7 @@
 
     #createAttempt(target: UpstreamView, offer: string | undefined, arrival: Arrival): Attempt {
         this.#retries.history.begin(target);
-        const untried = this.#retries.history.mayRedirect ? this.#targets.untried(this.plan.service.name) : [];
+        const untried = this.#retries.history.mayRedirect ? this.#targets.untried(target) : [];
         const attempt: Attempt = new Attempt(target, { offer, arrival }, {
             ingress: this.deps,
             plan: this.plan,
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -2,41 +2,96 @@
  * Selects the upstream for each attempt of one request. Which are eligible and which is best is decided in
  * policy/placement.
  */
-import type { ServiceName } from "../ids/servicename.js";
+import type { RegionName } from "../ids/regionname.js";
+import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
+import { allowedTargets } from "../policy/placement/allowedtargets.js";
 import { availableTargets } from "../policy/placement/availabletargets.js";
 import { findSpeedProbe } from "../policy/placement/findspeedprobe.js";
 import { selectTargets } from "../policy/placement/selecttargets.js";
+import { targetsAtHome } from "../policy/placement/targetsathome.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
+import type { Plan } from "./plan.js";
+import type { UnservedResult } from "./unservedresult.js";
 import type { UpstreamView } from "./upstreamview.js";
 
-/** `tried` holds the upstreams that the request was sent to; it is read on each call. */
+/** The request to place. */
+type SelectedRequest = {
+    /** Returns the plan, which may change between attempts. */
+    readonly plan: () => Plan;
+    readonly bodyBytes: number;
+    /** The upstreams that the request was sent to; read on each call. */
+    readonly tried: ReadonlySet<UpstreamView>;
+};
+
 export class TargetSelector {
-    constructor(private readonly deps: IngressDependencies, private readonly tried: ReadonlySet<UpstreamView>) {}
+    constructor(private readonly deps: IngressDependencies, private readonly request: SelectedRequest) {}
+
+    /** The result of a request for which no upstream is eligible before its first attempt. */
+    get unplacedResult(): UnservedResult {
+        const isRegional = this.#allowedRegions.some(list => list !== undefined);
+        return {
+            outcome: "not-run",
+            reason: isRegional ? "region-unavailable" : "no-upstream",
+            retryAfterMs: unplacedRetryAfterMs,
+        };
+    }
 
     /**
      * Returns the upstream to send to, preferring the one that holds a slot for the request, or undefined if none is
      * eligible.
      */
-    choose(service: ServiceName, slotHolder: string | undefined): UpstreamView | undefined {
-        const { placement, random, clock, daemonCount } = this.deps;
-        const views = this.#viewsOf(service);
-        const now = clock();
+    choose(slotHolder: string | undefined): UpstreamView | undefined {
+        const now = this.deps.clock();
+        const views = this.#views(now);
         const holder = views.find(view => view.upstream === slotHolder);
         if (holder !== undefined && !holder.isLeavingPermanently) {
             return holder;
         }
-        const targets = selectTargets(views, this.tried, now);
-        return targets.find(view => view.isRateProbeDue(now))
-            ?? findSpeedProbe(targets, daemonCount(), now)
-            ?? placement.choose(targets, now, random) as UpstreamView | undefined;
+        return this.#place(this.#staysInRegion() ? targetsAtHome(views, now) : views, now);
+    }
+
+    /** Returns the upstream for a hedge, which stays in the region while an upstream there is available. */
+    chooseForHedge(): UpstreamView | undefined {
+        const now = this.deps.clock();
+        return this.#place(targetsAtHome(this.#views(now), now), now);
+    }
+
+    /**
+     * Returns the available upstreams that the request was not sent to yet, in the region of `target`. A gate that may
+     * refuse a request early because of others counts only these: a redirect to another region costs more time than
+     * the wait that it saves.
+     */
+    untried(target: UpstreamView): UpstreamView[] {
+        const now = this.deps.clock();
+        return availableTargets(this.#views(now), this.request.tried, now)
+            .filter(view => view.region === target.region);
+    }
+
+    #place(views: readonly UpstreamView[], now: number): UpstreamView | undefined {
+        const { placement, random, daemonCount } = this.deps;
+        const { tried, bodyBytes } = this.request;
+        const targets = selectTargets(views, tried, now);
+        const home = targets.filter(view => view.sameRegion);
+        const probeable = home.length === 0 ? targets : home;
+        return probeable.find(view => view.isRateProbeDue(now))
+            ?? findSpeedProbe(probeable, daemonCount(), now)
+            ?? placement.choose(targets, now, random, { bodyBytes }) as UpstreamView | undefined;
+    }
+
+    /** A body that another region has refused is not sent there again while an upstream at home is available. */
+    #staysInRegion(): boolean {
+        const { plan, bodyBytes, tried } = this.request;
+        return plan().depth > 0 || (bodyBytes > 0 && [...tried].some(view => !view.sameRegion));
     }
 
-    /** Returns the available upstreams that the request was not sent to yet. */
-    untried(service: ServiceName): UpstreamView[] {
-        return availableTargets(this.#viewsOf(service), this.tried, this.deps.clock());
+    #views(now: number): readonly UpstreamView[] {
+        const views = this.deps.upstreams.ofService(this.request.plan().service.name);
+        return allowedTargets(views, this.#allowedRegions, now);
     }
 
-    #viewsOf(service: ServiceName): readonly UpstreamView[] {
-        return this.deps.upstreams.ofService(service);
+    /** The regions that the plan allows, and those of its present rule, which may be newer. */
+    get #allowedRegions(): readonly (readonly RegionName[] | undefined)[] {
+        const { regions, rule } = this.request.plan();
+        return [regions, rule.regions];
     }
 }
--- a/src/ingress/upstreamtable.ts
+++ b/src/ingress/upstreamtable.ts
@@ -9,16 +9,20 @@
 import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
+import { RegionRoundTrips } from "../policy/placement/regionroundtrips.js";
 import { UpstreamStatements } from "./upstreamstatements.js";
 import { UpstreamView } from "./upstreamview.js";
 
 /** Opens a hop to an upstream's gate. */
-type OpenHop = (upstream: Upstream) => { readonly hop: Hop; readonly sameHall: boolean; readonly local: boolean; };
+type OpenHop = (
+    upstream: Upstream,
+) => { readonly hop: Hop; readonly sameHall: boolean; readonly sameRegion: boolean; readonly local: boolean; };
 
 /** Holds one view per upstream. */
 export class UpstreamTable {
     readonly #byName = new Map<UpstreamName, UpstreamView>();
     readonly #statements = new UpstreamStatements();
+    readonly #regionRoundTrips = new RegionRoundTrips();
     readonly #byService = new Map<ServiceName, UpstreamView[]>();
     readonly #monitored = new Set<UpstreamView>();
     #upstreams: readonly Upstream[] = [];
@@ -77,12 +81,14 @@
         if (known !== undefined) {
             return known;
         }
-        const { hop, sameHall, local } = this.openHop(upstream);
+        const { hop, sameHall, sameRegion, local } = this.openHop(upstream);
         const view = new UpstreamView(upstream, {
             hop,
             sameHall,
+            sameRegion,
             local,
             statements: this.#statements,
+            regionRoundTrips: this.#regionRoundTrips,
             isEvacuated: () => this.evacuations.isEvacuated(upstream.hall),
             onSent: sent => this.#monitored.add(sent),
         });
--- a/src/ingress/upstreamview.ts
+++ b/src/ingress/upstreamview.ts
@@ -8,6 +8,7 @@
 import type { Upstream } from "../config/upstream.js";
 import type { Hop } from "../hop/hop.js";
 import type { Cancellation } from "../http/cancellation.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { LivenessCheck } from "../policy/failure/livenesscheck.js";
 import { Suspicion } from "../policy/failure/suspicion.js";
@@ -23,21 +24,7 @@
 import { withMinServiceTime } from "../policy/placement/withminservicetime.js";
 import type { ReasonFacts } from "../policy/retry/reasonfacts.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
-import type { UpstreamStatements } from "./upstreamstatements.js";
-
-/** Dependencies of a view, and the properties of its upstream that do not change. */
-type ViewDependencies = {
-    readonly hop: Hop;
-    /** True if the upstream is in this daemon's data hall. */
-    readonly sameHall: boolean;
-    /** True if the upstream is on this daemon's host. */
-    readonly local: boolean;
-    /** Returns true while operators have evacuated the upstream's data hall. */
-    readonly isEvacuated: () => boolean;
-    readonly statements: UpstreamStatements;
-    /** Called for each request that is sent to the upstream. */
-    readonly onSent: (view: UpstreamView) => void;
-};
+import type { UpstreamViewDependencies } from "./upstreamviewdependencies.js";
 
 /** Tracks one upstream; created for each upstream of a service that requests are sent to. */
 export class UpstreamView implements Candidate, Selectable {
@@ -53,11 +40,18 @@
     readonly #fullness = new FullBackoff();
     readonly #rateShare = new RateShare();
     readonly #penalty = new FailurePenalty();
-    readonly #roundTrip = new RoundTrip();
+    readonly #roundTrip: RoundTrip;
     /** Attempts to cancel when the gate becomes unresponsive. */
     readonly #cancellable = new Set<Cancellation>();
 
-    constructor(public settings: Upstream, private readonly deps: ViewDependencies) {
+    constructor(public settings: Upstream, private readonly deps: UpstreamViewDependencies) {
+        const { sameRegion, regionRoundTrips } = deps;
+        this.#roundTrip = new RoundTrip(
+            sameRegion ? undefined : {
+                estimateMs: () => regionRoundTrips.estimateMs(this.settings),
+                observe: ms => regionRoundTrips.observe(this.settings, ms),
+            },
+        );
         this.#rateShare.setLimit(this.limitPerSecond, -Infinity);
     }
 
@@ -69,6 +63,14 @@
         return this.deps.sameHall;
     }
 
+    get sameRegion(): boolean {
+        return this.deps.sameRegion;
+    }
+
+    get region(): RegionName {
+        return this.settings.region;
+    }
+
     get local(): boolean {
         return this.deps.local;
     }
--- a/src/policy/model/modelview.ts
+++ b/src/policy/model/modelview.ts
@@ -17,6 +17,7 @@
     report: LoadReport | undefined;
     reportedAt = 0;
     outstandingAtReport = 0;
+    readonly sameRegion = true;
     readonly roundTripMs = 1;
     readonly penaltyMs = 0;
     readonly lastFailureAt = 0;
--- a/src/policy/placement/candidate.ts
+++ b/src/policy/placement/candidate.ts
@@ -9,6 +9,8 @@
     readonly slots: number;
     /** True if the upstream is in the ingress's own data hall. */
     readonly sameHall: boolean;
+    /** True if the upstream is in the ingress's own region. */
+    readonly sameRegion: boolean;
     /** Network round trip to the gate, without the time that the gate takes. */
     readonly roundTripMs: number;
     /** Requests that this daemon has sent to the upstream and that have not ended. */
--- a/src/policy/placement/expectedtime.test.ts
+++ b/src/policy/placement/expectedtime.test.ts
@@ -9,6 +9,7 @@
     upstream: name as UpstreamName,
     slots: 10,
     sameHall: true,
+    sameRegion: true,
     roundTripMs: 1,
     outstanding: 0,
     report: { running: 2, waiting: 0, limit: 10, serviceMs: 10, baseMs: 10 },
--- a/src/policy/placement/expectedtime.ts
+++ b/src/policy/placement/expectedtime.ts
@@ -8,9 +8,14 @@
  * known from reports only. That part of a report decays within a few milliseconds, because many ingresses that act on
  * the same stale report overload one upstream, which is worse than no report. Service times change more slowly, so they
  * decay later.
+ *
+ * Upstreams of the ingress's own region are sampled first. Those of other regions are considered only if the lowest
+ * cost at home exceeds what a crossing costs at least, and one of them is chosen only if it is clearly faster. Thus
+ * a service with many upstreams elsewhere does not dilute the sample, and most requests cost no look at other regions.
  */
 import type { RandomSource } from "../randomsource.js";
 import type { Candidate } from "./candidate.js";
+import type { PlacedRequest } from "./placedrequest.js";
 import { Placement } from "./placement.js";
 import { sample } from "./sample.js";
 
@@ -33,8 +38,13 @@
     readonly paceFadeMs: number;
     /** Cost of leaving the data hall, as a multiple of the usual service time. */
     readonly leaveHallCost: number;
+    /** Cost of leaving the region, as a multiple of the usual service time; added to that of leaving the hall. */
+    readonly leaveRegionCost: number;
 };
 
+/** A candidate with its expected time in milliseconds, costs of leaving the hall or the region included. */
+type Costed = { readonly candidate: Candidate; readonly costMs: number; };
+
 const DEFAULTS: Options = {
     choices: 4,
     loadFadeMs: 5,
@@ -42,6 +52,7 @@
     ownWeight: 8,
     paceFadeMs: 250,
     leaveHallCost: 0,
+    leaveRegionCost: 0,
 };
 
 /** Service time that is assumed while no upstream of a service has a report. */
@@ -65,6 +76,20 @@
  */
 const SLOW_RATIO = 1.5;
 
+/**
+ * Ratio of the lowest cost in the own region to that in another one from which a request crosses. Covers the cost of
+ * slots in use, which is no time, and the error of the estimates: a request that crosses in vain has lost a round trip.
+ */
+const CLEARLY_SHORTER_RATIO = 1 + UTILIZATION_COST;
+
+/**
+ * Bytes of a body that a link between regions is assumed to carry in a millisecond for one request: 8 Mbit/s, about a
+ * fifth of a link of 42 Mbit/s that all daemons share.
+ */
+const CROSSING_BYTES_PER_MS = 1000;
+
+const EMPTY_REQUEST: PlacedRequest = { bodyBytes: 0 };
+
 /** Time constant of a failure penalty; a failed upstream gets a request again within about this time. */
 const PENALTY_DECAY_MS = 1000;
 
@@ -93,20 +118,38 @@
         this.#options = { ...DEFAULTS, ...options };
     }
 
-    choose(candidates: readonly Candidate[], now: number, random: RandomSource): Candidate | undefined {
-        const sampled = this.#sampleCandidates(candidates, random);
+    choose(
+        candidates: readonly Candidate[],
+        now: number,
+        random: RandomSource,
+        request = EMPTY_REQUEST,
+    ): Candidate | undefined {
         const usualMs = usualServiceMs(candidates);
-        const costs = new Map(sampled.map(candidate => [candidate, this.expectedMs(candidate, now, usualMs)]));
-        const lowestCost = Math.min(...costs.values());
-        const similar = sampled.filter(candidate => costs.get(candidate)! <= lowestCost * SIMILAR_COST_RATIO);
-        return similar[Math.floor(random() * similar.length)];
+        const costOf = (candidate: Candidate): number => this.expectedMs(candidate, now, usualMs, request);
+        const home = candidates.filter(candidate => candidate.sameRegion);
+        if (home.length === 0 || home.length === candidates.length) {
+            return this.#lowestCost(candidates, costOf, random)?.candidate;
+        }
+        const atHome = this.#lowestCost(home, costOf, random)!;
+        const elsewhere = candidates.filter(candidate => !candidate.sameRegion);
+        if (atHome.costMs <= this.#minCrossingMs(elsewhere, usualMs, request) * CLEARLY_SHORTER_RATIO) {
+            return atHome.candidate;
+        }
+        const acrossRegions = this.#lowestCost(elsewhere, costOf, random)!;
+        const isClearlyShorter = atHome.costMs > acrossRegions.costMs * CLEARLY_SHORTER_RATIO;
+        return isClearlyShorter ? acrossRegions.candidate : atHome.candidate;
     }
 
     /**
      * Returns the expected time from sending to the response; `usualMs` is the service time of a candidate without a
      * report.
      */
-    expectedMs(candidate: Candidate, now: number, usualMs = DEFAULT_SERVICE_MS): number {
+    expectedMs(
+        candidate: Candidate,
+        now: number,
+        usualMs = DEFAULT_SERVICE_MS,
+        request: PlacedRequest = EMPTY_REQUEST,
+    ): number {
         const ageMs = now - candidate.reportedAt;
         const limit = Math.max(1, this.#limit(candidate, ageMs));
         const load = this.#load(candidate, ageMs);
@@ -114,11 +157,39 @@
         const serviceMs = this.#serviceMs(candidate, ageMs) ?? baseMs;
         const queueRounds = Math.max(0, load + 1 - limit) / limit;
         const utilizationCost = UTILIZATION_COST * Math.min(1, load / limit);
-        const leaveHallMs = candidate.sameHall ? 0 : this.#options.leaveHallCost * baseMs;
-        const pathMs = candidate.roundTripMs + leaveHallMs;
+        const pathMs = this.#pathMs(candidate, baseMs, request);
         return pathMs + serviceMs * (1 + queueRounds + utilizationCost) + this.#penaltyMs(candidate, now);
     }
 
+    /** Samples candidates, and returns one at random of those whose cost is similar to the lowest in the sample. */
+    #lowestCost(
+        candidates: readonly Candidate[],
+        costOf: (candidate: Candidate) => number,
+        random: RandomSource,
+    ): Costed | undefined {
+        const sampled = this.#sampleCandidates(candidates, random)
+            .map(candidate => ({ candidate, costMs: costOf(candidate) }));
+        const lowestMs = Math.min(...sampled.map(({ costMs }) => costMs));
+        const similar = sampled.filter(({ costMs }) => costMs <= lowestMs * SIMILAR_COST_RATIO);
+        return similar[Math.floor(random() * similar.length)];
+    }
+
+    /** Returns the cost of the fastest of the candidates if it were idle. */
+    #minCrossingMs(candidates: readonly Candidate[], usualMs: number, request: PlacedRequest): number {
+        return Math.min(...candidates.map(candidate => {
+            const baseMs = candidate.report?.baseMs ?? usualMs;
+            return baseMs + this.#pathMs(candidate, baseMs, request);
+        }));
+    }
+
+    /** Returns the time of the network and the costs of leaving the hall and the region. */
+    #pathMs({ sameHall, sameRegion, roundTripMs }: Candidate, baseMs: number, { bodyBytes }: PlacedRequest): number {
+        const { leaveHallCost, leaveRegionCost } = this.#options;
+        const leaveHallMs = sameHall ? 0 : leaveHallCost * baseMs;
+        const crossingMs = sameRegion ? 0 : leaveRegionCost * baseMs + bodyBytes / CROSSING_BYTES_PER_MS;
+        return roundTripMs + leaveHallMs + crossingMs;
+    }
+
     /** Samples candidates; if leaving the hall has a cost, about half of the sample is taken from the own hall. */
     #sampleCandidates(candidates: readonly Candidate[], random: RandomSource): Candidate[] {
         const { choices, leaveHallCost } = this.#options;
--- a/src/policy/placement/findspeedprobe.test.ts
+++ b/src/policy/placement/findspeedprobe.test.ts
@@ -18,6 +18,7 @@
     upstream: name as UpstreamName,
     slots: SLOTS,
     sameHall: true,
+    sameRegion: true,
     roundTripMs: 1,
     outstanding: 0,
     report: { running: 0, waiting: 0, limit: SLOTS, serviceMs: baseMs, baseMs },
--- a/src/policy/placement/roundtrip.ts
+++ b/src/policy/placement/roundtrip.ts
@@ -3,17 +3,23 @@
  * the gate took.
  */
 
-/** Assumed before the first response: a round trip between data halls of one region. */
+/** Assumed before the first response of a gate in the own region: a round trip between data halls of one region. */
 const INITIAL_ROUND_TRIP_MS = 1;
 /** Weight of the newest response in the moving average. */
 const NEWEST_WEIGHT = 0.1;
 
+/** What is known of the round trips to other gates at the same place. */
+type Neighbours = { readonly estimateMs: () => number; readonly observe: (ms: number) => void; };
+
 /** Holds the estimated round trip to one gate. */
 export class RoundTrip {
-    #ms = INITIAL_ROUND_TRIP_MS;
+    #ms: number | undefined;
+
+    /** `neighbours` is undefined for a gate in the own region. */
+    constructor(private readonly neighbours: Neighbours | undefined = undefined) {}
 
     get ms(): number {
-        return this.#ms;
+        return this.#ms ?? this.neighbours?.estimateMs() ?? INITIAL_ROUND_TRIP_MS;
     }
 
     /**
@@ -21,6 +27,8 @@
      * took.
      */
     observe(elapsedMs: number, gateMs: number): void {
-        this.#ms += NEWEST_WEIGHT * (Math.max(0, elapsedMs - gateMs) - this.#ms);
+        const measuredMs = Math.max(0, elapsedMs - gateMs);
+        this.neighbours?.observe(measuredMs);
+        this.#ms = this.ms + NEWEST_WEIGHT * (measuredMs - this.ms);
     }
 }
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -11,6 +11,7 @@
     | "bad-request"
     | "internal"
     | "no-upstream"
+    | "region-unavailable"
     | "overloaded"
     | "quarantined"
     | "unreachable"
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -45,6 +45,7 @@
     | "broken-body"
     // The ingress ended the attempt.
     | "no-upstream"
+    | "region-unavailable"
     | "overtaken"
     | "broken-answer"
     // The peer gave no reason, or one that this version does not know.
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -60,6 +60,7 @@
     "not-a-frame": mayHaveRun,
     "broken-body": mayHaveRun,
     "no-upstream": { ...refusedForLoad, costsBudget: false, problem: "no-upstream" },
+    "region-unavailable": { ...refusedForLoad, costsBudget: false, problem: "region-unavailable" },
     "overtaken": mayHaveRun,
     "broken-answer": mayHaveRun,
     "no-reason": { ...refusedForLoad, proves: "either" },
