--- a/src/cli/statustable.test.ts
+++ b/src/cli/statustable.test.ts
@@ -84,3 +84,16 @@
     assert.match(text, /^hall-0 +splits +20 +19 +0 +0 +1 +0 +0 /m);
     assert.match(text, /^i-20 +splits +hall-0 +limited to 7\.8\/s /m);
 });
+
+test("status table: what has crossed between regions is summed over hosts, and left out if there is nothing", () => {
+    assert.doesNotMatch(statusTable(responseOf(3)), /between regions/);
+    const text = statusTable(responseOf(3, lines => {
+        lines.forEach((line, index) => {
+            line.host = `h${Math.floor(index / 2)}`;
+            line.regionSentBytes = 100n;
+            line.regionReceivedBytes = 50n;
+            line.regionSentMessages = 3n;
+        });
+    }));
+    assert.match(text, /^between regions: 200 bytes sent, 100 received, 6 control messages sent$/m);
+});
--- a/src/daemon/daemoncontext.ts
+++ b/src/daemon/daemoncontext.ts
@@ -1,5 +1,6 @@
 /** Holds what all components of one daemon share. */
 import { randomBytes } from "node:crypto";
+import { RegionTraffic } from "../connections/regiontraffic.js";
 import { UnresponsiveConnections } from "../connections/unresponsiveconnections.js";
 import { DatagramSocket } from "../datagram/datagramsocket.js";
 import type { Message } from "../datagram/message.js";
@@ -30,19 +31,24 @@
     readonly peer: PeerClient;
     readonly unresponsiveConnections: UnresponsiveConnections;
     readonly datagrams: DatagramSocket;
+    readonly regionTraffic: RegionTraffic;
 
     constructor(readonly settings: Settings, readonly environment: Environment, readonly metrics: Metrics) {
-        const { peer, advertise, peerKey: key, control } = settings;
+        const { peer, advertise, peerKey: key, control, region } = settings;
         const { clock } = this;
+        const { bytesPerSecond, regionBytesPerSecond } = control;
+        this.regionTraffic = new RegionTraffic({ region, bytesPerSecond: regionBytesPerSecond, clock, metrics });
+        const { watch: onSocket, countMessage } = this.regionTraffic;
         this.self = advertise ?? peer;
         this.localIp = splitAddress(peer).ip;
         this.unresponsiveConnections = new UnresponsiveConnections(clock, metrics);
         const onUnresponsive = (address: Address): void =>
             this.unresponsiveConnections.recordAndNotify("peer", address);
-        this.peerOptions = { localIp: this.localIp, key, clock, onUnresponsive };
+        const onCall = (ip: string): void => countMessage("sent", ip, 0);
+        this.peerOptions = { localIp: this.localIp, key, clock, onUnresponsive, onSocket, onCall };
         this.peer = new PeerClient(this.peerOptions);
         this.unresponsiveConnections.onDetected(() => this.peer.renewConnections());
-        this.datagrams = new DatagramSocket({ key, clock, bytesPerSecond: control.bytesPerSecond, metrics });
+        this.datagrams = new DatagramSocket({ key, clock, bytesPerSecond, metrics, onMessage: countMessage });
     }
 
     /** Sends a datagram; returns false if the budget for control messages is used up. */
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -1,5 +1,6 @@
 /** Handles the calls of peers from the state of this daemon. */
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
+import type { RegionTraffic } from "../connections/regiontraffic.js";
 import type { CrashPropagation } from "../crashes/crashpropagation.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
@@ -29,6 +30,7 @@
     /** Undefined if the configuration names the upstreams. */
     readonly membership: Membership | undefined;
     readonly watchesStore: () => boolean;
+    readonly regionTraffic: RegionTraffic;
 };
 
 /** Implements the peer service; the peer server decodes requests and encodes responses. */
@@ -69,9 +71,15 @@
     }
 
     status(): GateStatus[] {
-        const { gateSet, configuration, clock, membership, watchesStore } = this.deps;
+        const { gateSet, configuration, clock, membership, watchesStore, regionTraffic } = this.deps;
         const now = clock();
-        const daemonStatus = { watchesStore: watchesStore(), members: membership?.members.length ?? 0 };
+        const { bytes: sentBytes, messages: sentMessages } = regionTraffic.totals("sent");
+        const { bytes: receivedBytes } = regionTraffic.totals("received");
+        const daemonStatus = {
+            watchesStore: watchesStore(),
+            members: membership?.members.length ?? 0,
+            regionTraffic: { sentBytes, receivedBytes, sentMessages },
+        };
         return [...gateSet.all].map(gate => gateStatus(gate, configuration, daemonStatus, now));
     }
 
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -67,6 +67,7 @@
         this.gates.gateSet.apply(upstreams);
         this.upstreamTable.apply(upstreams);
         this.#hops.apply(upstreams);
+        this.context.regionTraffic.setLocations([...upstreams, ...this.membership.members]);
         const gates = new Set(upstreams.map(({ gate }) => gate));
         this.#daemonCount = Math.max(gates.size, this.membership.members.length);
         this.gates.retriesByService.recordDaemonCount(this.#daemonCount);
@@ -99,11 +100,13 @@
                 configuration: current,
                 gateSet: gates.gateSet,
                 crashes: this.membership.crashes,
+                regionTraffic: this.context.regionTraffic,
             }),
             gate: name => gates.gateSet.find(name),
             pullConfiguration: this.#pullConfiguration,
             findRule: target => rules.find(target),
             isStale: (head, rule) => rules.isStale(head, rule),
+            onSocket: this.context.regionTraffic.watch,
             onSender: sender => this.loadSharing.reporter.recordSender(sender as Address),
         });
     }
@@ -133,6 +136,7 @@
             isHedgingEnabled: policy.hedge,
             crashGuard: this.gates.crashGuard,
             daemonCount: () => this.#daemonCount,
+            allowsCrossing: bytes => this.context.regionTraffic.allowsCrossing(bytes),
             newRequestId: () => `${incarnation}.${this.#requestCount++}`,
             peerAddress: self,
             pullConfiguration: this.#pullConfiguration,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -28,6 +28,7 @@
 
 const Control = z.strictObject({
     bytesPerSecond: z.int().min(1000).max(10 * MIB).default(13_000),
+    regionBytesPerSecond: z.int().min(1000).max(1024 * MIB).optional(),
     healthPath: z.string().startsWith("/").default("/health"),
     healthPerSecond: z.number().min(0).max(10).default(1),
     pacePerSecond: z.number().min(0).max(1000).default(20),
--- a/src/datagram/datagramsocket.ts
+++ b/src/datagram/datagramsocket.ts
@@ -31,6 +31,8 @@
     /** Limit that is not exceeded in any second; a datagram beyond it is not sent. */
     readonly bytesPerSecond: number;
     readonly metrics: Metrics;
+    /** Called for each datagram that is sent or received, with the peer's IP address and the bytes. */
+    readonly onMessage?: (direction: "sent" | "received", ip: string, bytes: number) => void;
 };
 
 /** Share of the datagrams' limit that is reserved for pongs, so that a busy daemon is not taken for unresponsive. */
@@ -70,7 +72,10 @@
     /** Binds the socket, and calls `receive` with each authenticated, valid message. */
     bind(address: Address, receive: (message: Message) => void): Promise<void> {
         const { ip, port } = splitAddress(address);
-        this.#socket.on("message", data => this.#onDatagram(data, receive));
+        this.#socket.on("message", (data, { address: from }) => {
+            this.options.onMessage?.("received", from, data.length + HEADER_BYTES);
+            this.#onDatagram(data, receive);
+        });
         return new Promise((resolve, reject) => {
             this.#socket.once("error", reject);
             this.#socket.bind(port, ip, () => {
@@ -90,6 +95,7 @@
         }
         const { ip, port } = splitAddress(to);
         this.#socket.send([this.#computeTag(body), body], port, ip, err => this.#onSent(to, err));
+        this.options.onMessage?.("sent", ip, bytes);
         this.options.metrics.countControlTraffic(SPENDING_BY_TYPE[message.type], bytes);
         return true;
     }
--- a/src/ingress/ingressdependencies.ts
+++ b/src/ingress/ingressdependencies.ts
@@ -28,6 +28,8 @@
     readonly crashGuard: CrashGuard;
     /** Returns the number of known daemons, including this one. */
     readonly daemonCount: () => number;
+    /** Returns true if a request with a body of this length may be sent to another region now. */
+    readonly allowsCrossing: (bodyBytes: number) => boolean;
     /** Returns a new id for a request or an attempt. */
     readonly newRequestId: () => string;
     /** Returns the revision of the configuration, or 0 while none is known. */
--- a/src/ingress/targetselector.test.ts
+++ b/src/ingress/targetselector.test.ts
@@ -26,11 +26,17 @@
     return created;
 };
 
-type Request = { depth?: number; bodyBytes?: number; regions?: string[]; ruleRegions?: string[]; };
+type Request = {
+    depth?: number;
+    bodyBytes?: number;
+    regions?: string[];
+    ruleRegions?: string[];
+    allowsCrossing?: boolean;
+};
 
 const selectorOf = (
     views: readonly UpstreamView[],
-    { depth = 0, bodyBytes = 0, regions, ruleRegions }: Request = {},
+    { depth = 0, bodyBytes = 0, regions, ruleRegions, allowsCrossing = true }: Request = {},
     tried: ReadonlySet<UpstreamView> = new Set(),
 ): TargetSelector =>
     new TargetSelector(
@@ -39,6 +45,7 @@
             random: seededRandom(1),
             placement: new ExpectedTime(),
             daemonCount: () => 1,
+            allowsCrossing: () => allowsCrossing,
             upstreams: { ofService: () => views },
         } as never,
         {
@@ -48,6 +55,10 @@
         },
     );
 
+/** Returns the reason with which a request is refused that is proven not to have run. */
+const reasonOf = ({ unplacedResult: result }: TargetSelector): string | undefined =>
+    result.outcome === "not-run" ? result.reason : undefined;
+
 const busyHome = view("h0", "north", true);
 const busyHome2 = view("h1", "north", true);
 const south = view("s0", "south");
@@ -102,12 +113,15 @@
     cutOff.suspect(NOW);
     const selector = selectorOf([busyHome, cutOff], { regions: ["south"] });
     assert.equal(selector.choose(undefined), undefined);
-    assert.equal(selector.unplacedResult.outcome, "not-run");
-    assert.deepEqual(
-        [selector.unplacedResult, selectorOf([]).unplacedResult].map(result =>
-            result.outcome === "failed" ? undefined : result.reason
-        ),
-        ["region-unavailable", "no-upstream"],
-    );
+    assert.deepEqual([reasonOf(selector), reasonOf(selectorOf([]))], ["region-unavailable", "no-upstream"]);
     assert.equal(selectorOf([busyHome, cutOff], { regions: ["south", "north"] }).choose(undefined), busyHome);
 });
+
+test("selector: above the bound on what crosses, requests stay in the region or are refused at once", () => {
+    const held = { allowsCrossing: false };
+    assert.equal(selectorOf(all, held).choose(undefined)?.region, "north");
+    assert.equal(selectorOf(all, held).choose("s0")?.region, "north");
+    const selector = selectorOf([south, south2], held);
+    assert.equal(selector.choose(undefined), undefined);
+    assert.equal(reasonOf(selector), "crossing-limit");
+});
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -23,7 +23,11 @@
     readonly tried: ReadonlySet<UpstreamView>;
 };
 
+/** Reads the state of the upstreams on each call. */
 export class TargetSelector {
+    /** True if the last choice had to stay in the region because of the bound on what crosses. */
+    #isHeldBack = false;
+
     constructor(private readonly deps: IngressDependencies, private readonly request: SelectedRequest) {}
 
     /** The result of a request for which no upstream is eligible before its first attempt. */
@@ -31,7 +35,7 @@
         const isRegional = this.#allowedRegions.some(list => list !== undefined);
         return {
             outcome: "not-run",
-            reason: isRegional ? "region-unavailable" : "no-upstream",
+            reason: this.#isHeldBack ? "crossing-limit" : isRegional ? "region-unavailable" : "no-upstream",
             retryAfterMs: unplacedRetryAfterMs,
         };
     }
@@ -44,7 +48,7 @@
         const now = this.deps.clock();
         const views = this.#views(now);
         const holder = views.find(view => view.upstream === slotHolder);
-        if (holder !== undefined && !holder.isLeavingPermanently) {
+        if (holder !== undefined && !holder.isLeavingPermanently && this.#mayCross(holder)) {
             return holder;
         }
         return this.#place(this.#staysInRegion() ? targetsAtHome(views, now) : views, now);
@@ -67,7 +71,20 @@
             .filter(view => view.region === target.region);
     }
 
+    /** Places the request; one that may not cross now stays in the region, if an upstream there is eligible. */
     #place(views: readonly UpstreamView[], now: number): UpstreamView | undefined {
+        const target = this.#best(views, now);
+        return target === undefined || this.#mayCross(target)
+            ? target
+            : this.#best(views.filter(view => view.sameRegion), now);
+    }
+
+    #mayCross(target: UpstreamView): boolean {
+        this.#isHeldBack = !target.sameRegion && !this.deps.allowsCrossing(this.request.bodyBytes);
+        return !this.#isHeldBack;
+    }
+
+    #best(views: readonly UpstreamView[], now: number): UpstreamView | undefined {
         const { placement, random, daemonCount } = this.deps;
         const { tried, bodyBytes } = this.request;
         const targets = selectTargets(views, tried, now);
--- a/src/link/linkpool.ts
+++ b/src/link/linkpool.ts
@@ -26,6 +26,8 @@
     readonly clock: Clock;
     /** Called after an unresponsive connection to the address has been closed. */
     readonly onUnresponsive: (address: Address) => void;
+    /** Called with each new connection and the IP address of the peer. */
+    readonly onSocket?: (socket: Socket, ip: string) => void;
 };
 
 /** Reuses the most recently used idle connection first, so that surplus connections reach their idle timeout. */
@@ -113,6 +115,7 @@
             socket.once("close", () => clearTimeout(timer));
             socket.once("connect", () => {
                 clearTimeout(timer);
+                this.options.onSocket?.(socket, ip);
                 socket.removeListener("error", fail);
                 socket.write(writeFrame(frameType.greeting, Buffer.from(key)));
                 const connection = this.#createConnection(socket);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -103,6 +103,25 @@
         );
     }
 
+    /** Adds counters for what is exchanged with other regions; `totals` returns the counts since the start. */
+    showRegionTraffic(totals: (direction: "sent" | "received") => { bytes: number; messages: number; }): void {
+        const show = (name: string, help: string, field: "bytes" | "messages"): void => {
+            new Counter({
+                name,
+                help,
+                labelNames: ["direction"] as const,
+                registers: [this.registry],
+                collect() {
+                    this.reset();
+                    this.inc({ direction: "sent" }, totals("sent")[field]);
+                    this.inc({ direction: "received" }, totals("received")[field]);
+                },
+            });
+        };
+        show("winglock_region_bytes_total", "Bytes exchanged with daemons of other regions.", "bytes");
+        show("winglock_region_messages_total", "Control messages exchanged with other regions.", "messages");
+    }
+
     /** Adds a gauge for the number of evacuated halls. */
     showEvacuated(count: () => number): void {
         this.#show("winglock_evacuated_halls", "Halls that operators have evacuated, as this daemon knows.", count);
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -77,6 +77,9 @@
         revision: BigInt(gate?.revision ?? 0),
         finished: BigInt(gate?.finished ?? 0),
         refused: BigInt(gate?.refused ?? 0),
+        regionSentBytes: BigInt(gate?.regionTraffic?.sentBytes ?? 0),
+        regionReceivedBytes: BigInt(gate?.regionTraffic?.receivedBytes ?? 0),
+        regionSentMessages: BigInt(gate?.regionTraffic?.sentMessages ?? 0),
     });
 
 const explainUrl = (api: OperatorApi, method: string, url: string): ReturnType<OperatorApi["explain"]> => {
--- a/src/peer/gatestatus.ts
+++ b/src/peer/gatestatus.ts
@@ -18,4 +18,10 @@
     readonly watchesStore: boolean;
     /** Number of daemons in its daemon's member list, itself included; 0 if the configuration lists the upstreams. */
     readonly members: number;
+    /** What its daemon has exchanged with other regions since it started; older daemons leave it out. */
+    readonly regionTraffic?: {
+        readonly sentBytes: number;
+        readonly receivedBytes: number;
+        readonly sentMessages: number;
+    };
 };
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,10 +1,11 @@
 /** Calls peers with tRPC; every call has a timeout. */
 import { createTRPCClient, type TRPCClient } from "@trpc/client";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
 import { parse } from "../config/parse.js";
 import { headerName } from "../dialect/headername.js";
 import type { Address } from "../ids/address.js";
+import { splitAddress } from "../ids/splitaddress.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import { log } from "../log/log.js";
 import { CrashChanges } from "../wire/crashchanges.js";
@@ -91,10 +92,19 @@
     }
 
     #makeAgent(): Agent {
+        const { localIp: localAddress, onSocket } = this.options;
+        const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         return new Agent({
             connections: 2,
-            localAddress: this.options.localIp,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            localAddress,
+            connect: (target, callback) =>
+                connect(target, (...result) => {
+                    const [, socket] = result;
+                    if (socket !== null) {
+                        onSocket?.(socket, target.hostname);
+                    }
+                    callback(...result);
+                }),
         });
     }
 
@@ -107,9 +117,11 @@
         if (known !== undefined) {
             return known;
         }
+        const { ip } = splitAddress(address);
         const client = createTRPCClient<typeof peerRouter>({
             links: [callLink(async (call, signal) => {
                 const headers = { [headerName.key]: this.options.key, "content-type": "application/json" };
+                this.options.onCall?.(ip);
                 const { body } = await this.#agent.request({ origin: `http://${address}`, ...call, headers, signal });
                 return await body.json();
             })],
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -51,6 +51,8 @@
     readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined) => boolean;
     /** Called with the address of each sender of a request, so that load reports are sent to it. */
     readonly onSender: (address: string | undefined) => void;
+    /** Called with each new connection and the IP address of its peer. */
+    readonly onSocket?: (socket: Socket, ip: string | undefined) => void;
 };
 
 /** Passes requests to their gates and tRPC calls to the peer service. */
@@ -69,6 +71,7 @@
         const [serveHttp] = this.#server.listeners("connection") as [(socket: Socket) => void];
         this.#server.removeAllListeners("connection");
         this.#server.on("connection", (socket: Socket) => {
+            this.deps.onSocket?.(socket, socket.remoteAddress);
             detectProtocol(
                 socket,
                 () => serveHttp.call(this.#server, socket),
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -46,6 +46,7 @@
     // The ingress ended the attempt.
     | "no-upstream"
     | "region-unavailable"
+    | "crossing-limit"
     | "overtaken"
     | "broken-answer"
     // The peer gave no reason, or one that this version does not know.
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -61,6 +61,7 @@
     "broken-body": mayHaveRun,
     "no-upstream": { ...refusedForLoad, costsBudget: false, problem: "no-upstream" },
     "region-unavailable": { ...refusedForLoad, costsBudget: false, problem: "region-unavailable" },
+    "crossing-limit": { ...refusedForLoad, costsBudget: false },
     "overtaken": mayHaveRun,
     "broken-answer": mayHaveRun,
     "no-reason": { ...refusedForLoad, proves: "either" },
