--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -40,11 +40,13 @@
     constructor(private readonly id: string) {}
 
     attemptSent(target: UpstreamView, { id, choices, remainingMs, arrival }: SentAttempt, now: number): void {
-        const { upstream, sameHall, outstanding, report, reportedAt } = target;
+        const { upstream, sameHall, sameRegion, region, roundTripMs, outstanding, report, reportedAt } = target;
         logger.decision(this.id, "The request is sent to an upstream.", {
             try: id,
             upstream,
             near: sameHall,
+            region: sameRegion ? undefined : region,
+            roundTripMs: sameRegion ? undefined : Math.round(roundTripMs),
             own: outstanding,
             report,
             reportAgeMs: report === undefined ? undefined : Math.round(now - reportedAt),
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -3,14 +3,14 @@
  *
  * A daemon sends each change of its record to the daemons that watch the store in each hall, which notify their halls
  * (distribution/hallheartbeats.ts). In addition, it periodically sends a hello with its incarnation, the version of its
- * record and the revision of its configuration to a few random peers. A receiver that is behind requests what it lacks:
+ * record and the revision of its configuration to a few random peers, most of them in its own region. A receiver that is behind requests what it lacks:
  * the sender's record (or all the sender's records, if it knows no other member) and the configuration.
  */
 import type { Message } from "../datagram/message.js";
 import type { Evacuations } from "../evacuation/evacuations.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
-import { sample } from "../policy/placement/sample.js";
+import { selectHelloPeers } from "../policy/membership/selecthellopeers.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import { Ticker } from "../time/ticker.js";
@@ -168,8 +168,10 @@
     }
 
     #sendHellos(): void {
-        const { memberList, random } = this.deps;
-        sample(memberList.members, HELLO_FANOUT, random).forEach(member => this.#sendHello(member.gate));
+        const { memberList, random, ownRecord } = this.deps;
+        const { region } = ownRecord();
+        selectHelloPeers(memberList.members, { region, fanout: HELLO_FANOUT }, random)
+            .forEach(member => this.#sendHello(member.gate));
     }
 
     #sendHello(to: Address): void {
--- a/src/transfer/worktransfer.ts
+++ b/src/transfer/worktransfer.ts
@@ -113,9 +113,10 @@
         }
         this.#needSentAt.set(gate, now);
         const { self, random, send } = this.deps;
-        const { service, name: upstream } = gate.upstream;
+        const { service, name: upstream, region } = gate.upstream;
         const siblings = this.deps.siblings().filter(other =>
-            other.service === service && other.name !== upstream && other.gate !== self && !other.draining
+            other.service === service && other.region === region && other.name !== upstream && other.gate !== self
+            && !other.draining
         );
         const chosenSiblings = sample(siblings, MAX_SIBLINGS, random);
         const count = requestsPerSibling(gate.queuedCount, chosenSiblings.length);
