--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -32,6 +32,7 @@
 
 const Control = z.strictObject({
     bytesPerSecond: z.int().min(1000).max(10 * MIB).default(13_000),
+    regionBytesPerSecond: z.int().min(1000).max(1024 * MIB).optional(),
     healthPath: z.string().startsWith("/").default("/health"),
     healthPerSecond: z.number().min(0).max(10).default(1),
     pacePerSecond: z.number().min(0).max(1000).default(20),
@@ -43,6 +44,7 @@
     loadFadeMs: Ms.optional(),
     paceFadeMs: Ms.optional(),
     leaveHallCost: z.number().min(0).max(100).optional(),
+    leaveRegionCost: z.number().min(0).max(100).optional(),
 });
 
 /** Bounds the repeats that all daemons together send to a service (policy/retry/repeatbound.ts). */
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -15,7 +15,7 @@
     /** Who sends the request; undefined if the document has no teams. */
     readonly identity?: Extract<AccessDecision, { type: "granted"; }>["identity"];
     /** The only regions in which the request may be served, on each attempt; all regions if undefined. */
-    readonly regions?: readonly RegionName[];
+    readonly regions?: readonly RegionName[] | undefined;
     /** Selects the part of a split: from 0 (inclusive) to 1 (exclusive), sampled once per request. */
     readonly splitSample: number;
     readonly startedAt: number;
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -13,6 +13,7 @@
     | "bad-request"
     | "internal"
     | "no-upstream"
+    | "region-unavailable"
     | "overloaded"
     | "quarantined"
     | "unreachable"
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -45,6 +45,8 @@
     | "broken-body"
     // The ingress ended the attempt.
     | "no-upstream"
+    | "region-unavailable"
+    | "crossing-limit"
     | "overtaken"
     | "broken-answer"
     // The peer gave no reason, or one that this version does not know.
