--- a/src/cli/statustable.test.ts
+++ b/src/cli/statustable.test.ts
@@ -4,6 +4,7 @@
 import {
     type GetStatusResponse,
     GetStatusResponseSchema,
+    RejectionSchema,
     type UpstreamStatus,
     UpstreamStatusSchema,
 } from "../gen/winglock/operator/v1/operator_pb.js";
@@ -76,6 +77,15 @@
     assert.match(text, /^i-20 +splits +hall-0 +cold /m);
 });
 
+test("status table: a rejected configuration is shown with its fields and the time since", () => {
+    const status = responseOf(2);
+    status.rejection = create(RejectionSchema, { fields: ["rules.3.kind: must be a kind"], ageMs: 35_400n });
+    assert.equal(
+        statusTable(status).split("\n").slice(1, 3).join("\n"),
+        "the stored configuration has been rejected for 35 s:\n    rules.3.kind: must be a kind",
+    );
+});
+
 test("status table: an upstream's stated rate limit is shown", () => {
     const text = statusTable(responseOf(195, lines => {
         lines[20]!.state = "limited";
--- a/src/cli/statustable.ts
+++ b/src/cli/statustable.ts
@@ -1,5 +1,6 @@
 /** Formats the status as a table. */
 import type { GetStatusResponse, UpstreamStatus } from "../gen/winglock/operator/v1/operator_pb.js";
+import { formatRejection } from "./formatrejection.js";
 import { hallTable } from "./halltable.js";
 import { table } from "./table.js";
 
@@ -37,6 +38,9 @@
     ]);
     const freshness = status.fresh ? "confirmed by the store" : "not confirmed by the store";
     const sections = [`revision ${status.revision}, ${freshness}`];
+    if (status.rejection !== undefined) {
+        sections.push(formatRejection(status.rejection));
+    }
     if (status.evacuatedHalls.length > 0) {
         sections.push(`evacuated: ${status.evacuatedHalls.join(", ")}`);
     }
--- a/src/config/parse.ts
+++ b/src/config/parse.ts
@@ -21,6 +21,7 @@
     code: issue.code,
     path: issue.path.map(String).join("."),
     message: `${issue.message}; got ${formatValue(valueAt(input, issue.path))}`,
+    requirement: issue.message,
 });
 
 /** Returns the validated value. Throws a ConfigError that names each invalid field, its value and what is allowed. */
--- a/src/daemon/configurationgroup.ts
+++ b/src/daemon/configurationgroup.ts
@@ -3,6 +3,7 @@
 import { ChangePublisher } from "../distribution/changepublisher.js";
 import { ConfigurationPuller } from "../distribution/configurationpuller.js";
 import { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import { DocumentRejection } from "../distribution/documentrejection.js";
 import { DocumentWatcher } from "../distribution/documentwatcher.js";
 import { Evacuations } from "../evacuation/evacuations.js";
 import type { HallsChange } from "../policy/halls/hallschange.js";
@@ -27,6 +28,7 @@
 export class ConfigurationGroup {
     readonly current = new CurrentConfiguration();
     readonly evacuations = new Evacuations();
+    readonly rejection = new DocumentRejection(this.current);
     readonly rules: RuleMatcher;
     readonly puller: ConfigurationPuller;
     readonly watcher: DocumentWatcher;
@@ -37,9 +39,10 @@
         const { current, evacuations } = this;
         this.rules = new RuleMatcher(current, clock);
         this.puller = new ConfigurationPuller(current, peer, metrics);
-        this.watcher = new DocumentWatcher(environment.store, current, evacuations, clock);
+        this.watcher = new DocumentWatcher(environment.store, current, evacuations, this.rejection, clock);
         this.publisher = new ChangePublisher(environment.store, current, attempt => sleep(RETRY_DELAY_MS * attempt));
         current.onChange(document => metrics.revision.set(document.revision));
+        metrics.showRejected(() => this.rejection.isRejected);
         metrics.showAge(() => current.ageMs(clock()));
         if (environment.registry === undefined) {
             current.onChange(document => evacuations.recordStoreChange(evacuatedHallsOf(document)));
@@ -50,6 +53,7 @@
     /** Resolves when the store and the seeds have responded or failed. */
     load(): Promise<void> {
         const { environment, settings, clock } = this.context;
-        return bootstrap(environment.store, settings.seeds, this.current, this.puller, this.evacuations, clock);
+        const { current, puller, evacuations, rejection } = this;
+        return bootstrap(environment.store, settings.seeds, current, puller, evacuations, rejection, clock);
     }
 }
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
 import type { CrashPropagation } from "../crashes/crashpropagation.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import type { DocumentRejection } from "../distribution/documentrejection.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { ledgerDeadline } from "../ledger/ledgerdeadline.js";
@@ -23,6 +24,7 @@
     readonly identity: GateIdentity;
     readonly ledger: Ledger;
     readonly configuration: CurrentConfiguration;
+    readonly rejection: DocumentRejection;
     readonly gateSet: GateSet;
     readonly crashes: CrashPropagation;
     readonly clock: Clock;
@@ -69,9 +71,13 @@
     }
 
     status(): GateStatus[] {
-        const { gateSet, configuration, clock, membership, watchesStore } = this.deps;
+        const { gateSet, configuration, rejection, clock, membership, watchesStore } = this.deps;
         const now = clock();
-        const daemonStatus = { watchesStore: watchesStore(), members: membership?.members.length ?? 0 };
+        const daemonStatus = {
+            watchesStore: watchesStore(),
+            members: membership?.members.length ?? 0,
+            rejection: rejection.current(now),
+        };
         return [...gateSet.all].map(gate => gateStatus(gate, configuration, daemonStatus, now));
     }
 
--- a/src/daemon/gatestatus.ts
+++ b/src/daemon/gatestatus.ts
@@ -4,7 +4,7 @@
 import type { GateStatus } from "../peer/gatestatus.js";
 
 /** The fields that are the same for all gates of a daemon. */
-type DaemonStatus = Pick<GateStatus, "watchesStore" | "members">;
+type DaemonStatus = Pick<GateStatus, "watchesStore" | "members" | "rejection">;
 
 const gateState = (gate: Gate): GateStatus["state"] => {
     if (gate.isEvacuated) {
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -96,6 +96,7 @@
                 membership: this.membership.registryMembership,
                 watchesStore: () => this.membership.heartbeats.isWatcher,
                 configuration: current,
+                rejection: this.configuration.rejection,
                 gateSet: gates.gateSet,
                 crashes: this.membership.crashes,
             }),
--- a/src/distribution/documentwatcher.ts
+++ b/src/distribution/documentwatcher.ts
@@ -4,8 +4,9 @@
 import type { Store } from "../store/store.js";
 import { StoreLoop } from "../store/storeloop.js";
 import type { Clock } from "../time/clock.js";
+import { applyStored } from "./applystored.js";
 import type { CurrentConfiguration } from "./currentconfiguration.js";
-import { decodeDocument } from "./decodedocument.js";
+import type { DocumentRejection } from "./documentrejection.js";
 
 const logger = log("config");
 
@@ -18,6 +19,7 @@
         private readonly store: Store,
         private readonly configuration: CurrentConfiguration,
         private readonly evacuations: Evacuations,
+        private readonly rejection: DocumentRejection,
         private readonly clock: Clock,
     ) {
         this.#loop = new StoreLoop({
@@ -52,17 +54,20 @@
 
     /**
      * Confirms the revision as of the time before the request, because the response may have been in transit for long.
+     * The previous document is confirmed while an invalid one is stored, since it stays in force.
      */
     async #watchOnce(signal: AbortSignal): Promise<void> {
         const requestedAt = this.clock();
-        const { document, halls } = await this.store.watch(this.#version, signal);
+        const { document, invalid, halls } = await this.store.watch(this.#version, signal);
         if (halls !== undefined) {
             this.evacuations.recordStoreChange(halls);
         }
+        if (invalid !== undefined) {
+            this.rejection.record(invalid, this.clock());
+        }
         if (document !== undefined) {
-            const decoded = decodeDocument(document.value);
             this.#version = document.version;
-            this.configuration.apply(decoded);
+            applyStored(document.value, this.configuration, this.rejection, this.clock());
         }
         this.configuration.confirm(this.configuration.revision, requestedAt);
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -93,6 +93,15 @@
         );
     }
 
+    /** Adds a gauge for whether the newest document that this daemon has read from the store is rejected. */
+    showRejected(isRejected: () => boolean): void {
+        this.#show(
+            "winglock_configuration_rejected",
+            "1 while a newer stored configuration is rejected, as this daemon has read it.",
+            () => Number(isRejected()),
+        );
+    }
+
     /** Adds gauges for the number of known daemons, with this one, and for whether this one is its hall's watcher. */
     showMembership(members: () => number, watches: () => boolean): void {
         this.#show("winglock_members", "Daemons that are known, this one too.", members);
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -1,5 +1,5 @@
 /** Routes the operators' calls: decodes the requests of the schema and encodes the responses. */
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { ConfigError } from "../config/configerror.js";
 import type { Issue } from "../config/issue.js";
@@ -9,8 +9,10 @@
     type ApplyChangesResponse,
     ChangeOutcome,
     ExplainRequestResponseSchema,
+    type GetStatusResponse,
     GetStatusResponseSchema,
     OperatorService,
+    type RejectionSchema,
     UpstreamStatusSchema,
 } from "../gen/winglock/operator/v1/operator_pb.js";
 import { ChangeId } from "../ids/changeid.js";
@@ -79,6 +81,24 @@
         refused: BigInt(gate?.refused ?? 0),
     });
 
+/** Returns the rejection that was seen first among those of all daemons, or undefined if no daemon reports one. */
+const findRejection = (lines: readonly StatusLine[]): MessageInitShape<typeof RejectionSchema> | undefined => {
+    const rejections = lines.flatMap(({ gate }) => gate?.rejection ?? []);
+    const first = rejections.sort((one, other) => other.ageMs - one.ageMs)[0];
+    return first && { fields: [...first.fields], ageMs: BigInt(first.ageMs) };
+};
+
+const getStatus = async (api: OperatorApi): Promise<GetStatusResponse> => {
+    const lines = await api.status();
+    return create(GetStatusResponseSchema, {
+        revision: BigInt(api.document.revision),
+        fresh: api.isFresh,
+        evacuatedHalls: [...api.evacuatedHalls],
+        upstreams: lines.map(encodeStatus),
+        rejection: findRejection(lines),
+    });
+};
+
 const explainUrl = (api: OperatorApi, method: string, url: string): ReturnType<OperatorApi["explain"]> => {
     if (!URL.canParse(url)) {
         throw new ConnectError(`url: must be an absolute URL; got ${JSON.stringify(url)}`, Code.InvalidArgument);
@@ -93,13 +113,7 @@
             getConfiguration: () => ({ configuration: encodeConfiguration(api.document), fresh: api.isFresh }),
             applyChanges: req => applyChanges(api, req),
             resolveChange: req => resolveChange(api, req.changeId),
-            getStatus: async () =>
-                create(GetStatusResponseSchema, {
-                    revision: BigInt(api.document.revision),
-                    fresh: api.isFresh,
-                    evacuatedHalls: [...api.evacuatedHalls],
-                    upstreams: (await api.status()).map(encodeStatus),
-                }),
+            getStatus: () => getStatus(api),
             explainRequest: req => {
                 const { rule, kind, kindReason, candidates } = explainUrl(api, req.method, req.url);
                 return create(ExplainRequestResponseSchema, {
--- a/src/peer/gatestatus.ts
+++ b/src/peer/gatestatus.ts
@@ -1,4 +1,5 @@
 /** Defines the state of a gate, as a daemon reports it to a peer. */
+import type { Rejection } from "../config/rejection.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 
 /** The state of one gate; `finished` and `refused` count requests since the daemon started. */
@@ -18,4 +19,6 @@
     readonly watchesStore: boolean;
     /** Number of daemons in its daemon's member list, itself included; 0 if the configuration lists the upstreams. */
     readonly members: number;
+    /** The rejection of the stored document, if its daemon has read an invalid one; older daemons leave it out. */
+    readonly rejection?: Rejection;
 };
