--- a/build/bundle.js
+++ b/build/bundle.js
@@ -1,5 +1,7 @@
 /**
- * Bundles a daemon into one file, so that it starts quickly: `node build/bundle.js OUT_FOLDER SOURCE`.
+ * Bundles a daemon into one file, so that it starts quickly: `node build/bundle.js OUT_FOLDER SOURCE [readable]`.
+ *
+ * With `readable`, names are kept, for profiles.
  *
  * Writes the launcher, `winglockd.cjs`, and the bundle that it runs, `winglockd.bundle.cjs`. Deletes an earlier code
  * cache; `build/warm.js` writes a new one.
@@ -9,14 +11,14 @@
 import { join } from "node:path";
 import { replaceModules } from "./replacemodules.js";
 
-const [outdir, source] = process.argv.slice(2);
+const [outdir, source, style] = process.argv.slice(2);
 
 await build({
     entryPoints: { "winglockd.bundle": source },
     outdir,
     outExtension: { ".js": ".cjs" },
     bundle: true,
-    minify: true,
+    minify: style !== "readable",
     platform: "node",
     target: "node20",
     format: "cjs",
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -17,6 +17,13 @@
 const scriptPath = (path: string): string => new URL(`../${path}`, import.meta.url).pathname;
 const HALLS = ["a", "b", "c"];
 
+/** What differs from the daemons of the tests: the script, command-line flags of Node, and settings. */
+type PlatformMeshOptions = {
+    readonly script?: string;
+    readonly nodeFlags?: readonly string[];
+    readonly settings?: object;
+};
+
 type Host = { readonly name: string; readonly ip: string; readonly service: string; readonly hall: string; };
 
 /** Starts, controls and stops its own processes, and no others. */
@@ -34,6 +41,7 @@
         private readonly runNumber: number,
         private readonly lock: Server,
         readonly hosts: readonly Host[],
+        private readonly options: PlatformMeshOptions,
     ) {
         this.#store = new Child(scriptPath("standin/storemain.js"), [this.storeAddress], () => {});
     }
@@ -45,6 +53,7 @@
         services: readonly string[] = ["pages", "fees"],
         instancesPerService = 2,
         halls: readonly string[] = HALLS,
+        options: PlatformMeshOptions = {},
     ): Promise<PlatformMesh> {
         const { run, lock } = await takeRunNumber();
         const hosts = services.flatMap((service, serviceIndex) =>
@@ -55,7 +64,7 @@
                 hall: halls[index % halls.length]!,
             }))
         );
-        const mesh = new PlatformMesh(run, lock, hosts);
+        const mesh = new PlatformMesh(run, lock, hosts, options);
         try {
             await mesh.#startAll();
             return mesh;
@@ -83,8 +92,10 @@
     }
 
     startDaemon(name: string): Child {
-        const child = new Child(scriptPath("platform/bin/winglockd.cjs"), [], line => this.log.push(line), {
-            env: { WINGLOCK_BOOT: this.#settings(this.host(name)) },
+        const { script = scriptPath("platform/bin/winglockd.cjs"), nodeFlags, settings } = this.options;
+        const child = new Child(script, [], line => this.log.push(line), {
+            env: { WINGLOCK_BOOT: this.#settings(this.host(name), settings) },
+            nodeFlags,
         });
         this.daemons.set(name, child);
         return child;
