--- a/src/config/parse.ts
+++ b/src/config/parse.ts
@@ -26,6 +26,7 @@
     message: mayShow(issue.path)
         ? `${issue.message}; got ${formatValue(valueAt(input, issue.path))}`
         : issue.message,
+    requirement: issue.message,
 });
 
 /** Returns the validated value. Throws a ConfigError that names each invalid field, its value and what is allowed. */
--- a/src/daemon/daemonpeerservice.ts
+++ b/src/daemon/daemonpeerservice.ts
@@ -3,6 +3,7 @@
 import type { RegionTraffic } from "../connections/regiontraffic.js";
 import type { CrashPropagation } from "../crashes/crashpropagation.js";
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import type { DocumentRejection } from "../distribution/documentrejection.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
 import type { Ledger } from "../ledger/ledger.js";
 import { ledgerDeadline } from "../ledger/ledgerdeadline.js";
@@ -24,6 +25,7 @@
     readonly identity: GateIdentity;
     readonly ledger: Ledger;
     readonly configuration: CurrentConfiguration;
+    readonly rejection: DocumentRejection;
     readonly gateSet: GateSet;
     readonly crashes: CrashPropagation;
     readonly clock: Clock;
@@ -71,7 +73,7 @@
     }
 
     status(): GateStatus[] {
-        const { gateSet, configuration, clock, membership, watchesStore, regionTraffic } = this.deps;
+        const { gateSet, configuration, rejection, clock, membership, watchesStore, regionTraffic } = this.deps;
         const now = clock();
         const { bytes: sentBytes, messages: sentMessages } = regionTraffic.totals("sent");
         const { bytes: receivedBytes } = regionTraffic.totals("received");
@@ -79,6 +81,7 @@
             watchesStore: watchesStore(),
             members: membership?.members.length ?? 0,
             regionTraffic: { sentBytes, receivedBytes, sentMessages },
+            rejection: rejection.current(now),
         };
         return [...gateSet.all].map(gate => gateStatus(gate, configuration, daemonStatus, now));
     }
