--- a/src/cli/explaincommand.ts
+++ b/src/cli/explaincommand.ts
@@ -1,5 +1,7 @@
 /** Implements `winglock explain`. */
-import { command, positional, string } from "cmd-ts";
+import { command, option, optional, positional, string } from "cmd-ts";
+import { readFileSync } from "node:fs";
+import { digestKey } from "../config/digestkey.js";
 import type { ExplainRequestResponse } from "../gen/winglock/operator/v1/operator_pb.js";
 import { enumKeyOf } from "../operator/enumkeyof.js";
 import { protoPriority } from "../operator/protopriority.js";
@@ -20,9 +22,11 @@
     return [
         `rule      ${res.rule}`,
         `service   ${res.service}`,
-        `class     ${enumKeyOf(protoPriority, res.priority)}`,
+        `class     ${enumKeyOf(protoPriority, res.priority) ?? "-"}`,
         `kind      ${enumKeyOf(protoRequestKind, res.kind)} (${res.kindReason})`,
         `tenant    ${res.tenant}`,
+        `access    ${res.access}${res.keyFingerprint === "" ? "" : ` (key ${res.keyFingerprint})`}`,
+        `regions   ${res.noRegion ? "none" : res.regions.join(" ") || "all"}`,
         `limit     ${res.timeLimitMs} ms`,
         table(["upstream", "eligible", "expected ms"], rows),
     ].join("\n");
@@ -36,10 +40,19 @@
     args: {
         method: positional({ type: string, displayName: "method" }),
         url: positional({ type: string, displayName: "url" }),
+        team: option({ type: optional(string), long: "team", description: "The team that sends the request." }),
+        key: option({
+            type: optional(string),
+            long: "key",
+            description: "The key of the request, or - to read it from standard input; only its digest is sent.",
+        }),
         ...commonArgs,
     },
-    handler: async ({ method, url, daemons, json }) => {
-        const res = await new OperatorClient(daemons).call(operator => operator.explainRequest({ method, url }));
+    handler: async ({ method, url, team, key, daemons, json }) => {
+        const keyDigest = key === undefined ? undefined : digestKey(key === "-" ? readFileSync(0, "utf8").trim() : key);
+        const res = await new OperatorClient(daemons).call(operator =>
+            operator.explainRequest({ method, url, team, keyDigest })
+        );
         if (res.rule === "") {
             throw new CliError(exitCode.notFound, `no rule matches ${method} ${url}; it would be refused with 404`);
         }
--- a/src/cli/exportcommand.ts
+++ b/src/cli/exportcommand.ts
@@ -6,6 +6,7 @@
 import { output } from "./output.js";
 import { RuleResource } from "./ruleresource.js";
 import { ServiceResource } from "./serviceresource.js";
+import { TeamResource } from "./teamresource.js";
 import { UpstreamResource } from "./upstreamresource.js";
 
 /** Prints the configuration in the format that `winglock apply` reads. */
@@ -20,6 +21,7 @@
             services: new ServiceResource().list(configuration),
             upstreams: new UpstreamResource().list(configuration),
             rules: new RuleResource().list(configuration),
+            ...configuration.teams !== undefined && { teams: new TeamResource().list(configuration) },
         };
         output(json, file, JSON.stringify(file, undefined, 4));
     },
--- a/src/cli/readfilechange.ts
+++ b/src/cli/readfilechange.ts
@@ -6,11 +6,14 @@
 import { parse } from "../config/parse.js";
 import { Rule } from "../config/rule.js";
 import { Service } from "../config/service.js";
+import { Team } from "../config/team.js";
 import { Upstream } from "../config/upstream.js";
 import { type ChangeSchema, ConfigurationSchema } from "../gen/winglock/operator/v1/operator_pb.js";
 import { CliError } from "./clierror.js";
 import { exitCode } from "./exitcode.js";
+import type { Resource } from "./resource.js";
 import { RuleResource } from "./ruleresource.js";
+import { TeamResource } from "./teamresource.js";
 
 /** The format that `winglock export` prints; `revision` is the one that the file was exported from. */
 const ConfigurationFile = z.strictObject({
@@ -18,6 +21,8 @@
     services: z.array(Service),
     upstreams: z.array(Upstream),
     rules: z.array(Rule),
+    /** Keeps the present teams if omitted. */
+    teams: z.array(Team).optional(),
 });
 
 type FileChange = {
@@ -37,9 +42,16 @@
 
 /** Returns the change that replaces the whole configuration; throws a CliError that names the invalid field. */
 export function readFileChange(file: string): FileChange {
-    const { revision, services, upstreams, rules } = readFile(file);
-    const resource = new RuleResource();
-    const ruleMessages = rules.map(rule => (resource.put(rule).change as { value: object; }).value);
-    const value = create(ConfigurationSchema, { services, upstreams, rules: ruleMessages });
+    const { revision, services, upstreams, rules, teams } = readFile(file);
+    const toMessage = (resource: Resource, item: { name: string; }): object =>
+        (resource.put(item).change as { value: object; }).value;
+    const ruleResource = new RuleResource();
+    const teamResource = new TeamResource();
+    const value = create(ConfigurationSchema, {
+        services,
+        upstreams,
+        rules: rules.map(rule => toMessage(ruleResource, rule)),
+        teams: teams && { teams: teams.map(team => toMessage(teamResource, team)) },
+    });
     return { revision, change: { change: { case: "replace", value } } };
 }
--- a/src/cli/resource.ts
+++ b/src/cli/resource.ts
@@ -1,4 +1,4 @@
-/** Defines a type of resource on the command line: services, upstreams or rules. */
+/** Defines a type of resource on the command line: services, upstreams, rules or teams. */
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { command } from "cmd-ts";
 import type { ChangeSchema, Configuration } from "../gen/winglock/operator/v1/operator_pb.js";
@@ -19,4 +19,9 @@
     abstract list(configuration: Configuration): Item[];
     abstract put(item: Item): MessageInitShape<typeof ChangeSchema>;
     abstract remove(name: string): MessageInitShape<typeof ChangeSchema>;
+
+    /** Returns the resource as people see it. */
+    display(item: Item): Item {
+        return item;
+    }
 }
--- a/src/cli/resourcecommands.ts
+++ b/src/cli/resourcecommands.ts
@@ -35,8 +35,11 @@
 
 const toCell = (value: unknown): string => Array.isArray(value) ? value.join(",") : String(value ?? "");
 
-/** Returns the subcommands for a type of resource. */
-export function resourceCommands(resource: Resource): ReturnType<typeof subcommands> {
+/** Returns the subcommands for a type of resource; `otherCommands` are added, or take the place of those of their name. */
+export function resourceCommands(
+    resource: Resource,
+    otherCommands: Parameters<typeof subcommands>[0]["cmds"] = {},
+): ReturnType<typeof subcommands> {
     const name = positional({ type: string, displayName: "name" });
     const create = command({
         name: "create",
@@ -69,7 +72,9 @@
         description: `Lists all ${resource.name}s.`,
         args: commonArgs,
         handler: async ({ daemons, json }) => {
-            const items = resource.list(await getConfiguration(new OperatorClient(daemons)));
+            const items = resource.list(await getConfiguration(new OperatorClient(daemons))).map(item =>
+                resource.display(item)
+            );
             const rows = items.map(item => resource.columns.map(column => toCell(item[column])));
             output(json, items, table(resource.columns, rows));
         },
@@ -79,7 +84,8 @@
         description: `Shows one ${resource.name}.`,
         args: { name, ...commonArgs },
         handler: async values => {
-            const item = findItem(resource, await getConfiguration(new OperatorClient(values.daemons)), values.name);
+            const configuration = await getConfiguration(new OperatorClient(values.daemons));
+            const item = resource.display(findItem(resource, configuration, values.name));
             output(values.json, item, JSON.stringify(item, undefined, 4));
         },
     });
@@ -94,6 +100,6 @@
     return subcommands({
         name: resource.name,
         description: `Creates, lists, shows, updates and deletes ${resource.name}s. Example: ${resource.example}`,
-        cmds: { create, list, show, update, delete: remove },
+        cmds: { create, list, show, update, delete: remove, ...otherCommands },
     }) as unknown as ReturnType<typeof subcommands>;
 }
--- a/src/cli/ruleresource.ts
+++ b/src/cli/ruleresource.ts
@@ -12,7 +12,13 @@
 import { Resource } from "./resource.js";
 import { toPlainItem } from "./toplainitem.js";
 
-type RuleItem = { name: string; kind?: RuleKind; priority?: Priority; answer?: ResponseMode; };
+type RuleItem = {
+    name: string;
+    kind?: RuleKind;
+    priority?: Priority;
+    answer?: ResponseMode;
+    public?: boolean | string;
+};
 
 /** Rules, which define how the requests that they match are handled. */
 export class RuleResource extends Resource {
@@ -27,6 +33,8 @@
         "tenant",
         "kind",
         "timeLimitMs",
+        "public",
+        "regions",
     ];
     readonly example = "winglock rule create pay-fee --path-prefix /fees --methods POST --service entries --kind once";
     readonly flags = {
@@ -63,6 +71,16 @@
             long: "answer",
             description: "Whole or streamed response.",
         }),
+        public: option({
+            type: optional(oneOf(["true", "false"])),
+            long: "public",
+            description: "Whether the requests need no key; true or false.",
+        }),
+        regions: multioption({
+            type: array(string),
+            long: "region",
+            description: "A region in which the requests may be served; may be repeated; all regions if omitted.",
+        }),
     };
 
     list(configuration: Configuration): ReturnType<Resource["list"]> {
@@ -75,12 +93,13 @@
     }
 
     put(item: { name: string; }): MessageInitShape<typeof ChangeSchema> {
-        const { kind, priority, answer, ...fields } = item as RuleItem;
+        const { kind, priority, answer, public: isPublic, ...fields } = item as RuleItem;
         const value = {
             ...fields,
             kind: kind && protoRequestKind[kind],
             priority: priority && protoPriority[priority],
             answer: answer && protoResponseMode[answer],
+            public: String(isPublic) === "true",
         };
         return { change: { case: "putRule", value } };
     }
--- a/src/cli/winglock.ts
+++ b/src/cli/winglock.ts
@@ -14,6 +14,7 @@
 import { RuleResource } from "./ruleresource.js";
 import { ServiceResource } from "./serviceresource.js";
 import { statusCommand } from "./statuscommand.js";
+import { teamCommands } from "./teamcommands.js";
 import { UpstreamResource } from "./upstreamresource.js";
 import { watchCommand } from "./watchcommand.js";
 import { whyCommand } from "./whycommand.js";
@@ -26,6 +27,7 @@
         service: resourceCommands(new ServiceResource()),
         upstream: resourceCommands(new UpstreamResource()),
         rule: resourceCommands(new RuleResource()),
+        team: teamCommands(),
         apply: applyCommand,
         diff: diffCommand,
         export: exportCommand,
--- a/src/config/applychanges.ts
+++ b/src/config/applychanges.ts
@@ -47,6 +47,10 @@
             return { ...document, upstreams: put(document.upstreams, change.upstream) };
         case "putRule":
             return { ...document, rules: put(document.rules, change.rule) };
+        case "putTeam":
+            return { ...document, teams: put(document.teams ?? [], change.team) };
+        case "deleteTeam":
+            return { ...document, teams: remove(document.teams ?? [], change.name, "teams") };
         case "deleteService":
             return { ...document, services: remove(document.services, change.name, "services") };
         case "deleteUpstream":
@@ -63,6 +67,7 @@
                 services: [...change.content.services],
                 upstreams: [...change.content.upstreams],
                 rules: [...change.content.rules],
+                ...change.content.teams !== undefined && { teams: [...change.content.teams] },
             };
     }
 };
--- a/src/config/diffdocuments.ts
+++ b/src/config/diffdocuments.ts
@@ -1,5 +1,7 @@
 /** Formats the difference between two documents for operators. */
 import type { Document } from "./document.js";
+import { fingerprintOf } from "./fingerprintof.js";
+import type { Team } from "./team.js";
 
 type Named = { readonly name: string; };
 
@@ -22,12 +24,18 @@
 
 const asNamed = (names: readonly string[] = []): Named[] => names.map(name => ({ name }));
 
+const withFingerprints = ({ keyDigests, ...team }: Team): Named => {
+    const keys = keyDigests.map(fingerprintOf);
+    return { ...team, ...{ keys } };
+};
+
 /** Returns a line for each item that was added (`+`) or removed (`-`); a changed item has a line of each. */
 export function diffDocuments(before: Document, after: Document): string[] {
     return [
         ...diffLists("service", before.services, after.services),
         ...diffLists("upstream", before.upstreams, after.upstreams),
         ...diffLists("rule", before.rules, after.rules),
+        ...diffLists("team", (before.teams ?? []).map(withFingerprints), (after.teams ?? []).map(withFingerprints)),
         ...diffLists("evacuated hall", asNamed(before.evacuated), asNamed(after.evacuated)),
     ];
 }
--- a/src/operator/encodeconfiguration.ts
+++ b/src/operator/encodeconfiguration.ts
@@ -2,11 +2,14 @@
 import { create } from "@bufbuild/protobuf";
 import type { Document } from "../config/document.js";
 import type { Rule } from "../config/rule.js";
+import type { Team } from "../config/team.js";
 import {
     type Configuration,
     ConfigurationSchema,
     type Rule as ProtoRule,
     RuleSchema,
+    type Team as ProtoTeam,
+    TeamSchema,
 } from "../gen/winglock/operator/v1/operator_pb.js";
 import { protoPriority } from "./protopriority.js";
 import { protoRequestKind } from "./protorequestkind.js";
@@ -20,6 +23,12 @@
         answer: protoResponseMode[rule.answer],
     });
 
+const encodeTeam = (team: Team): ProtoTeam =>
+    create(TeamSchema, {
+        ...team,
+        priority: team.priority === undefined ? undefined : protoPriority[team.priority],
+    });
+
 /** Returns the message; caller limits and the ids of changes are not part of it. */
 export function encodeConfiguration(document: Document): Configuration {
     return create(ConfigurationSchema, {
@@ -27,6 +36,7 @@
         services: document.services.map(service => ({ ...service })),
         upstreams: document.upstreams.map(upstream => ({ ...upstream })),
         rules: document.rules.map(encodeRule),
+        teams: document.teams && { teams: document.teams.map(encodeTeam) },
         evacuatedHalls: [...document.evacuated ?? []],
     });
 }
--- a/src/operator/explain.ts
+++ b/src/operator/explain.ts
@@ -6,8 +6,14 @@
 import { ExpectedTime } from "../policy/placement/expectedtime.js";
 import { decideKind } from "../policy/retry/decidekind.js";
 import { routingTableOf } from "../policy/routing/routingtableof.js";
+import { explainAccess } from "./explainaccess.js";
 import type { Explanation } from "./explanation.js";
 
+/** The caller is assumed to present the key, or else a key of the team, or else nothing. */
+type ExplainedRequest = { readonly method: string; readonly url: URL; } & Parameters<typeof explainAccess>[2];
+
+const NO_ACCESS = { access: "", keyFingerprint: "", team: undefined, priority: undefined, regions: undefined };
+
 const expectedTime = new ExpectedTime();
 
 const explainKind = (rule: Rule, method: string, isFresh: boolean): string => {
@@ -33,14 +39,15 @@
     document: Document,
     isFresh: boolean,
     upstreams: UpstreamTable,
-    { method, url }: { readonly method: string; readonly url: URL; },
+    { method, url, ...caller }: ExplainedRequest,
     now: number,
 ): Explanation {
     const rule = routingTableOf(document).rules.match({ method, host: url.host, path: url.pathname });
     if (rule === undefined) {
-        return { rule, kind: undefined, kindReason: "no rule matches", candidates: [] };
+        return { ...NO_ACCESS, rule, kind: undefined, kindReason: "no rule matches", candidates: [] };
     }
     return {
+        ...explainAccess(document, rule, caller),
         rule,
         kind: decideKind(rule, method, isFresh),
         kindReason: explainKind(rule, method, isFresh),
--- a/src/operator/operatorapi.ts
+++ b/src/operator/operatorapi.ts
@@ -56,7 +56,7 @@
         return collectStatus(this.deps.knownUpstreams(), this.deps.peer);
     }
 
-    explain(method: string, url: URL): Explanation {
-        return explain(this.document, this.isFresh, this.deps.upstreams, { method, url }, this.deps.clock());
+    explain(request: Parameters<typeof explain>[3]): Explanation {
+        return explain(this.document, this.isFresh, this.deps.upstreams, request, this.deps.clock());
     }
 }
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -1,6 +1,7 @@
 /** Routes the operators' calls: decodes the requests of the schema and encodes the responses. */
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
+import { z } from "zod";
 import { ConfigError } from "../config/configerror.js";
 import type { Issue } from "../config/issue.js";
 import { parse } from "../config/parse.js";
@@ -8,12 +9,15 @@
     type ApplyChangesRequest,
     type ApplyChangesResponse,
     ChangeOutcome,
+    type ExplainRequestRequest,
     ExplainRequestResponseSchema,
     GetStatusResponseSchema,
     OperatorService,
     UpstreamStatusSchema,
 } from "../gen/winglock/operator/v1/operator_pb.js";
 import { ChangeId } from "../ids/changeid.js";
+import { KeyDigest } from "../ids/keydigest.js";
+import { TeamName } from "../ids/teamname.js";
 import { decodeChange } from "./decodechange.js";
 import { encodeChangeResult } from "./encodechangeresult.js";
 import { encodeConfiguration } from "./encodeconfiguration.js";
@@ -79,11 +83,21 @@
         refused: BigInt(gate?.refused ?? 0),
     });
 
-const explainUrl = (api: OperatorApi, method: string, url: string): ReturnType<OperatorApi["explain"]> => {
+const Caller = z.object({ team: TeamName.optional(), keyDigest: KeyDigest.optional() });
+
+const explainRequest = (
+    api: OperatorApi,
+    { method, url, team, keyDigest }: ExplainRequestRequest,
+): ReturnType<OperatorApi["explain"]> => {
     if (!URL.canParse(url)) {
         throw new ConnectError(`url: must be an absolute URL; got ${JSON.stringify(url)}`, Code.InvalidArgument);
     }
-    return api.explain(method.toUpperCase(), new URL(url));
+    const caller = Caller.safeParse({ team: team || undefined, keyDigest: keyDigest || undefined });
+    if (!caller.success) {
+        const fields = caller.error.issues.map(({ path, message }) => `${path.join(".")}: ${message}`);
+        throw new ConnectError(fields.join("\n"), Code.InvalidArgument);
+    }
+    return api.explain({ method: method.toUpperCase(), url: new URL(url), ...caller.data });
 };
 
 /** Returns a function that registers the calls of the OperatorService with a router. */
@@ -101,13 +115,19 @@
                     upstreams: (await api.status()).map(encodeStatus),
                 }),
             explainRequest: req => {
-                const { rule, kind, kindReason, candidates } = explainUrl(api, req.method, req.url);
+                const { rule, kind, kindReason, candidates, team, priority, regions, ...access } = explainRequest(
+                    api,
+                    req,
+                );
                 return create(ExplainRequestResponseSchema, {
                     rule: rule?.name ?? "",
                     service: rule?.service ?? "",
-                    priority: rule === undefined ? undefined : protoPriority[rule.priority],
+                    ...access,
+                    regions: [...regions ?? []],
+                    noRegion: regions?.length === 0,
+                    priority: priority && protoPriority[priority],
                     kind: kind === undefined ? undefined : protoRequestKind[kind],
-                    tenant: rule?.tenant ?? "",
+                    tenant: team ?? "",
                     timeLimitMs: rule?.timeLimitMs ?? 0,
                     candidates: candidates.map(candidate => ({ ...candidate })),
                     kindReason,
