--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -101,6 +101,7 @@
                 return await this.#endWithoutUpstream(last ?? this.#targets.unplacedResult);
             }
             const result = await this.#attemptWithHedge(target, offer);
+            this.#targets.record(target, result);
             if (result.outcome === "served") {
                 return this.response.hasCallerLeft ? "left" : "served";
             }
--- a/src/ingress/targetselector.test.ts
+++ b/src/ingress/targetselector.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { seededRandom } from "../../standin/seededrandom.js";
 import { ExpectedTime } from "../policy/placement/expectedtime.js";
+import { Overflow } from "../policy/placement/overflow.js";
 import { RegionRoundTrips } from "../policy/placement/regionroundtrips.js";
 import { TargetSelector } from "./targetselector.js";
 import { UpstreamStatements } from "./upstreamstatements.js";
@@ -38,6 +39,7 @@
     views: readonly UpstreamView[],
     { depth = 0, bodyBytes = 0, regions, ruleRegions, allowsCrossing = true }: Request = {},
     tried: ReadonlySet<UpstreamView> = new Set(),
+    overflow = new Overflow(),
 ): TargetSelector =>
     new TargetSelector(
         {
@@ -46,7 +48,7 @@
             placement: new ExpectedTime(),
             daemonCount: () => 1,
             allowsCrossing: () => allowsCrossing,
-            upstreams: { ofService: () => views },
+            upstreams: { ofService: () => views, overflow: () => overflow },
         } as never,
         {
             plan: () => ({ depth, regions, rule: { regions: ruleRegions }, service: { name: "s" } }) as never,
@@ -125,3 +127,16 @@
     assert.equal(selector.choose(undefined), undefined);
     assert.equal(reasonOf(selector), "crossing-limit");
 });
+
+test("selector: a request that the region refused as full crosses, one that a gate only redirected stays", () => {
+    const home = [view("h0", "north"), view("h1", "north"), south];
+    const tried = new Set([home[0]!]);
+    const selector = selectorOf(home, {}, tried);
+    selector.record(home[0]!, { outcome: "not-run", reason: "busy" });
+    assert.equal(selector.choose(undefined), home[1]);
+    selector.record(home[0]!, { outcome: "not-run", reason: "wait-too-long" });
+    assert.equal(selector.choose(undefined), south);
+    const call = selectorOf(home, { depth: 1 }, tried);
+    call.record(home[0]!, { outcome: "not-run", reason: "wait-too-long" });
+    assert.equal(call.choose(undefined), home[1]);
+});
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -9,6 +9,9 @@
 import { findSpeedProbe } from "../policy/placement/findspeedprobe.js";
 import { selectTargets } from "../policy/placement/selecttargets.js";
 import { targetsAtHome } from "../policy/placement/targetsathome.js";
+import type { AttemptResult } from "../policy/retry/attemptresult.js";
+import { isRefusalAsFull } from "../policy/retry/isrefusalasfull.js";
+import { isRefusalForLoad } from "../policy/retry/isrefusalforload.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { Plan } from "./plan.js";
 import type { UnservedResult } from "./unservedresult.js";
@@ -27,6 +30,8 @@
 export class TargetSelector {
     /** True if the last choice had to stay in the region because of the bound on what crosses. */
     #isHeldBack = false;
+    /** True if the last attempt showed that the own region is full. */
+    #isRegionFull = false;
 
     constructor(private readonly deps: IngressDependencies, private readonly request: SelectedRequest) {}
 
@@ -54,6 +59,17 @@
         return this.#place(this.#staysInRegion() ? targetsAtHome(views, now) : views, now);
     }
 
+    /** Records the result of an attempt, by which the next requests leave the hall or the region, or stay. */
+    record(target: UpstreamView, result: AttemptResult<unknown>): void {
+        const { upstreams, clock } = this.deps;
+        const reason = result.outcome === "not-run" ? result.reason : undefined;
+        const isRefused = reason !== undefined && isRefusalForLoad(reason);
+        if (isRefused || result.outcome === "served" || result.outcome === "failed") {
+            upstreams.overflow(this.request.plan().service.name).record(target, isRefused, clock());
+        }
+        this.#isRegionFull = reason !== undefined && isRefusalAsFull(reason) && target.sameRegion;
+    }
+
     /** Returns the upstream for a hedge, which stays in the region while an upstream there is available. */
     chooseForHedge(): UpstreamView | undefined {
         const now = this.deps.clock();
@@ -87,7 +103,7 @@
     #best(views: readonly UpstreamView[], now: number): UpstreamView | undefined {
         const { placement, random, daemonCount } = this.deps;
         const { tried, bodyBytes } = this.request;
-        const targets = selectTargets(views, tried, now);
+        const targets = this.#withOverflow(selectTargets(views, tried, now), now);
         const home = targets.filter(view => view.sameRegion);
         const probeable = home.length === 0 ? targets : home;
         return probeable.find(view => view.isRateProbeDue(now))
@@ -95,6 +111,18 @@
             ?? placement.choose(targets, now, random, { bodyBytes }) as UpstreamView | undefined;
     }
 
+    /** Leaves out the own hall or region for a share of the requests while its gates refuse them for load. */
+    #withOverflow(targets: readonly UpstreamView[], now: number): readonly UpstreamView[] {
+        const { upstreams, random } = this.deps;
+        const { plan, bodyBytes } = this.request;
+        const { name } = plan().service;
+        if (upstreams.ofService(name).every(view => view.sameRegion)) {
+            return targets;
+        }
+        const request = { bodyBytes, mayLeaveRegion: !this.#staysInRegion(), isRegionFull: this.#isRegionFull };
+        return upstreams.overflow(name).select(targets, request, now, random);
+    }
+
     /** A body that another region has refused is not sent there again while an upstream at home is available. */
     #staysInRegion(): boolean {
         const { plan, bodyBytes, tried } = this.request;
--- a/src/ingress/upstreamtable.ts
+++ b/src/ingress/upstreamtable.ts
@@ -9,6 +9,7 @@
 import type { Address } from "../ids/address.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
+import { Overflow } from "../policy/placement/overflow.js";
 import { RegionRoundTrips } from "../policy/placement/regionroundtrips.js";
 import { UpstreamStatements } from "./upstreamstatements.js";
 import { UpstreamView } from "./upstreamview.js";
@@ -25,6 +26,7 @@
     readonly #regionRoundTrips = new RegionRoundTrips();
     readonly #byService = new Map<ServiceName, UpstreamView[]>();
     readonly #monitored = new Set<UpstreamView>();
+    readonly #overflows = new Map<ServiceName, Overflow>();
     #upstreams: readonly Upstream[] = [];
 
     constructor(private readonly openHop: OpenHop, private readonly evacuations: Evacuations) {}
@@ -67,6 +69,13 @@
         return views;
     }
 
+    /** Returns the results of this daemon's attempts at the service, which decide where its requests go on overflow. */
+    overflow(service: ServiceName): Overflow {
+        const known = this.#overflows.get(service) ?? new Overflow();
+        this.#overflows.set(service, known);
+        return known;
+    }
+
     find(name: UpstreamName): UpstreamView | undefined {
         return this.#byName.get(name);
     }
--- a/src/policy/model/modeltarget.ts
+++ b/src/policy/model/modeltarget.ts
@@ -7,6 +7,8 @@
     readonly name: string;
     readonly service: string;
     readonly hall: number;
+    /** All hosts without one are in the same region. */
+    readonly region?: number;
     readonly upstream: ModelUpstream;
     gate: ModelGate;
     isUp: boolean;
--- a/src/policy/model/modelview.ts
+++ b/src/policy/model/modelview.ts
@@ -17,12 +17,15 @@
     report: LoadReport | undefined;
     reportedAt = 0;
     outstandingAtReport = 0;
-    readonly sameRegion = true;
-    readonly roundTripMs = 1;
     readonly penaltyMs = 0;
     readonly lastFailureAt = 0;
 
-    constructor(readonly host: ModelTarget, readonly sameHall: boolean) {}
+    constructor(
+        readonly host: ModelTarget,
+        readonly sameHall: boolean,
+        readonly sameRegion: boolean,
+        readonly roundTripMs: number,
+    ) {}
 
     get upstream(): UpstreamName {
         return this.host.name as UpstreamName;
--- a/src/policy/placement/targetsathome.ts
+++ b/src/policy/placement/targetsathome.ts
@@ -7,7 +7,10 @@
 import type { Regional } from "./regional.js";
 
 /** Returns the targets in the own region if one of them is available at `now`, otherwise all. */
-export function targetsAtHome<Target extends Regional>(all: readonly Target[], now: number): readonly Target[] {
+export function targetsAtHome<Target extends Pick<Regional, "availability" | "sameRegion">>(
+    all: readonly Target[],
+    now: number,
+): readonly Target[] {
     const isHomeAvailable = all.some(target => target.sameRegion && target.availability(now) === "available");
     return isHomeAvailable ? all.filter(target => target.sameRegion) : all;
 }
