--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -5,6 +5,7 @@
 import { Planner } from "../ingress/planner.js";
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
+import { BodyMemory } from "../policy/admission/bodymemory.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -21,6 +22,7 @@
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
+    readonly #bodyMemory: BodyMemory;
     #requestCount = 0;
     #daemonCount = 1;
 
@@ -32,6 +34,7 @@
     ) {
         const { settings, self, clock, random, send, peer, peerOptions } = context;
         const { identity, ledger } = gates;
+        this.#bodyMemory = new BodyMemory(settings.limits.bodyMemoryBytes);
         this.#hops = new Hops({
             self,
             hall: settings.hall,
@@ -55,6 +58,8 @@
         });
         this.peerServer = this.#createPeerServer();
         this.ingress = this.#createIngress();
+        context.metrics.showBodyMemory(this.#bodyMemory);
+        context.metrics.showWaitingRequests(() => this.ingress.waitingCount);
         context.unresponsiveConnections.onDetected(() => this.#hops.closeIdle());
         gates.onChange(() => this.loadSharing.checkGates());
         configuration.evacuations.onChange(() => this.#applyEvacuations());
@@ -100,6 +105,7 @@
                 crashes: this.membership.crashes,
             }),
             gate: name => gates.gateSet.find(name),
+            bodyMemory: this.#bodyMemory,
             pullConfiguration: this.#pullConfiguration,
             findRule: target => rules.find(target),
             isStale: (head, rule) => rules.isStale(head, rule),
@@ -120,7 +126,8 @@
             contexts: this.gates.callContexts,
             findRule: (target, sample) => rules.find(target, sample),
         });
-        return new Ingress(settings.limits, { planner, callerService: settings.callerService }, {
+        const listenerParts = { planner, callerService: settings.callerService, bodyMemory: this.#bodyMemory };
+        return new Ingress(settings.limits, listenerParts, {
             clock,
             random,
             metrics,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -19,6 +19,7 @@
 const Limits = z.strictObject({
     headerBytes: z.int().min(KIB).max(MIB).default(16 * KIB),
     keepBytes: z.int().min(0).max(16 * MIB).default(256 * KIB),
+    bodyMemoryBytes: z.int().min(0).max(1024 * MIB).default(32 * MIB),
     bodyBytes: z.int().min(0).max(1024 * MIB).default(64 * MIB),
     headersTimeoutMs: Ms.default(10_000),
     requestTimeoutMs: Ms.default(60_000),
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -6,7 +6,6 @@
  * that the request has not run. The policies are in policy/admission and policy/failure.
  */
 import type { Upstream } from "../config/upstream.js";
-import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { GateResponse } from "../hop/gateresponse.js";
 import type { RequestKey } from "../ids/requestkey.js";
@@ -20,6 +19,7 @@
 import type { LoadReport } from "../policy/placement/loadreport.js";
 import { withMinServiceTime } from "../policy/placement/withminservicetime.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
+import { BodyReceiver } from "./bodyreceiver.js";
 import type { CloseReason } from "./closereason.js";
 import type { ColdProbe } from "./coldprobe.js";
 import { GateChecks } from "./gatechecks.js";
@@ -42,6 +42,7 @@
     readonly #admission: Admission<GateRequest>;
     readonly #refusals: GateRefusals;
     readonly #queue: SlotQueue;
+    readonly #bodies: BodyReceiver;
     readonly #runner: RequestRunner;
 
     constructor(readonly upstream: Upstream, private readonly deps: GateDependencies) {
@@ -66,13 +67,8 @@
             probe: () => healthProbe.probe(PACE_PROBE_TIMEOUT_MS),
             repeatsInFlight: () => this.#runner.repeatCount,
         });
-        this.#admission = new Admission(
-            createLimit(deps.limit, upstream.slots, () => deps.medianLimitShare(upstream.service)),
-            ruleTimes,
-            levels,
-            pace,
-            sendRate,
-        );
+        const limit = createLimit(deps.limit, upstream.slots, () => deps.medianLimitShare(upstream.service));
+        this.#admission = new Admission(limit, ruleTimes, levels, pace, sendRate);
         this.#refusals = new GateRefusals(
             fields => this.createMetadata(fields),
             reason => deps.onHeldBack(upstream.service, reason),
@@ -85,6 +81,7 @@
             refreshPace: () => this.#checks.refreshPace(),
             probeCold: () => coldProbe.probeIfDue(),
         });
+        this.#bodies = new BodyReceiver({ clock, dialect, queue: this.#queue, refusals: this.#refusals });
         this.#runner = new RequestRunner(upstream, {
             ...deps,
             endpoint: this.#endpoint,
@@ -187,13 +184,13 @@
 
     /** Serves a request; throws a HopError if it is refused or fails. */
     async serve(call: GateCall): Promise<GateResponse> {
-        const { identity, clock, dialect } = this.deps;
-        const request = new GateRequest(call, identity, clock(), requestKeyOf(call, dialect));
+        const request = new GateRequest(call, this.deps.identity, this.deps.clock(), this.#bodies.keyOf(call));
         try {
             this.#endpoint.signals.recordPeerLimit(call.head.limitPerSecond);
             await this.cold.waitUntilKnown();
             await this.#admit(request);
             await this.#queue.enter(request);
+            await this.#bodies.receive(request);
             return await this.#runner.run(request);
         }
         catch (err) {
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -31,17 +31,16 @@
     connectedAt: number | undefined;
     /** Time at which the request was written to the upstream; undefined before. */
     writtenAt: number | undefined;
+    #call: GateCall;
+    #key: RequestKey | undefined;
     #resolve: () => void = () => {};
     #reject: (err: HopError) => void = () => {};
 
     /** `key` identifies the request if its caller sends it again; undefined if that cannot be determined. */
-    constructor(
-        readonly call: GateCall,
-        identity: GateIdentity,
-        now: number,
-        readonly key?: RequestKey,
-    ) {
+    constructor(call: GateCall, identity: GateIdentity, now: number, key?: RequestKey) {
         const { head } = call;
+        this.#call = call;
+        this.#key = key;
         this.arrivedAt = now;
         this.priority = head.priority;
         this.team = head.team;
@@ -57,6 +56,20 @@
         this.ledgerDeadline = ledgerDeadline({ gateTime, remainingMs });
     }
 
+    get call(): GateCall {
+        return this.#call;
+    }
+
+    get key(): RequestKey | undefined {
+        return this.#key;
+    }
+
+    /** Sets the body that the sender was asked for, and the key, which could not be determined without it. */
+    setBody(body: GateCall["body"], key: RequestKey | undefined): void {
+        this.#call = { ...this.#call, body };
+        this.#key = key;
+    }
+
     get rule(): RuleName | undefined {
         return this.call.rule;
     }
--- a/src/hop/gatecall.ts
+++ b/src/hop/gatecall.ts
@@ -15,4 +15,6 @@
     readonly headers: HttpHeaders;
     readonly body: Buffer | Readable | undefined;
     readonly cancel: Cancellation;
+    /** Asks the sender for the body, which it keeps until then; undefined if `body` is already the whole body. */
+    readonly fetchBody?: (() => Promise<Buffer | Readable>) | undefined;
 };
--- a/src/ingress/closingconnections.test.ts
+++ b/src/ingress/closingconnections.test.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
-import { withConnection } from "./withconnection.js";
+import { withConnection } from "../../test/withconnection.js";
 
 const MAX_ACCEPTED = 3;
 /** The bound on the time from a caller's leaving to the cancellation of its requests. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -11,6 +11,7 @@
 import { httpStatus } from "../http/httpstatus.js";
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
+import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import { listen } from "../time/listen.js";
 import type { CallerConnection } from "./callerconnection.js";
 import { CallerConnections } from "./callerconnections.js";
@@ -53,6 +54,8 @@
     readonly planner: Planner;
     /** The service on this host, sent to upstreams as the caller's service; undefined if there is none. */
     readonly callerService: ServiceName | undefined;
+    /** Bounds the bytes of the bodies that are held. */
+    readonly bodyMemory: BodyMemory;
 };
 
 /** A request that was planned and not refused. */
@@ -97,6 +100,11 @@
         return this.#inFlight;
     }
 
+    /** The number of requests that wait behind others on their connections. */
+    get waitingCount(): number {
+        return this.#connections.waitingCount;
+    }
+
     listen(address: string): Promise<void> {
         return listen(this.#server, address);
     }
@@ -192,13 +200,19 @@
     ): Promise<RequestRefusal | undefined> {
         const { keepBytes, bodyBytes } = this.limits;
         const maxBytes = this.#callerLimits.bodyBytes ?? bodyBytes;
-        const body = await readCallerBody(req, { keepBytes, maxBytes }, callerResponse);
-        if (body === undefined || "type" in body) {
-            return body;
+        const held = await readCallerBody(req, {
+            limits: { keepBytes, maxBytes },
+            memory: this.listenerParts.bodyMemory,
+            response: callerResponse,
+            log: requestLog,
+        });
+        if (held === undefined || "type" in held) {
+            return held;
         }
+        const { body, release } = held;
         const outgoing = { id, method: req.method ?? "GET", headers: this.#headers(req), path, body };
         const handler = new RequestHandler(callerResponse, plan, outgoing, this.deps);
-        const outcome = await handler.run();
+        const outcome = await handler.run().finally(release);
         this.#recordEnd(req, res, plan, requestLog, { outcome, attempts: handler.attempts });
         return undefined;
     }
@@ -211,7 +225,9 @@
         { outcome, attempts }: { readonly outcome: RequestOutcome; readonly attempts: number; },
     ): void {
         const elapsedMs = this.deps.clock() - plan.startedAt;
-        this.#reportFailureToParent(req, outcome, status);
+        if (outcome !== "served" || status >= httpStatus.internalServerError) {
+            this.listenerParts.planner.reportFailureToParent(req);
+        }
         const { priority, team } = plan;
         this.deps.metrics.recordFinishedRequest({ service: plan.service.name, priority, team }, outcome, elapsedMs);
         requestLog.requestEnded(plan, { outcome, status, revision: this.deps.revision(), attempts, elapsedMs });
@@ -225,17 +241,4 @@
         }
         return headers;
     }
-
-    /**
-     * Marks the parent of a failed request as retried below, so that retries do not multiply along a chain of calls.
-     */
-    #reportFailureToParent(req: IncomingMessage, outcome: RequestOutcome, status: number): void {
-        if (outcome === "served" && status < httpStatus.internalServerError) {
-            return;
-        }
-        const parent = this.listenerParts.planner.parentOf(req);
-        if (parent !== undefined) {
-            parent.retriedBelow = true;
-        }
-    }
 }
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -86,6 +86,16 @@
         return contexts.findByToken(token) ?? contexts.findByRequest(dialect.parentOf(req.headers));
     }
 
+    /**
+     * Marks the parent of a failed request as retried below, so that retries do not multiply along a chain of calls.
+     */
+    reportFailureToParent(req: IncomingMessage): void {
+        const parent = this.parentOf(req);
+        if (parent !== undefined) {
+            parent.retriedBelow = true;
+        }
+    }
+
     #deadline(req: IncomingMessage, { rule }: MatchedRule, parent: Parent | undefined, startedAt: number): number {
         const { callerTimeLimit } = this.deps.dialect;
         const header = callerTimeLimit === undefined ? undefined : req.headers[callerTimeLimit];
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -15,6 +15,10 @@
         title: "The request's head is larger than allowed.",
     },
     "body-too-large": { status: httpStatus.contentTooLarge, title: "The request's body is larger than allowed." },
+    "body-memory": {
+        status: httpStatus.serviceUnavailable,
+        title: "The daemon holds as many request bodies as its memory allows.",
+    },
     "bad-request": { status: httpStatus.badRequest, title: "The request can't be read." },
     "internal": { status: httpStatus.internalServerError, title: "Winglock has failed." },
     "no-upstream": { status: httpStatus.serviceUnavailable, title: "No upstream of the service takes work now." },
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -39,6 +39,10 @@
 export class RequestLog {
     constructor(private readonly id: string) {}
 
+    noBodyMemory(bytes: number, heldBytes: number): void {
+        logger.failure(this.id, "Refused a request: there is no memory for its body.", { bytes, heldBytes });
+    }
+
     attemptSent(target: UpstreamView, { id, choices, remainingMs, arrival }: SentAttempt, now: number): void {
         const { upstream, sameHall, outstanding, report, reportedAt } = target;
         logger.decision(this.id, "The request is sent to an upstream.", {
--- a/src/link/frametype.ts
+++ b/src/link/frametype.ts
@@ -18,4 +18,6 @@
     probe: 7,
     /** Responds to a probe with the metadata of the responding daemon; empty from older versions. */
     probeResponse: 8,
+    /** Asks for the body of the request that is being served; sent only if the request's frame says that it waits. */
+    bodyRequest: 9,
 } as const;
--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../time/clock.js";
 import { readResponseMetadata } from "../wire/readresponsemetadata.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
+import { CallSender } from "./callsender.js";
 import { emptyBuffer } from "./emptybuffer.js";
 import type { Frame } from "./frame.js";
 import { FramedBody } from "./framedbody.js";
@@ -13,8 +14,6 @@
 import { frameType } from "./frametype.js";
 import { isBodyFrame } from "./isbodyframe.js";
 import { LinkError } from "./linkerror.js";
-import { packCall } from "./packcall.js";
-import { sendBody } from "./sendbody.js";
 import { unpackList } from "./unpacklist.js";
 import { unpackResponse } from "./unpackresponse.js";
 import type { WireResponse } from "./wireresponse.js";
@@ -35,8 +34,8 @@
     readonly clock: Clock;
     readonly onIdle: (connection: LinkConnection) => void;
     readonly onOverdue: (connection: LinkConnection) => Promise<void>;
-    /** Called when the peer has stated that it responds to probes. */
-    readonly onProbeSupport: () => void;
+    /** Called with metadata that states that the peer responds to probes, and whether it asks for bodies. */
+    readonly onFeatures: (metadata: ResponseMetadata) => void;
 };
 
 type PendingResponse = {
@@ -47,10 +46,10 @@
 /** Sends requests one after the other; `onIdle` notifies the pool when the next one can be sent. */
 export class LinkConnection {
     readonly #reader = new FrameReader();
+    readonly #sender: CallSender;
     #pending: PendingResponse | undefined;
     #body: FramedBody | undefined;
     #isLast = false;
-    #isSending = false;
     #removeAbortListener: () => void = () => {};
     #receivedAt = -Infinity;
     #onReceived: () => void = () => {};
@@ -58,6 +57,7 @@
     #overdueTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly socket: Socket, private readonly events: LinkEvents) {
+        this.#sender = new CallSender(socket);
         socket.on("data", (chunk: Buffer) => this.#read(chunk));
         socket.on("error", () => {
             // The `close` event follows and rejects the pending request.
@@ -69,8 +69,11 @@
         return !this.socket.destroyed && this.socket.writable && this.socket.readable;
     }
 
-    /** Sends a request; rejects with a LinkError. Cancelling the request closes the connection. */
-    send(call: GateCall): Promise<LinkResponse> {
+    /**
+     * Sends a request; rejects with a LinkError. Cancelling the request closes the connection. With `isBodyOnDemand`,
+     * the body is sent only when the peer asks for it; older versions would take the request for one without a body.
+     */
+    send(call: GateCall, isBodyOnDemand = false): Promise<LinkResponse> {
         if (call.cancel.aborted) {
             this.events.onIdle(this);
             return Promise.reject(new LinkError("called-off"));
@@ -78,7 +81,7 @@
         this.#removeAbortListener = call.cancel.onAbort(() => this.destroy());
         return new Promise((resolve, reject) => {
             this.#pending = { resolve, reject };
-            this.#write(call);
+            this.#sender.send(call, isBodyOnDemand);
             this.#watchUnlessStreaming(call.body);
         });
     }
@@ -134,17 +137,6 @@
         this.socket.destroy();
     }
 
-    #write(call: GateCall): void {
-        const { body } = call;
-        if (!(body instanceof Readable)) {
-            this.socket.write(writeFrame(frameType.call, packCall(call, body)));
-            return;
-        }
-        this.#isSending = true;
-        this.socket.write(writeFrame(frameType.call, packCall(call, "follows")));
-        sendBody(body, this.socket, () => this.#isSending = false);
-    }
-
     /**
      * Excludes requests with a streamed body from the check: a probe would queue behind a body that the peer need not
      * read, so that a missing response to it proves nothing. Such a request can use all of its time.
@@ -196,6 +188,12 @@
             );
             return;
         }
+        if (frame.type === frameType.bodyRequest) {
+            if (!this.#sender.sendKeptBody()) {
+                this.destroy();
+            }
+            return;
+        }
         if (!isBodyFrame(frame)) {
             this.destroy();
             return;
@@ -205,10 +203,11 @@
         }
     }
 
-    #receiveResponse({ metadata: { probes, ...metadata }, ...rest }: WireResponse): void {
+    #receiveResponse({ metadata: receivedMetadata, ...rest }: WireResponse): void {
+        const { probes, bodiesOnDemand: _bodiesOnDemand, ...metadata } = receivedMetadata;
         const response = { ...rest, metadata };
         if (probes === true) {
-            this.events.onProbeSupport();
+            this.events.onFeatures(receivedMetadata);
         }
         const pending = this.#pending;
         if (pending === undefined) {
@@ -232,7 +231,8 @@
         this.#removeAbortListener();
         this.#removeAbortListener = () => {};
         this.#body = undefined;
-        if (this.#isLast || this.#isSending) {
+        this.#sender.dropKeptBody();
+        if (this.#isLast || this.#sender.isSending) {
             this.destroy();
             return;
         }
--- a/src/link/linkpool.ts
+++ b/src/link/linkpool.ts
@@ -1,6 +1,7 @@
 /** Pools the connections to one peer. */
 import { connect, type Socket } from "node:net";
 import type { Address } from "../ids/address.js";
+import type { Incarnation } from "../ids/incarnation.js";
 import { splitAddress } from "../ids/splitaddress.js";
 import type { Clock } from "../time/clock.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
@@ -35,6 +36,8 @@
     readonly #check: LinkCheck;
     #closed = false;
     #peerSupportsProbes = false;
+    /** The incarnation of the peer that asks for bodies; another one may have another version. */
+    #onDemandIncarnation: Incarnation | undefined;
 
     constructor(readonly address: Address, private readonly options: PoolOptions) {
         this.#check = new LinkCheck({
@@ -44,6 +47,11 @@
         });
     }
 
+    /** Returns true if this incarnation of the peer asks for bodies that are sent on demand. */
+    asksForBodies(incarnation: Incarnation | undefined): boolean {
+        return incarnation !== undefined && incarnation === this.#onDemandIncarnation;
+    }
+
     /** Resolves with an idle connection, or a new one if there is none; rejects with a LinkError. */
     async acquire(): Promise<LinkConnection> {
         for (let idle = this.#idle.pop(); idle !== undefined; idle = this.#idle.pop()) {
@@ -61,6 +69,7 @@
     async requestIdentity(): Promise<ResponseMetadata | undefined> {
         const connection = await this.acquire();
         const metadata = await connection.requestIdentity(IDENTITY_TIMEOUT_MS);
+        this.#recordOnDemand(metadata);
         if (connection.open) {
             this.#release(connection);
         }
@@ -129,10 +138,19 @@
             clock: this.options.clock,
             onIdle: connection => this.#release(connection),
             onOverdue: connection => this.#closeIfUnresponsive(connection),
-            onProbeSupport: () => this.#peerSupportsProbes = true,
+            onFeatures: metadata => {
+                this.#peerSupportsProbes = true;
+                this.#recordOnDemand(metadata);
+            },
         });
     }
 
+    #recordOnDemand(metadata: ResponseMetadata | undefined): void {
+        if (metadata?.bodiesOnDemand === true) {
+            this.#onDemandIncarnation = metadata.incarnation;
+        }
+    }
+
     #release(connection: LinkConnection): void {
         if (this.#closed) {
             connection.destroy();
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -3,6 +3,7 @@
 import { timingSafeEqual } from "node:crypto";
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
+import { bufferBody } from "../http/bufferbody.js";
 import { Cancellation } from "../http/cancellation.js";
 import { log } from "../log/log.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
@@ -14,6 +15,8 @@
 import { FrameReader } from "./framereader.js";
 import { frameType } from "./frametype.js";
 import { isBodyFrame } from "./isbodyframe.js";
+import { LinkError } from "./linkerror.js";
+import { OnDemandBody } from "./ondemandbody.js";
 import { packResponse } from "./packresponse.js";
 import { sendBody } from "./sendbody.js";
 import type { ServedCall } from "./servedcall.js";
@@ -98,9 +101,8 @@
             return;
         }
         if (frame.type === frameType.probe) {
-            this.socket.write(
-                writeFrame(frameType.probeResponse, pack(responseMetadataCodec.write(this.deps.identity()))),
-            );
+            const metadata = { ...this.deps.identity(), bodiesOnDemand: true };
+            this.socket.write(writeFrame(frameType.probeResponse, pack(responseMetadataCodec.write(metadata))));
             return;
         }
         if (frame.type === frameType.call) {
@@ -152,12 +154,35 @@
 
     #serve(call: WireCall): void {
         const cancel = this.#serving = new Cancellation();
-        const body = call.body === "follows" ? this.#openBody() : call.body;
-        void this.deps.serve({ ...call, body }, cancel).then(response =>
+        void this.deps.serve(this.#toServedCall(call), cancel).then(response =>
             this.#respond(response, call.head.answer === "whole")
         );
     }
 
+    #toServedCall({ body, ...call }: WireCall): ServedCall {
+        if (body instanceof OnDemandBody) {
+            return { ...call, body: undefined, bodySize: body.size, fetchBody: () => this.#fetchBody(body) };
+        }
+        return { ...call, body: body === "follows" ? this.#openBody() : body };
+    }
+
+    /** Asks for the body. Resolves with all of it, or at once with a stream if the peer does not have it whole. */
+    async #fetchBody({ size }: OnDemandBody): Promise<Buffer | Readable> {
+        if (this.socket.destroyed) {
+            throw new LinkError("peer-broke");
+        }
+        const stream = this.#openBody();
+        this.socket.write(writeFrame(frameType.bodyRequest, emptyBuffer));
+        if (size === undefined) {
+            return stream;
+        }
+        const { isComplete, chunks, size: receivedSize } = await bufferBody(stream, size);
+        if (!isComplete || receivedSize !== size) {
+            throw new LinkError("broken-body");
+        }
+        return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+    }
+
     #openBody(): Readable {
         this.#body = new FramedBody(this.socket, () => {
             // The rest of the body is read and discarded, and the connection stays in use.
@@ -187,7 +212,7 @@
     }
 
     #write({ metadata, ...response }: WireResponse): void {
-        const sentMetadata = this.#isFirst ? { ...metadata, probes: true } : metadata;
+        const sentMetadata = this.#isFirst ? { ...metadata, probes: true, bodiesOnDemand: true } : metadata;
         this.#isFirst = false;
         this.socket.write(writeFrame(frameType.response, packResponse({ ...response, metadata: sentMetadata })));
     }
--- a/src/link/unpackcall.ts
+++ b/src/link/unpackcall.ts
@@ -1,6 +1,7 @@
 /** Decodes a request from the payload of a frame. */
 import { readRequestMetadata } from "../wire/readrequestmetadata.js";
 import { LinkError } from "./linkerror.js";
+import { OnDemandBody } from "./ondemandbody.js";
 import { readHeaders } from "./readheaders.js";
 import { readWireBody } from "./readwirebody.js";
 import { unpackList } from "./unpacklist.js";
@@ -14,5 +15,10 @@
     if (head === undefined || headers === undefined || typeof method !== "string" || typeof path !== "string") {
         throw new LinkError("bad-call");
     }
-    return { head, method, path, headers, body: readWireBody(follows, body) };
+    return { head, method, path, headers, body: readCallBody(follows, body) };
 }
+
+const readCallBody = (follows: unknown, body: unknown): WireCall["body"] =>
+    follows === "on-demand"
+        ? new OnDemandBody(typeof body === "number" ? body : undefined)
+        : readWireBody(follows, body);
--- a/src/link/wirecall.ts
+++ b/src/link/wirecall.ts
@@ -1,6 +1,7 @@
 /** Defines a request as it is sent between daemons. */
 import type { HttpHeaders } from "../http/httpheaders.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
+import type { OnDemandBody } from "./ondemandbody.js";
 import type { WireBody } from "./wirebody.js";
 
 /** `head` is the metadata for the gate; the other fields are the request as it is sent to the upstream. */
@@ -9,5 +10,6 @@
     readonly method: string;
     readonly path: string;
     readonly headers: HttpHeaders;
-    readonly body: WireBody;
+    /** An OnDemandBody is sent in frames of its own after the receiver has asked for it. */
+    readonly body: WireBody | OnDemandBody;
 };
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -126,6 +126,29 @@
         );
     }
 
+    /** Adds a gauge for the requests that wait behind others on their connections. */
+    showWaitingRequests(count: () => number): void {
+        this.#show(
+            "winglock_pipelined_waiting_requests",
+            "Requests that wait behind others on their caller's connection.",
+            count,
+        );
+    }
+
+    /** Adds gauges for the bytes of the bodies that are held, and for the requests refused since the start. */
+    showBodyMemory(memory: { readonly heldBytes: number; readonly refusedCount: number; }): void {
+        this.#show(
+            "winglock_body_memory_bytes",
+            "Bytes of request bodies that are held or may be received.",
+            () => memory.heldBytes,
+        );
+        this.#show(
+            "winglock_body_memory_refused",
+            "Requests refused since the start because there was no memory for their bodies.",
+            () => memory.refusedCount,
+        );
+    }
+
     /** Records the end of a caller's request. The team's label is `tenant`, the name that dashboards use for teams. */
     recordFinishedRequest({ service, priority, team }: FinishedRequest, outcome: string, elapsedMs: number): void {
         this.#requests.observe({
--- a/src/peer/peerserver.test.ts
+++ b/src/peer/peerserver.test.ts
@@ -9,6 +9,7 @@
 import { frameType } from "../link/frametype.js";
 import { packCall } from "../link/packcall.js";
 import { writeFrame } from "../link/writeframe.js";
+import { BodyMemory } from "../policy/admission/bodymemory.js";
 import { PeerServer } from "./peerserver.js";
 
 const KEY = "a-key-for-tests-only";
@@ -49,6 +50,7 @@
         clock: () => performance.now(),
         identity: { responseMetadata: () => LinkEnds.metadata } as never,
         service: undefined as never,
+        bodyMemory: new BodyMemory(0),
         gate: () => ({ serve }) as never,
         pullConfiguration: async () => {},
         findRule: () => undefined,
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -19,12 +19,15 @@
 import type { ServedCall } from "../link/servedcall.js";
 import type { ServedResponse } from "../link/servedresponse.js";
 import { log } from "../log/log.js";
+import type { BodyMemory } from "../policy/admission/bodymemory.js";
+import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import type { RequestTarget } from "../policy/routing/requesttarget.js";
 import type { Clock } from "../time/clock.js";
 import { listen } from "../time/listen.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
+import { BodyHold } from "./bodyhold.js";
 import { handleCall } from "./handlecall.js";
 import type { PeerService } from "./peerservice.js";
 
@@ -49,6 +52,8 @@
     readonly findRule: (target: RequestTarget) => MatchedRule | undefined;
     /** Returns true if the sender's older rules allow repeating the request, but this daemon's newer ones do not. */
     readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined) => boolean;
+    /** Bounds the bytes of the bodies that are held. */
+    readonly bodyMemory: BodyMemory;
     /** Called with the address of each sender of a request, so that load reports are sent to it. */
     readonly onSender: (address: string | undefined) => void;
 };
@@ -140,16 +145,21 @@
 
     async #serve(call: ServedCall, cancel: Cancellation): Promise<ServedResponse> {
         const { head } = call;
+        const hold = new BodyHold(call, this.deps.bodyMemory);
         try {
             this.deps.onSender(head.from);
+            hold.reserveReceived();
             await this.#waitForPendingClose(head);
             await this.deps.pullConfiguration(head.revision, head.from);
-            const { metadata, ...response } = await this.#sendToGate(call, cancel);
+            const { metadata, ...response } = await this.#sendToGate({ ...call, fetchBody: hold.fetchBody }, cancel);
             return { ...response, metadata: metadata ?? this.#createMetadata({}) };
         }
         catch (err) {
             return { metadata: this.#errorMetadata(err, head.upstream), ...REFUSAL };
         }
+        finally {
+            hold.release();
+        }
     }
 
     /**
@@ -175,10 +185,12 @@
         }
         const { reason, metadata } = err;
         const outcome = err.outcome === "not-run" ? "not-run" : "unknown";
-        return this.#createMetadata({ outcome, reason, ...metadata });
+        const retryAfterMs = reason === "body-memory" ? bodyMemoryRetryAfterMs : undefined;
+        return this.#createMetadata({ outcome, reason, retryAfterMs, ...metadata });
     }
 
-    async #sendToGate({ head, method, path, headers, body }: ServedCall, cancel: Cancellation): Promise<GateResponse> {
+    async #sendToGate(call: ServedCall, cancel: Cancellation): Promise<GateResponse> {
+        const { head, method, path, headers, body, fetchBody } = call;
         const gate = this.deps.gate(head.upstream);
         if (gate === undefined) {
             throw new HopError("not-run", "no-such-upstream");
@@ -188,7 +200,7 @@
         if (this.deps.isStale(head, matched)) {
             throw new HopError("not-run", "stale-rule");
         }
-        return await gate.serve({ head, rule: matched?.rule.name, method, path, headers, body, cancel });
+        return await gate.serve({ head, rule: matched?.rule.name, method, path, headers, body, cancel, fetchBody });
     }
 
     #refuseInvalid({ remoteAddress }: Socket, err: unknown): ServedResponse {
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -6,8 +6,10 @@
 import { HopError } from "../hop/hoperror.js";
 import { ignoreBodyErrors } from "../http/ignorebodyerrors.js";
 import type { Address } from "../ids/address.js";
+import type { Incarnation } from "../ids/incarnation.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import { emptyBuffer } from "../link/emptybuffer.js";
+import { isLargeBody } from "../link/islargebody.js";
 import { LinkError } from "../link/linkerror.js";
 import { LinkPool } from "../link/linkpool.js";
 import { log } from "../log/log.js";
@@ -24,6 +26,8 @@
 export class RemoteHop extends Hop {
     readonly clock = new GateClock();
     readonly #pool: LinkPool;
+    /** The incarnation of the gate's daemon that has stated, in a handshake, whether it asks for bodies. */
+    #knownIncarnation: Incarnation | undefined;
 
     constructor(
         readonly address: Address,
@@ -36,7 +40,7 @@
 
     async send(call: GateCall): Promise<GateResponse> {
         const preparedAt = this.options.clock();
-        if (call.head.kind === "once" && this.clock.incarnation === undefined) {
+        if (this.#needsHandshake(call)) {
             await this.handshake();
         }
         const { status, headers, body = emptyBuffer, metadata } = await this.#request(call, preparedAt);
@@ -59,6 +63,7 @@
         try {
             const askedAt = this.options.clock();
             this.#observeClock(await this.#pool.requestIdentity() ?? await this.peer.hello(this.address), askedAt);
+            this.#knownIncarnation = this.clock.incarnation;
         }
         catch (err) {
             throw new HopError("not-run", "unreachable", undefined, { cause: err });
@@ -89,6 +94,16 @@
         this.#pool.close();
     }
 
+    /** The peer's clock is needed for requests that run once, and for large bodies whether it asks for them. */
+    #needsHandshake({ head: { kind }, body }: GateCall): boolean {
+        const { incarnation } = this.clock;
+        if (incarnation === undefined) {
+            return kind === "once" || isLargeBody(body);
+        }
+        const isKnown = this.#knownIncarnation === incarnation || this.#pool.asksForBodies(incarnation);
+        return isLargeBody(body) && !isKnown;
+    }
+
     #reasonOf({ reason: receivedReason }: ResponseMetadata): Reason {
         const reason = decodeReason(receivedReason);
         if (reason === "unknown-reason") {
@@ -130,7 +145,9 @@
             const connection = await this.#pool.acquire();
             const sentAt = this.options.clock();
             this.#completeHead(call.head, preparedAt, sentAt);
-            const response = await connection.send(call);
+            // A daemon of another incarnation, which may be of an older version, refuses the request.
+            const isOnDemand = isLargeBody(call.body) && this.#pool.asksForBodies(call.head.incarnation);
+            const response = await connection.send(call, isOnDemand);
             this.#observeClock(response.metadata, sentAt);
             return response;
         }
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -8,6 +8,7 @@
     | "too-deep"
     | "head-too-large"
     | "body-too-large"
+    | "body-memory"
     | "bad-request"
     | "internal"
     | "no-upstream"
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -15,6 +15,9 @@
     | "handed-back"
     | "calls-spent"
     | "caller-left"
+    // The request's body did not arrive, or there is no memory for it.
+    | "body-missing"
+    | "body-memory"
     // The request is suspected of crashing upstreams.
     | "quarantined"
     // The time limit has passed.
--- a/src/policy/retry/reasons.test.ts
+++ b/src/policy/retry/reasons.test.ts
@@ -11,6 +11,7 @@
 
 test("reasons: only the listed refusals lead to a redirect", () => {
     assert.deepEqual(reasonsWhere(reason => reasons[reason].causesRedirect), [
+        "body-memory",
         "busy",
         "calls-spent",
         "cold",
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -35,6 +35,8 @@
     "handed-back": redirectedForLoad,
     "calls-spent": redirectedForLoad,
     "quarantined": { ...refusedForLoad, isFinal: true, problem: "quarantined" },
+    "body-missing": { ...refusedForLoad, costsBudget: false },
+    "body-memory": { ...redirectedForLoad, problem: "body-memory" },
     "queue-full": refusedForLoad,
     "wait-too-long": refusedForLoad,
     "caller-left": refusedForLoad,
--- a/src/wire/responsemetadata.ts
+++ b/src/wire/responsemetadata.ts
@@ -34,6 +34,8 @@
     ending: z.boolean().optional(),
     /** The daemon responds to probes of connections; sent with the first response on each connection. */
     probes: z.boolean().optional(),
+    /** The daemon asks for bodies that are sent on demand; sent with `probes` and in responses to probes. */
+    bodiesOnDemand: z.boolean().optional(),
 });
 type ResponseMetadata = z.infer<typeof ResponseMetadata>;
 
--- a/src/wire/responsemetadatacodec.ts
+++ b/src/wire/responsemetadatacodec.ts
@@ -29,4 +29,5 @@
     { name: "probes", defaultValue: false },
     { name: "limitPerSecond" },
     { name: "ending", defaultValue: false },
+    { name: "bodiesOnDemand", defaultValue: false },
 ]);
--- a/src/ingress/withconnection.ts
+++ b/test/withconnection.ts
@@ -2,9 +2,9 @@
 import { once } from "node:events";
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
-import type { CallerConnection } from "./callerconnection.js";
-import { CallerConnections } from "./callerconnections.js";
-import { ResponseTurn } from "./responseturn.js";
+import type { CallerConnection } from "../src/ingress/callerconnection.js";
+import { CallerConnections } from "../src/ingress/callerconnections.js";
+import { ResponseTurn } from "../src/ingress/responseturn.js";
 
 /** A request that the server has accepted, in the order of acceptance. */
 type Accepted = {
