--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -6,6 +6,7 @@
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
 import { keyedAgeLimitMs } from "../policy/access/keyedagelimitms.js";
+import { BodyMemory } from "../policy/admission/bodymemory.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -22,6 +23,7 @@
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
+    readonly #bodyMemory: BodyMemory;
     #requestCount = 0;
     #daemonCount = 1;
 
@@ -33,6 +35,7 @@
     ) {
         const { settings, self, clock, random, send, peer, peerOptions } = context;
         const { identity, ledger } = gates;
+        this.#bodyMemory = new BodyMemory(settings.limits.bodyMemoryBytes);
         this.#hops = new Hops({
             self,
             hall: settings.hall,
@@ -57,6 +60,8 @@
         });
         this.peerServer = this.#createPeerServer();
         this.ingress = this.#createIngress();
+        context.metrics.showBodyMemory(this.#bodyMemory);
+        context.metrics.showWaitingRequests(() => this.ingress.waitingCount);
         context.unresponsiveConnections.onDetected(() => this.#hops.closeIdle());
         gates.onChange(() => this.loadSharing.checkGates());
         configuration.evacuations.onChange(() => this.#applyEvacuations());
@@ -105,6 +110,7 @@
                 regionTraffic: this.context.regionTraffic,
             }),
             gate: name => gates.gateSet.find(name),
+            bodyMemory: this.#bodyMemory,
             pullConfiguration: this.#pullConfiguration,
             findRule: target => rules.find(target),
             isStale: (head, rule) => rules.isStale(head, rule),
@@ -129,7 +135,8 @@
             contexts: this.gates.callContexts,
             findRule: (target, sample) => rules.find(target, sample),
         });
-        return new Ingress(settings.limits, { planner, callerService: settings.callerService }, {
+        const listenerParts = { planner, callerService: settings.callerService, bodyMemory: this.#bodyMemory };
+        return new Ingress(settings.limits, listenerParts, {
             clock,
             random,
             metrics,
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -144,6 +144,16 @@
         return { type: "refusal", problem, detail: reason, retryAfterMs };
     }
 
+    /**
+     * Marks the parent of a failed request as retried below, so that retries do not multiply along a chain of calls.
+     */
+    reportFailureToParent(req: IncomingMessage): void {
+        const parent = this.parentOf(req);
+        if (parent !== undefined) {
+            parent.retriedBelow = true;
+        }
+    }
+
     #deadline(req: IncomingMessage, { rule }: MatchedRule, parent: Parent | undefined, startedAt: number): number {
         const { callerTimeLimit } = this.deps.dialect;
         const header = callerTimeLimit === undefined ? undefined : req.headers[callerTimeLimit];
