--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -192,7 +192,7 @@
         return {
             host: host.name,
             hall: host.hall,
-            region: this.spec.region,
+            region: this.spec.regionByHall?.[host.hall] ?? this.spec.region,
             ingress: host.ingress,
             peer: host.peer,
             advertise: host.peerProxy,
--- a/demo/meshdocument.ts
+++ b/demo/meshdocument.ts
@@ -13,7 +13,7 @@
             address: direct ? host.upstream : host.upstreamProxy,
             gate: host.peerProxy,
             hall: host.hall,
-            region: spec.region,
+            region: spec.regionByHall?.[host.hall] ?? spec.region,
             slots: spec.slots,
         })),
         rules: spec.rules,
--- a/demo/meshspec.ts
+++ b/demo/meshspec.ts
@@ -19,6 +19,8 @@
 export type MeshSpec = {
     readonly name: string;
     readonly region: string;
+    /** The regions of halls that are not in `region`, by hall. */
+    readonly regionByHall?: Readonly<Record<string, string>>;
     readonly halls: readonly string[];
     readonly interHallDelayMs: number;
     readonly slots: number;
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -51,7 +51,7 @@
      */
     choose(slotHolder: string | undefined): UpstreamView | undefined {
         const now = this.deps.clock();
-        const views = this.#views(now);
+        const views = this.#views;
         const holder = views.find(view => view.upstream === slotHolder);
         if (holder !== undefined && !holder.isLeavingPermanently && this.#mayCross(holder)) {
             return holder;
@@ -73,7 +73,7 @@
     /** Returns the upstream for a hedge, which stays in the region while an upstream there is available. */
     chooseForHedge(): UpstreamView | undefined {
         const now = this.deps.clock();
-        return this.#place(targetsAtHome(this.#views(now), now), now);
+        return this.#place(targetsAtHome(this.#views, now), now);
     }
 
     /**
@@ -83,7 +83,7 @@
      */
     untried(target: UpstreamView): UpstreamView[] {
         const now = this.deps.clock();
-        return availableTargets(this.#views(now), this.request.tried, now)
+        return availableTargets(this.#views, this.request.tried, now)
             .filter(view => view.region === target.region);
     }
 
@@ -129,9 +129,9 @@
         return plan().depth > 0 || (bodyBytes > 0 && [...tried].some(view => !view.sameRegion));
     }
 
-    #views(now: number): readonly UpstreamView[] {
+    get #views(): readonly UpstreamView[] {
         const views = this.deps.upstreams.ofService(this.request.plan().service.name);
-        return allowedTargets(views, this.#allowedRegions, now);
+        return allowedTargets(views, this.#allowedRegions);
     }
 
     /** The regions that the plan allows, and those of its present rule, which may be newer. */
--- a/src/policy/placement/allowedtargets.ts
+++ b/src/policy/placement/allowedtargets.ts
@@ -3,7 +3,7 @@
  *
  * An upstream of another region whose gate does not respond is left out as well: such a request is refused at once
  * rather than sent to an unresponsive gate, since no other region may serve it. Pings find out when the gate responds
- * again.
+ * again; until then no request probes it, since its caller would get 502 (the request may have run).
  */
 import type { RegionName } from "../../ids/regionname.js";
 import type { Regional } from "./regional.js";
@@ -12,7 +12,6 @@
 export function allowedTargets<Target extends Regional>(
     all: readonly Target[],
     lists: readonly (readonly RegionName[] | undefined)[],
-    now: number,
 ): readonly Target[] {
     const limits = lists.filter(list => list !== undefined);
     if (limits.length === 0) {
@@ -20,6 +19,6 @@
     }
     return all.filter(target =>
         limits.every(list => list.includes(target.region))
-        && (target.sameRegion || target.availability(now) !== "suspected")
+        && (target.sameRegion || !target.suspicion.isSuspected)
     );
 }
--- a/src/policy/placement/regions.test.ts
+++ b/src/policy/placement/regions.test.ts
@@ -120,17 +120,18 @@
     region: region as RegionName,
     sameRegion: region === "north",
     availability: () => availability,
+    suspicion: { isSuspected: availability === "suspected" },
 });
 
 test("regions: only upstreams in every list of regions are allowed, and none across that does not respond", () => {
     const [north, south, cutOff] = [target("north"), target("south"), target("south", "suspected")];
     const all = [north, south, cutOff];
     const list = (...names: string[]): RegionName[] => names as RegionName[];
-    assert.deepEqual(allowedTargets(all, [undefined, undefined], 0), all);
-    assert.deepEqual(allowedTargets(all, [list("south"), undefined], 0), [south]);
-    assert.deepEqual(allowedTargets(all, [list("south", "north"), list("north")], 0), [north]);
-    assert.deepEqual(allowedTargets(all, [list("south"), list("north")], 0), []);
-    assert.deepEqual(allowedTargets(all, [list()], 0), []);
+    assert.deepEqual(allowedTargets(all, [undefined, undefined]), all);
+    assert.deepEqual(allowedTargets(all, [list("south"), undefined]), [south]);
+    assert.deepEqual(allowedTargets(all, [list("south", "north"), list("north")]), [north]);
+    assert.deepEqual(allowedTargets(all, [list("south"), list("north")]), []);
+    assert.deepEqual(allowedTargets(all, [list()]), []);
 });
 
 test("regions: targets at home are the only ones while one of them is available", () => {
