--- a/bench/cputime.ts
+++ b/bench/cputime.ts
@@ -22,6 +22,8 @@
 const SLOW_SHARE = 0.25;
 /** The slow upstreams are drawn again after this time. */
 const REDRAW_MS = 300;
+/** As often as instances on the users' platform announce themselves. */
+const ANNOUNCE_EVERY_MS = 1000;
 const MS_PER_SECOND = 1000;
 
 const [target = "target", daemonCount = 12, rate = 13, seconds = 30] = process.argv.slice(2).map((arg, index) =>
@@ -48,6 +50,7 @@
     script: resolve(target, "winglockd.cjs"),
     nodeFlags,
     settings: await deployedSettings(),
+    announceEveryMs: ANNOUNCE_EVERY_MS,
 });
 const agents = new Map(mesh.hosts.map(({ name }) => [name, new Agent({ keepAlive: true })]));
 const statuses: Record<string, number> = {};
--- a/standin/instancestandin.ts
+++ b/standin/instancestandin.ts
@@ -5,7 +5,8 @@
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
 
-const ANNOUNCE_EVERY_MS = 200;
+/** Changes of these only have no effect on the announcements. */
+const UNANNOUNCED: readonly string[] = ["workMs", "pace"];
 /** Run time of a request that crashes the instance; about as long as in observed crashes. */
 const CRASH_AFTER_MS = 60;
 
@@ -19,6 +20,7 @@
     readonly daemon: string;
     /** A request with this path ends the process `CRASH_AFTER_MS` after it starts to run; empty for none. */
     readonly crashPath: string;
+    readonly announceEveryMs: number;
 };
 
 /**
@@ -48,15 +50,17 @@
             leaving: false,
             saysOnHealth: false,
         });
-        setInterval(() => void this.#announce(), ANNOUNCE_EVERY_MS);
+        setInterval(() => void this.#announce(), options.announceEveryMs);
     }
 
     /** Announces the changed state; the response says whether the daemon acknowledged the announcement. */
-    protected override async applyControl({ coldMs }: Partial<InstanceControl>): Promise<object> {
+    protected override async applyControl(changes: Partial<InstanceControl>): Promise<object> {
+        const { coldMs } = changes;
         if (coldMs !== undefined) {
             this.#coldEndsAt = performance.now() + coldMs;
         }
-        return { acknowledged: await this.#announce() };
+        const isAnnounced = Object.keys(changes).some(name => !UNANNOUNCED.includes(name));
+        return { acknowledged: isAnnounced && await this.#announce() };
     }
 
     protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -22,6 +22,7 @@
     readonly script?: string;
     readonly nodeFlags?: readonly string[];
     readonly settings?: object;
+    readonly announceEveryMs?: number;
 };
 
 type Host = { readonly name: string; readonly ip: string; readonly service: string; readonly hall: string; };
@@ -104,7 +105,16 @@
     /** Starts a host's instance, which exits when it runs a request with the path `crashPath`. */
     startInstance(name: string, id: string, crashPath = ""): Child {
         const { ip, service } = this.host(name);
-        const args = [id, service, `${ip}:7200`, "4", `${ip}:7106`, crashPath];
+        const { announceEveryMs } = this.options;
+        const args = [
+            id,
+            service,
+            `${ip}:7200`,
+            "4",
+            `${ip}:7106`,
+            crashPath,
+            ...announceEveryMs ? [String(announceEveryMs)] : [],
+        ];
         const child = new Child(scriptPath("standin/instancemain.js"), args, line => this.instanceLines.push(line));
         this.instances.set(name, child);
         return child;
