--- a/src/cli/explaincommand.ts
+++ b/src/cli/explaincommand.ts
@@ -13,6 +13,12 @@
 import { output } from "./output.js";
 import { table } from "./table.js";
 
+/** Returns no line for what the configuration does not restrict. */
+const accessLines = ({ access, keyFingerprint, regions, noRegion }: ExplainRequestResponse): string[] => [
+    ...access === "" ? [] : [`access    ${access}${keyFingerprint === "" ? "" : ` (key ${keyFingerprint})`}`],
+    ...regions.length > 0 || noRegion ? [`regions   ${regions.join(" ") || "none"}`] : [],
+];
+
 const formatExplanation = (res: ExplainRequestResponse): string => {
     const rows = res.candidates.map(candidate => [
         candidate.upstream,
@@ -25,8 +31,7 @@
         `class     ${enumKeyOf(protoPriority, res.priority) ?? "-"}`,
         `kind      ${enumKeyOf(protoRequestKind, res.kind)} (${res.kindReason})`,
         `tenant    ${res.tenant}`,
-        `access    ${res.access}${res.keyFingerprint === "" ? "" : ` (key ${res.keyFingerprint})`}`,
-        `regions   ${res.noRegion ? "none" : res.regions.join(" ") || "all"}`,
+        ...accessLines(res),
         `limit     ${res.timeLimitMs} ms`,
         table(["upstream", "eligible", "expected ms"], rows),
     ].join("\n");
--- a/src/cli/resource.ts
+++ b/src/cli/resource.ts
@@ -13,6 +13,8 @@
 export abstract class Resource {
     abstract readonly name: string;
     abstract readonly columns: readonly string[];
+    /** Columns that are shown if one of the listed resources has a value there other than false. */
+    readonly optionalColumns: readonly string[] = [];
     abstract readonly flags: Parameters<typeof command>[0]["args"];
     abstract readonly example: string;
     /** Returns the resources of this type in a configuration. */
--- a/src/cli/resourcecommands.ts
+++ b/src/cli/resourcecommands.ts
@@ -35,6 +35,9 @@
 
 const toCell = (value: unknown): string => Array.isArray(value) ? value.join(",") : String(value ?? "");
 
+const isUsed = (items: readonly FlagValues[], column: string): boolean =>
+    items.some(item => isGiven(item[column]) && item[column] !== false);
+
 /** Returns the subcommands for a type of resource; `otherCommands` are added, or take the place of those of their name. */
 export function resourceCommands(
     resource: Resource,
@@ -75,8 +78,9 @@
             const items = resource.list(await getConfiguration(new OperatorClient(daemons))).map(item =>
                 resource.display(item)
             );
-            const rows = items.map(item => resource.columns.map(column => toCell(item[column])));
-            output(json, items, table(resource.columns, rows));
+            const columns = [...resource.columns, ...resource.optionalColumns.filter(column => isUsed(items, column))];
+            const rows = items.map(item => columns.map(column => toCell(item[column])));
+            output(json, items, table(columns, rows));
         },
     });
     const show = command({
--- a/src/cli/ruleresource.ts
+++ b/src/cli/ruleresource.ts
@@ -33,9 +33,8 @@
         "tenant",
         "kind",
         "timeLimitMs",
-        "public",
-        "regions",
     ];
+    override readonly optionalColumns = ["public", "regions"];
     readonly example = "winglock rule create pay-fee --path-prefix /fees --methods POST --service entries --kind once";
     readonly flags = {
         host: option({ type: optional(string), long: "host", description: "The host name; empty matches all." }),
--- a/src/operator/explainaccess.ts
+++ b/src/operator/explainaccess.ts
@@ -39,7 +39,7 @@
         return { ...NOT_GRANTED, access: decision.reason, keyFingerprint };
     }
     return {
-        access: "granted",
+        access: decision.identity === undefined ? "" : "granted",
         keyFingerprint,
         team: decision.team,
         priority: decision.priority,
--- a/src/operator/explanation.ts
+++ b/src/operator/explanation.ts
@@ -15,8 +15,8 @@
 };
 
 /**
- * `rule` is undefined if no rule matches; the request would then be refused. `access` is `granted`, or why the request
- * is refused because of its key; `priority`, `team` and `regions` are those of a request that is granted access.
+ * `rule` is undefined if no rule matches; the request would then be refused. `access` is `granted`, why the request
+ * is refused because of its key, or empty if the document has no teams; `priority`, `team` and `regions` are those of a request that is granted access.
  */
 export type Explanation = {
     readonly rule: Rule | undefined;
