--- a/src/ingress/targetselector.test.ts
+++ b/src/ingress/targetselector.test.ts
@@ -140,3 +140,18 @@
     call.record(home[0]!, { outcome: "not-run", reason: "wait-too-long" });
     assert.equal(call.choose(undefined), home[1]);
 });
+
+// Guards against probes of slow upstreams that cross regions, also while requests leave the region on overflow.
+test("selector: an old report of a slow upstream in another region is not renewed from here", () => {
+    const slowAcross = view("s9", "south");
+    const report = { running: 0, waiting: 0, limit: 4, serviceMs: 900, baseMs: 900 };
+    slowAcross.recordReport(report, -1_000_000);
+    const slowAtHome = view("h9", "north");
+    slowAtHome.recordReport(report, -1_000_000);
+    const home = [view("h0", "north"), view("h1", "north"), view("h2", "north")];
+    assert.equal(selectorOf([...home, slowAtHome, south, south2]).choose(undefined), slowAtHome);
+    assert.equal(selectorOf([...home, slowAcross, south, south2]).choose(undefined)?.region, "north");
+    const full = selectorOf([...home, slowAcross, south, south2], {}, new Set(home.slice(0, 1)));
+    full.record(home[0]!, { outcome: "not-run", reason: "wait-too-long" });
+    assert.notEqual(full.choose(undefined), slowAcross);
+});
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -103,12 +103,14 @@
     #best(views: readonly UpstreamView[], now: number): UpstreamView | undefined {
         const { placement, random, daemonCount } = this.deps;
         const { tried, bodyBytes } = this.request;
-        const targets = this.#withOverflow(selectTargets(views, tried, now), now);
+        const targets = selectTargets(views, tried, now);
         const home = targets.filter(view => view.sameRegion);
         const probeable = home.length === 0 ? targets : home;
         return probeable.find(view => view.isRateProbeDue(now))
             ?? findSpeedProbe(probeable, daemonCount(), now)
-            ?? placement.choose(targets, now, random, { bodyBytes }) as UpstreamView | undefined;
+            ?? placement.choose(this.#withOverflow(targets, now), now, random, { bodyBytes }) as
+                | UpstreamView
+                | undefined;
     }
 
     /** Leaves out the own hall or region for a share of the requests while its gates refuse them for load. */
