--- a/src/time/ticker.ts
+++ b/src/time/ticker.ts
@@ -1,16 +1,15 @@
 /** Calls a function periodically. */
-import { processClock } from "./processclock.js";
 import { tickMs } from "./tickms.js";
 import { tickSource } from "./ticksource.js";
 
 /**
- * `intervalMs` is in milliseconds. Tickers whose interval is a multiple of the tick share a timer and are up to half a
- * tick early or late; the others have a timer of their own.
+ * `intervalMs` is in milliseconds. Tickers whose interval is a multiple of the tick share a timer, so that their first
+ * call is up to a tick early; the others have a timer of their own.
  */
 export class Ticker {
-    readonly #listener = (now: number): void => this.#tick(now);
+    readonly #listener = (): void => this.#tick();
     #timer: NodeJS.Timeout | undefined;
-    #dueAt = 0;
+    #remainingTicks = 0;
 
     constructor(private readonly intervalMs: number, private readonly callback: () => void) {}
 
@@ -18,7 +17,7 @@
     start(): void {
         this.stop();
         if (this.intervalMs % tickMs === 0) {
-            this.#dueAt = processClock() + this.intervalMs;
+            this.#remainingTicks = this.intervalMs / tickMs;
             tickSource.add(this.#listener);
             return;
         }
@@ -32,11 +31,11 @@
     }
 
     /** Calls missed while the process was stopped are not made up for. */
-    #tick(now: number): void {
-        if (now < this.#dueAt - tickMs / 2) {
-            return;
+    #tick(): void {
+        this.#remainingTicks -= 1;
+        if (this.#remainingTicks <= 0) {
+            this.#remainingTicks = this.intervalMs / tickMs;
+            this.callback();
         }
-        this.#dueAt = Math.max(this.#dueAt + this.intervalMs, now + this.intervalMs - tickMs / 2);
-        this.callback();
     }
 }
--- a/src/time/ticksource.ts
+++ b/src/time/ticksource.ts
@@ -4,11 +4,10 @@
  * Each wake-up of an idle process costs processor time: with timers of their own, the periodic tasks of a daemon woke it
  * up 58 times a second instead of 20.
  */
-import { processClock } from "./processclock.js";
 import { tickMs } from "./tickms.js";
 
-/** Called at each tick with the process clock, in milliseconds. */
-type TickListener = (now: number) => void;
+/** Called at each tick. */
+type TickListener = () => void;
 
 /** The timer runs while there are listeners. */
 class TickSource {
@@ -29,8 +28,7 @@
     }
 
     #tick(): void {
-        const now = processClock();
-        this.#listeners.forEach(listener => listener(now));
+        this.#listeners.forEach(listener => listener());
     }
 }
 
