--- a/test/teams.test.ts
+++ b/test/teams.test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { control } from "../demo/control.js";
 import type { Mesh } from "../demo/mesh.js";
 import { digestKey } from "../src/config/digestkey.js";
 import { fingerprintOf } from "../src/config/fingerprintof.js";
+import { chainMesh } from "./chainmesh.js";
 import { eventually } from "./eventually.js";
 import { withMesh } from "./withmesh.js";
 
@@ -91,3 +93,21 @@
         assert.match(await explain("--team", "blue"), /^access +unknown-team$/m);
     });
 });
+
+// Guards against calls that are refused below the first level, where the context alone shows that they are calls.
+test("teams: calls six levels deep need no key, in contexts that only the upstreams know", async () => {
+    await withMesh(
+        async mesh => {
+            const key = newKeyOf(await run(mesh, "team", "create", "red"));
+            for (const { name, ingress, upstream } of mesh.hosts) {
+                const level = Number(/^level(\d)/.exec(name)![1]);
+                await control(upstream, { next: level === 6 ? "" : `${ingress}/chain/level${level + 1}` });
+            }
+            await allRespond(mesh, undefined, 401, "/chain/level1");
+            await allRespond(mesh, key, 200, "/chain/level1");
+            await allRespond(mesh, undefined, 401, "/chain/level6");
+        },
+        {},
+        chainMesh,
+    );
+});
