--- a/test/keys.test.ts
+++ b/test/keys.test.ts
@@ -72,6 +72,8 @@
         const anonymous = await send(mesh, "pages-1", undefined, "/open/1", { tenant: "red" });
         assert.deepEqual([anonymous.status, bodyOf(anonymous)["team"]], [200, undefined]);
         assert.equal((await send(mesh, "pages-1", UNKNOWN, "/open/1")).status, 401);
+        const twice = { "x-api-key": [RED, RED] } as unknown as Record<string, string>;
+        assert.equal((await send(mesh, "pages-1", undefined, "/pages/1", twice)).status, 401, "two key fields");
         assert.equal((await send(mesh, "pages-1", RED, "/nowhere/1")).status, 404);
         const metrics = await mesh.operatorPage("pages-1", "/metrics");
         assert.match(metrics, /winglock_access_refused_total\{reason="missing-key"\} 1/);
@@ -150,6 +152,31 @@
     });
 });
 
+/** Removes a key while a daemon is paused for longer than the limit, and sends it requests with the key. */
+const checkResumedDaemon = async (mesh: PlatformMesh): Promise<void> => {
+    const daemon = mesh.daemons.get("pages-1")!;
+    daemon.signal("SIGSTOP");
+    try {
+        await pause(500);
+        await mesh.configure(teamsConfiguration(6, [blue]));
+        await pause(3000);
+        const waiting = Array.from({ length: 5 }, () => send(mesh, "pages-1", RED));
+        await pause(100);
+        daemon.signal("SIGCONT");
+        for (const { status } of await Promise.all(waiting)) {
+            assert.ok(
+                [401, 503].includes(status),
+                `a resumed daemon refuses a removed key, but it responded ${status}`,
+            );
+        }
+    }
+    finally {
+        daemon.signal("SIGCONT");
+    }
+    await eventually("the removed key is refused everywhere", () => allAnswer(mesh, RED, 401), 5000);
+    await eventually("the other key is accepted everywhere", () => allAnswer(mesh, BLUE, 200), 5000);
+};
+
 // Guards against keys that are accepted long after their removal by a daemon that learns of nothing (K4).
 test("keys: under strict revocation keyed requests are refused while the store confirms nothing", async () => {
     await withPlatform(async mesh => {
@@ -173,6 +200,7 @@
         assert.deepEqual(await statuses(mesh, undefined, "/open/1"), mesh.hosts.map(() => 200));
         await mesh.controlStore({ silent: false });
         await eventually("keys are accepted again", () => allAnswer(mesh, RED, 200), 10_000);
+        await checkResumedDaemon(mesh);
     });
 });
 
