--- a/src/ingress/readbody.ts
+++ b/src/ingress/readbody.ts
@@ -31,7 +31,11 @@
         }
     });
     const failIncomplete = (): void => void stream.destroy(new BodyError(false));
-    stream.on("error", () => req.resume());
+    stream.on("error", () => {
+        // The `close` event follows.
+    });
+    // The rest is read and discarded, since a caller may read the response only after it has sent the whole body.
+    stream.on("close", () => req.unpipe(stream).resume());
     req.on("aborted", failIncomplete);
     if (req.destroyed && !req.readableEnded) {
         failIncomplete();
--- a/src/ingress/readcallerbody.ts
+++ b/src/ingress/readcallerbody.ts
@@ -1,5 +1,7 @@
 /** Reads the body of a caller's request, within the memory for bodies, and decides what follows if that fails. */
 import type { IncomingMessage } from "node:http";
+import { drainBody } from "../http/drainbody.js";
+import { isUnread } from "../http/isunread.js";
 import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
 import { BodyError } from "./bodyerror.js";
@@ -24,6 +26,14 @@
 /** Used for requests without a body, for which nothing is reserved. */
 const NO_RESERVATION = { resize: (): void => {}, release: (): void => {} };
 
+/** Reads what no attempt has read: a caller may read the response only after it has sent the whole body. */
+const discardBody = ({ content }: HeldBody["body"], { release }: Pick<HeldBody, "release">): void => {
+    release();
+    if (isUnread(content)) {
+        drainBody(content);
+    }
+};
+
 /** Returns the body, the refusal to send, or undefined if the body is incomplete since its caller has left. */
 export async function readCallerBody(
     req: IncomingMessage,
@@ -41,7 +51,7 @@
         if (Buffer.isBuffer(body.content)) {
             reservation.resize(body.content.length);
         }
-        return { body, release: reservation.release };
+        return { body, release: () => discardBody(body, reservation) };
     }
     catch (err) {
         reservation.release();
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -9,6 +9,7 @@
 import type { GateResponse } from "../hop/gateresponse.js";
 import { Cancellation } from "../http/cancellation.js";
 import { drainBody } from "../http/drainbody.js";
+import { isUnread } from "../http/isunread.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
 import type { QuarantineStatus } from "../policy/quarantine/quarantinestatus.js";
@@ -58,6 +59,7 @@
             ingress: deps,
             plan: () => this.plan,
             bodyKept: outgoing.body.kept,
+            isBodyUnread: () => isUnread(outgoing.body.content),
             quarantineStatus: () => this.#quarantineStatus(),
             log: this.#log,
         });
--- a/src/ingress/requestretries.ts
+++ b/src/ingress/requestretries.ts
@@ -24,6 +24,8 @@
     readonly plan: () => Plan;
     /** True if the body can be sent again. */
     readonly bodyKept: boolean;
+    /** True if the body is a stream of which no attempt has sent anything. */
+    readonly isBodyUnread: () => boolean;
     readonly quarantineStatus: () => QuarantineStatus;
     readonly log: RequestLog;
 };
@@ -48,7 +50,7 @@
 
     /** Decides whether another attempt follows one that did not serve the request, and logs the decision. */
     decide(result: UnservedResult): RetryDecision {
-        const { ingress: { clock }, plan, bodyKept } = this.deps;
+        const { ingress: { clock }, plan, bodyKept, isBodyUnread } = this.deps;
         const { kind, deadline } = plan();
         const now = clock();
         const decision = decideRetry(
@@ -59,7 +61,7 @@
                 maxAttempts: this.#maxAttempts(),
                 redirects: this.history.redirects,
                 remainingMs: deadline - now,
-                bodyKept,
+                bodyKept: bodyKept || isBodyUnread(),
                 needsBudget: this.history.needsBudget,
                 quarantineStatus: this.deps.quarantineStatus(),
             },
--- a/test/uploads.test.ts
+++ b/test/uploads.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { request } from "undici";
+import { Client, request } from "undici";
 import type { Mesh } from "../demo/mesh.js";
 import { eventually } from "./eventually.js";
 import { withMesh } from "./withmesh.js";
@@ -14,6 +14,23 @@
     return Number(new RegExp(`^${name} (.*)$`, "m").exec(await body.text())?.[1]);
 };
 
+const STREAMED_BYTES = 8 * 1024 * 1024;
+
+// A refused body that was too large to be kept was never read, so that its caller could not send all of it.
+test("uploads: a streamed body whose request is refused is read to its end, and its connection stays in use", async () => {
+    await withMesh(async mesh => {
+        await Promise.all([...mesh.upstreams.values()].map(upstream => upstream.end("SIGKILL")));
+        const client = new Client(`http://${mesh.hosts[0]!.ingress}`);
+        const body = Buffer.alloc(STREAMED_BYTES, "b");
+        for (let round = 0; round < 3; round++) {
+            const res = await client.request({ method: "POST", path: "/fees/1", body, headersTimeout: 5000 });
+            assert.ok([502, 503, 504].includes(res.statusCode), String(res.statusCode));
+            await res.body.dump();
+        }
+        await client.close();
+    });
+});
+
 test("uploads: bodies beyond the memory for them are refused with 503, and the memory is free again", async () => {
     await withMesh(async mesh => {
         const host = mesh.hosts[0]!;
