--- a/src/daemon/configurationgroup.ts
+++ b/src/daemon/configurationgroup.ts
@@ -33,9 +33,9 @@
     readonly publisher: ChangePublisher;
 
     constructor(private readonly context: DaemonContext) {
-        const { environment, clock, peer, metrics } = context;
+        const { environment, settings, clock, peer, metrics } = context;
         const { current, evacuations } = this;
-        this.rules = new RuleMatcher(current, clock);
+        this.rules = new RuleMatcher(current, clock, settings.region);
         this.puller = new ConfigurationPuller(current, peer, metrics);
         this.watcher = new DocumentWatcher(environment.store, current, evacuations, clock);
         this.publisher = new ChangePublisher(environment.store, current, attempt => sleep(RETRY_DELAY_MS * attempt));
--- a/src/daemon/rulematcher.test.ts
+++ b/src/daemon/rulematcher.test.ts
@@ -6,6 +6,7 @@
 import { Rule } from "../config/rule.js";
 import { Service } from "../config/service.js";
 import { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { OutgoingRequest } from "../ingress/outgoingrequest.js";
 import type { Plan } from "../ingress/plan.js";
@@ -22,7 +23,7 @@
 test("replan: a request of a split keeps the service that its sample selected", () => {
     const configuration = new CurrentConfiguration();
     configuration.apply(document);
-    const matcher = new RuleMatcher(configuration, () => 0);
+    const matcher = new RuleMatcher(configuration, () => 0, "north" as RegionName);
     const target = { method: "GET", host: "h", path: "/" };
     for (const splitSample of [0.1, 0.9]) {
         const matched = matcher.find(target, splitSample)!;
@@ -41,3 +42,18 @@
         assert.equal(matcher.replan(out, plan).service.name, matched.service.name);
     }
 });
+
+// Guards against a request that runs in a region that its rule does not allow, because its sender has an older document.
+test("stale rule: a request that the newer rules here do not allow in this region is refused", () => {
+    const configuration = new CurrentConfiguration();
+    const rules = document.rules.map(rule => ({ ...rule, regions: ["south" as RegionName] }));
+    configuration.apply({ ...document, revision: 2, rules });
+    const target = { method: "GET", host: "h", path: "/" };
+    const isStaleIn = (region: string, revision: number): boolean => {
+        const matcher = new RuleMatcher(configuration, () => 0, region as RegionName);
+        return matcher.isStale({ kind: "repeatable", revision } as never, matcher.find(target));
+    };
+    assert.equal(isStaleIn("north", 1), true);
+    assert.equal(isStaleIn("south", 1), false);
+    assert.equal(isStaleIn("north", 2), false, "a sender with the same rules has decided by them");
+});
--- a/src/daemon/rulematcher.ts
+++ b/src/daemon/rulematcher.ts
@@ -1,8 +1,10 @@
 /** Matches requests, also those in progress, with the rules of the newest configuration of this daemon. */
 import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import type { RegionName } from "../ids/regionname.js";
 import type { OutgoingRequest } from "../ingress/outgoingrequest.js";
 import type { Plan } from "../ingress/plan.js";
 import { isStaleKind } from "../policy/retry/isstalekind.js";
+import { isStaleRegion } from "../policy/retry/isstaleregion.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import { matchRequest } from "../policy/routing/matchrequest.js";
 import type { RequestTarget } from "../policy/routing/requesttarget.js";
@@ -11,7 +13,11 @@
 
 /** Reads the current document at each call, so that the newest rules decide on each request. */
 export class RuleMatcher {
-    constructor(private readonly configuration: CurrentConfiguration, private readonly clock: Clock) {}
+    constructor(
+        private readonly configuration: CurrentConfiguration,
+        private readonly clock: Clock,
+        private readonly region: RegionName,
+    ) {}
 
     /**
      * Returns the matching rule with its service and kind, or undefined if no rule matches. `splitSample` selects the
@@ -31,8 +37,13 @@
         };
     }
 
-    /** Returns true if the sender treats the request as repeatable by an older revision and the rules here do not. */
-    isStale(head: RequestMetadata, rule: MatchedRule | undefined): boolean {
-        return isStaleKind(head, rule?.kind, this.configuration.revision);
+    /**
+     * Returns true if the sender, by an older revision, treats the request as repeatable or sends it to this region, and
+     * the rules here do not allow that.
+     */
+    isStale(head: RequestMetadata, matched: MatchedRule | undefined): boolean {
+        const { configuration: { revision }, region } = this;
+        return isStaleKind(head, matched?.kind, revision)
+            || isStaleRegion(head, { regions: matched?.rule.regions, region }, revision);
     }
 }
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -47,7 +47,10 @@
     readonly pullConfiguration: (revision: number, from: string | undefined) => Promise<void>;
     /** Returns the rule of this daemon's configuration that matches a request. */
     readonly findRule: (target: RequestTarget) => MatchedRule | undefined;
-    /** Returns true if the sender's older rules allow repeating the request, but this daemon's newer ones do not. */
+    /**
+     * Returns true if the sender's older rules allow repeating the request, or serving it here, but this daemon's newer
+     * ones do not.
+     */
     readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined) => boolean;
     /** Called with the address of each sender of a request, so that load reports are sent to it. */
     readonly onSender: (address: string | undefined) => void;
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -99,6 +99,12 @@
                 "no regional request, nor its hedge, is served here",
             );
 
+            const status = await mesh.cli("status");
+            assert.match(
+                status.stdout,
+                /^between regions: [1-9]\d* bytes sent, [1-9]\d* received, \d+ control messages sent$/m,
+            );
+
             await cutSouth(mesh);
             await eventually("a regional request is refused", async () => {
                 const { status, text } = await send(north, "/pages/south");
