--- a/src/operator/explain.ts
+++ b/src/operator/explain.ts
@@ -17,13 +17,19 @@
     return rule.kind === undefined ? `the method is ${method}` : "the rule says so";
 };
 
-const explainUpstream = (view: UpstreamView, now: number): Explanation["candidates"][number] => {
+const explainUpstream = (
+    view: UpstreamView,
+    { regions }: Rule,
+    now: number,
+): Explanation["candidates"][number] => {
     const availability = view.availability(now);
-    const isEligible = availability === "available";
+    const isAllowed = regions?.includes(view.region) ?? true;
+    const reason = isAllowed ? availability : `the rule does not allow region ${view.region}`;
+    const isEligible = reason === "available";
     return {
         upstream: view.upstream,
         eligible: isEligible,
-        reason: isEligible ? "" : availability,
+        reason: isEligible ? "" : reason,
         expectedMs: expectedTime.expectedMs(view, now),
     };
 };
@@ -44,6 +50,6 @@
         rule,
         kind: decideKind(rule, method, isFresh),
         kindReason: explainKind(rule, method, isFresh),
-        candidates: upstreams.ofService(rule.service).map(view => explainUpstream(view, now)),
+        candidates: upstreams.ofService(rule.service).map(view => explainUpstream(view, rule, now)),
     };
 }
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -99,6 +99,9 @@
                 "no regional request, nor its hedge, is served here",
             );
 
+            const explained = await mesh.cli("explain", "GET", "http://x/pages/south", "--daemon", north.operator);
+            assert.match(explained.stdout, /^pages-1 +no: the rule does not allow region north/m);
+            assert.match(explained.stdout, /^pages-2 +yes/m);
             const status = await mesh.cli("status");
             assert.match(
                 status.stdout,
