--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -50,7 +50,10 @@
     readonly pullConfiguration: (revision: number, from: string | undefined) => Promise<void>;
     /** Returns the rule of this daemon's configuration that matches a request. */
     readonly findRule: (target: RequestTarget) => MatchedRule | undefined;
-    /** Returns true if the sender's older rules allow repeating the request, but this daemon's newer ones do not. */
+    /**
+     * Returns true if the sender's older rules allow repeating the request, or serving it here, but this daemon's newer
+     * ones do not.
+     */
     readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined) => boolean;
     /** Bounds the bytes of the bodies that are held. */
     readonly bodyMemory: BodyMemory;
