--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -59,6 +59,7 @@
             failureDetector: this.#requestPath.loadSharing.failureDetector,
             transfer: this.#requestPath.loadSharing.transfer,
             crashes: this.#membership.crashes,
+            quota: this.#requestPath.quota,
         });
         this.#membership.onChange(() => this.#requestPath.apply(this.#membership.upstreams));
     }
@@ -158,6 +159,7 @@
         this.#configuration.evacuations.stop();
         this.#gates.healthCheck.stop();
         this.#eventLoopMonitor.stop();
+        this.#requestPath.quota.stop();
         datagrams.close();
         void environment.store.close();
         void peer.close();
--- a/src/daemon/datagramrouter.ts
+++ b/src/daemon/datagramrouter.ts
@@ -7,6 +7,7 @@
 import type { Address } from "../ids/address.js";
 import type { UpstreamTable } from "../ingress/upstreamtable.js";
 import type { Gossip } from "../membership/gossip.js";
+import type { QuotaTask } from "../quota/quotatask.js";
 import type { Clock } from "../time/clock.js";
 import type { WorkTransfer } from "../transfer/worktransfer.js";
 import type { GateSet } from "./gateset.js";
@@ -21,6 +22,7 @@
     readonly failureDetector: FailureDetector;
     readonly crashes: CrashPropagation;
     readonly transfer: WorkTransfer;
+    readonly quota: QuotaTask;
     /** Undefined if the configuration names the upstreams. */
     readonly gossip: Gossip | undefined;
     readonly send: (to: Address, message: Message) => boolean;
@@ -55,6 +57,9 @@
                 return transfer.receiveNeed(message);
             case "offer":
                 return transfer.receiveOffer(message);
+            case "quota-ask":
+            case "quota-answer":
+                return this.deps.quota.receive(message);
         }
     }
 
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -5,6 +5,7 @@
 import { Planner } from "../ingress/planner.js";
 import { UpstreamTable } from "../ingress/upstreamtable.js";
 import { PeerServer } from "../peer/peerserver.js";
+import { QuotaTask } from "../quota/quotatask.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -18,6 +19,7 @@
 export class RequestPathGroup {
     readonly upstreamTable: UpstreamTable;
     readonly loadSharing: LoadSharing;
+    readonly quota: QuotaTask;
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
@@ -53,6 +55,7 @@
             upstreams: this.upstreamTable,
             policy: settings.policy,
         });
+        this.quota = this.#createQuota();
         this.peerServer = this.#createPeerServer();
         this.ingress = this.#createIngress();
         context.unresponsiveConnections.onDetected(() => this.#hops.closeIdle());
@@ -69,6 +72,7 @@
         const gates = new Set(upstreams.map(({ gate }) => gate));
         this.#daemonCount = Math.max(gates.size, this.membership.members.length);
         this.gates.retriesByService.recordDaemonCount(this.#daemonCount);
+        this.quota.applyMembers();
     }
 
     /** Closes all gates while this daemon's hall is evacuated; each of them is in that hall. */
@@ -77,6 +81,24 @@
         this.gates.gateSet.setClosed("evacuated", isEvacuated);
     }
 
+    #createQuota(): QuotaTask {
+        const { settings, self, incarnation, clock, random, send } = this.context;
+        const quota = new QuotaTask({
+            self,
+            incarnation,
+            clock,
+            random,
+            send,
+            bound: settings.policy.quota,
+            members: () => {
+                const { members, upstreams } = this.membership;
+                return [...new Set([self, ...members.map(({ gate }) => gate), ...upstreams.map(({ gate }) => gate)])];
+            },
+        });
+        this.configuration.current.onChange(({ teams }) => quota.applyTeams(teams ?? []));
+        return quota;
+    }
+
     readonly #pullConfiguration = (revision: number, from: string | undefined): Promise<void> =>
         this.configuration.puller.pullForRequest(revision, from as Address | undefined);
 
@@ -131,6 +153,7 @@
             retries: service => this.gates.retriesByService.get(service, clock()),
             isHedgingEnabled: policy.hedge,
             crashGuard: this.gates.crashGuard,
+            quota: this.quota,
             daemonCount: () => this.#daemonCount,
             newRequestId: () => `${incarnation}.${this.#requestCount++}`,
             peerAddress: self,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -57,6 +57,13 @@
     slack: z.number().min(0).max(1_000_000).default(2),
 });
 
+/** Bounds the requests of a team over all daemons (policy/quota/quotabound.ts). */
+const Quota = z.strictObject({
+    windowS: z.number().min(1).max(3600).default(5),
+    overage: z.number().min(0).max(1).default(0.1),
+    slack: z.number().min(0).max(1_000_000).default(20),
+});
+
 const Policy = z.strictObject({
     profile: z.enum(["frugal", "responsive"]).default("responsive"),
     placement: z.enum(["expected-time", "round-robin", "random", "least-outstanding", "two-choices"])
@@ -67,6 +74,7 @@
     retryBurst: z.int().min(0).max(1000).default(20),
     repeats: Repeats.prefault({}),
     cold: Cold.prefault({}),
+    quota: Quota.prefault({}),
     placementOptions: PlacementOptions.prefault({}),
 });
 
--- a/src/datagram/datagramsocket.ts
+++ b/src/datagram/datagramsocket.ts
@@ -49,6 +49,8 @@
     crash: "beat",
     need: "relief",
     offer: "relief",
+    "quota-ask": "quota",
+    "quota-answer": "quota",
 } as const;
 
 /** Sends and receives messages; drops datagrams with a wrong tag or an invalid message. */
--- a/src/datagram/message.ts
+++ b/src/datagram/message.ts
@@ -6,6 +6,7 @@
 import { Incarnation } from "../ids/incarnation.js";
 import { RequestKey } from "../ids/requestkey.js";
 import { ServiceName } from "../ids/servicename.js";
+import { TeamName } from "../ids/teamname.js";
 import { UpstreamName } from "../ids/upstreamname.js";
 import { evacuatedHallsSchema } from "../wire/evacuatedhallsschema.js";
 import { loadReportSchema } from "../wire/loadreportschema.js";
@@ -15,6 +16,15 @@
 /** Limits the size of a datagram, and the effect of a message from a faulty peer. */
 const MAX_ITEMS = 64;
 
+/** Teams in one message for or from a counter of quotas. */
+const MAX_TEAMS = 16;
+/** Requests of one team that wait at a daemon. */
+const MAX_TOKENS = 64;
+/** The largest number of a shard (src/policy/quota/shardof.ts). */
+const MAX_SHARD = 3;
+
+const tokenCount = z.int().min(0).max(MAX_TOKENS);
+
 const upstreamLoadSchema = z.object({ upstream: UpstreamName, report: loadReportSchema });
 const from = Address;
 
@@ -85,6 +95,28 @@
         goTo: UpstreamName,
         offers: z.array(z.string().max(64)).max(MAX_ITEMS),
     }),
+    /** Requests tokens of teams from a counter, and may lease the sender's share (src/policy/quota/quotaask.ts). */
+    z.object({
+        type: z.literal("quota-ask"),
+        from,
+        shard: z.int().min(0).max(MAX_SHARD),
+        id: z.int().min(0),
+        members: z.int().min(1),
+        counter: Incarnation.optional(),
+        until: z.number().optional(),
+        teams: z.array(z.tuple([TeamName, tokenCount, tokenCount, tokenCount, tokenCount])).max(MAX_TEAMS),
+    }),
+    /** Answers a request for tokens (src/policy/quota/quotaanswer.ts). */
+    z.object({
+        type: z.literal("quota-answer"),
+        from,
+        shard: z.int().min(0).max(MAX_SHARD),
+        id: z.int().min(0),
+        incarnation: Incarnation,
+        time: z.number(),
+        members: z.int().min(1),
+        teams: z.array(z.tuple([TeamName, tokenCount, tokenCount, z.int().min(-1)])).max(MAX_TEAMS),
+    }),
 ]);
 type Message = z.infer<typeof Message>;
 
--- a/src/ingress/ingressdependencies.ts
+++ b/src/ingress/ingressdependencies.ts
@@ -7,6 +7,7 @@
 import type { Placement } from "../policy/placement/placement.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Retries } from "../policy/retry/retries.js";
+import type { QuotaTask } from "../quota/quotatask.js";
 import type { Clock } from "../time/clock.js";
 import type { OutgoingRequest } from "./outgoingrequest.js";
 import type { Plan } from "./plan.js";
@@ -26,6 +27,8 @@
     readonly isHedgingEnabled: boolean;
     /** Quarantines requests that crash upstreams. */
     readonly crashGuard: CrashGuard;
+    /** Limits the requests of teams over all daemons. */
+    readonly quota: QuotaTask;
     /** Returns the number of known daemons, including this one. */
     readonly daemonCount: () => number;
     /** Returns a new id for a request or an attempt. */
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -23,6 +23,11 @@
         status: httpStatus.serviceUnavailable,
         title: "Upstreams have crashed under this request; it is not run for a while.",
     },
+    "over-quota": { status: httpStatus.tooManyRequests, title: "The team's requests exceed its limit." },
+    "quota-unknown": {
+        status: httpStatus.serviceUnavailable,
+        title: "The team's requests can't be counted at present.",
+    },
     "unreachable": { status: httpStatus.serviceUnavailable, title: "The upstream could not be reached." },
     "deadline": { status: httpStatus.gatewayTimeout, title: "The request's deadline has passed." },
     "answer-lost": { status: httpStatus.badGateway, title: "The upstream's answer was lost." },
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -23,6 +23,7 @@
 import type { Plan } from "./plan.js";
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
+import { RequestQuota } from "./requestquota.js";
 import { RequestRetries } from "./requestretries.js";
 import { runHedged } from "./runhedged.js";
 import { TargetSelector } from "./targetselector.js";
@@ -41,6 +42,7 @@
     readonly #log: RequestLog;
     readonly #retries: RequestRetries;
     readonly #targets: TargetSelector;
+    readonly #quota: RequestQuota;
     #timer: NodeJS.Timeout | undefined;
     /** The attempt whose response goes to the caller. */
     #claimed: Attempt | undefined;
@@ -62,6 +64,7 @@
             log: this.#log,
         });
         this.#targets = new TargetSelector(deps, this.#retries.history.attempted);
+        this.#quota = new RequestQuota(deps, plan, this.#log);
     }
 
     /** The number of attempts, including those that reached no upstream. */
@@ -83,11 +86,12 @@
         finally {
             clearTimeout(this.#timer);
             unsubscribe();
+            this.#quota.end();
         }
     }
 
     async #runAttempts(): Promise<RequestOutcome> {
-        let last: UnservedResult | undefined = this.#quarantineRefusal();
+        let last: UnservedResult | undefined = this.#quarantineRefusal() ?? await this.#quota.refusal();
         if (last !== undefined) {
             return await this.#respondUnserved(last);
         }
@@ -98,6 +102,7 @@
                 return await this.#endWithoutUpstream(last ?? NO_UPSTREAM);
             }
             const result = await this.#attemptWithHedge(target, offer);
+            this.#quota.recordAttempt(result.outcome !== "not-run");
             if (result.outcome === "served") {
                 return this.response.hasCallerLeft ? "left" : "served";
             }
@@ -105,7 +110,7 @@
                 return "left";
             }
             this.#retries.history.end(result);
-            if (!this.#retries.decide(result).again) {
+            if (!this.#retries.decide(result).again || !this.#quota.mayAttempt()) {
                 return await this.#respondUnserved(result);
             }
             await this.#prepareRetry(result, target);
@@ -161,7 +166,7 @@
         if (target === undefined || this.#retries.history.attempted.has(target)) {
             return undefined;
         }
-        if (!this.#retries.spendForHedge(afterMs, overdue, target)) {
+        if (!this.#quota.takeForHedge() || !this.#retries.spendForHedge(afterMs, overdue, target)) {
             return undefined;
         }
         return this.#createAttempt(target, undefined, "hedge");
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -1,4 +1,5 @@
 /** Writes the ingress's log lines of one request; the gates that it is sent to log the same id. */
+import type { TeamName } from "../ids/teamname.js";
 import { log } from "../log/log.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { reasonLabel } from "../policy/retry/reasonlabel.js";
@@ -87,6 +88,14 @@
         logger.failure(this.id, "No rule matches the request; it is refused.", { host, path, revision });
     }
 
+    quotaRefused(team: TeamName, reason: string, retryAfterMs: number): void {
+        logger.failure(this.id, "The team's quota does not allow the request; it is refused.", {
+            team,
+            reason,
+            retryAfterMs: Math.round(retryAfterMs),
+        });
+    }
+
     noConfiguration(): void {
         logger.failure(this.id, "The daemon has no configuration yet; the request is refused.", {});
     }
--- a/src/log/logpart.ts
+++ b/src/log/logpart.ts
@@ -11,4 +11,5 @@
     | "health"
     | "roster"
     | "connections"
-    | "halls";
+    | "halls"
+    | "quota";
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -14,7 +14,7 @@
 type FinishedRequest = { readonly service: ServiceName; readonly priority: Priority; readonly team: TeamName; };
 
 /** Kinds of traffic that is not part of a caller's request. */
-type ControlTrafficKind = "beat" | "load" | "ping" | "relief" | "store" | "pull" | "health";
+type ControlTrafficKind = "beat" | "load" | "ping" | "relief" | "quota" | "store" | "pull" | "health";
 
 /** Each daemon has its own registry. Gauges with a callback read their value at each scrape. */
 export class Metrics {
@@ -53,6 +53,12 @@
         labelNames: ["service", "reason"] as const,
         registers: [this.registry],
     });
+    readonly #quotaRefusals = new Counter({
+        name: "winglock_quota_refused_total",
+        help: "Callers' requests that were refused because of their team's quota.",
+        labelNames: ["reason"] as const,
+        registers: [this.registry],
+    });
     readonly #unresponsiveConnections = new Counter({
         name: "winglock_silent_connections_total",
         help: "Open connections that were found to carry nothing any more.",
@@ -156,6 +162,11 @@
         this.#heldBack.inc({ service, reason });
     }
 
+    /** Records that a caller's request was refused because of its team's quota. */
+    countQuotaRefusal(reason: "over-quota" | "quota-unknown"): void {
+        this.#quotaRefusals.inc({ reason });
+    }
+
     /** Records an open connection that was found to be unresponsive. */
     countUnresponsiveConnection(kind: ConnectionKind): void {
         this.#unresponsiveConnections.inc({ kind });
--- a/src/policy/model/quotamesh.ts
+++ b/src/policy/model/quotamesh.ts
@@ -3,6 +3,7 @@
  * lost, are duplicated or do not pass a partition. The time of the mesh is real time in milliseconds.
  */
 import type { Address } from "../../ids/address.js";
+import type { Incarnation } from "../../ids/incarnation.js";
 import type { TeamName } from "../../ids/teamname.js";
 import { QuotaAgent } from "../quota/quotaagent.js";
 import type { QuotaAnswer } from "../quota/quotaanswer.js";
@@ -140,7 +141,7 @@
         const { bound, random } = this.options;
         daemon.agent = new QuotaAgent({
             self: daemon.address,
-            incarnation: `${index}.${daemon.process}`,
+            incarnation: `${index}.${daemon.process}` as Incarnation,
             startedAt: 0,
             bound,
             random,
--- a/src/policy/quota/counterchoice.ts
+++ b/src/policy/quota/counterchoice.ts
@@ -1,18 +1,17 @@
 /**
  * Chooses the counters of a shard.
  *
- * Two counters of a shard are used at a time. Each daemon prefers one of them, to which it leases its share and which it
- * asks first, and asks the other if the first has no token or does not answer. If one of them fails, the shares at the
- * other remain: they cover 0.8 times the usual rate if the limit is 1.6 times that rate, and a full bucket covers the
- * rest until the leases at the failed counter have expired.
+ * Several counters of a shard are used at a time, which share its messages. Each daemon prefers one of them, to which it
+ * leases its share and which it asks first, and asks the next one if the first has no token or does not answer. If one of
+ * them fails, the shares at the others remain: of a limit of 1.6 times the usual rate, they cover 1.3 times that rate.
  */
 import type { Address } from "../../ids/address.js";
 import { counterOrder } from "./counterorder.js";
 import type { CounterView } from "./counterview.js";
 import { hash } from "./hash.js";
 
-/** Counters that are used at a time. */
-const COUNTERS = 2;
+/** Counters that are used at a time; with more, the bucket of a small team at one of them holds too few tokens. */
+const COUNTERS = 5;
 
 type ChoiceDependencies = {
     readonly shard: number;
@@ -47,7 +46,9 @@
     /** Returns the counters to ask for tokens, in order; `holder` is the one that holds this daemon's share, if any. */
     targets(holder: Address | undefined): Address[] {
         const held = holder === undefined || this.#isSuspected(holder) ? [] : [holder];
-        return [...new Set([this.preferred, ...this.picks, ...held])];
+        const { picks, preferred } = this;
+        const next = picks[(picks.indexOf(preferred) + 1) % picks.length]!;
+        return [...new Set([preferred, next, ...held])];
     }
 
     /** The counters whose state has to be found out: suspected ones that precede, and those that never answered. */
--- a/src/policy/quota/counterorder.ts
+++ b/src/policy/quota/counterorder.ts
@@ -2,7 +2,7 @@
 import { hash } from "./hash.js";
 
 /** Counters of a shard; a daemon that can reach none of these issues tokens from its own share only. */
-const MAX_CANDIDATES = 6;
+const MAX_CANDIDATES = 8;
 
 /** Returns the first candidates in order; every daemon that knows the same members computes the same order. */
 export function counterOrder<Member extends string>(members: readonly Member[], shard: number): Member[] {
--- a/src/policy/quota/counterview.ts
+++ b/src/policy/quota/counterview.ts
@@ -1,19 +1,20 @@
 /** What a daemon knows of another one that may be a counter: its process, its clock, and whether it answers. */
+import type { Incarnation } from "../../ids/incarnation.js";
 import { driftMargin } from "./driftmargin.js";
 
-/** One datagram may be lost; after this many unanswered ones in a row the counter is suspected. */
-const MAX_UNANSWERED = 2;
+/** Single datagrams are lost, and a counter may be busy; after this many unanswered ones in a row the counter is suspected. */
+const MAX_UNANSWERED = 3;
 
 /** Times are milliseconds on the daemon's clock. */
 export class CounterView {
-    #incarnation: string | undefined;
+    #incarnation: Incarnation | undefined;
     #incarnationSince = -Infinity;
     #time = 0;
     #heardAt = -Infinity;
     #unanswered = 0;
 
     /** The process that answered last; undefined if none has. */
-    get incarnation(): string | undefined {
+    get incarnation(): Incarnation | undefined {
         return this.#incarnation;
     }
 
@@ -26,7 +27,7 @@
      * a late answer of a process that has ended since: only an answer to a request that was sent after the present
      * process was heard of can come from a newer one.
      */
-    recordAnswer(incarnation: string, time: number, askedAt: number, now: number): boolean {
+    recordAnswer(incarnation: Incarnation, time: number, askedAt: number, now: number): boolean {
         if (incarnation !== this.#incarnation) {
             if (askedAt < this.#incarnationSince) {
                 return false;
@@ -44,6 +45,11 @@
         return true;
     }
 
+    /** Records an answer without a clock. */
+    recordAlive(): void {
+        this.#unanswered = 0;
+    }
+
     recordUnanswered(): void {
         this.#unanswered += 1;
     }
--- a/src/policy/quota/quotaagent.ts
+++ b/src/policy/quota/quotaagent.ts
@@ -4,6 +4,7 @@
  * docs/design/team-quota.md describes the protocol and why it keeps the bound.
  */
 import type { Address } from "../../ids/address.js";
+import type { Incarnation } from "../../ids/incarnation.js";
 import type { TeamName } from "../../ids/teamname.js";
 import type { RandomSource } from "../randomsource.js";
 import { ClientTeam } from "./clientteam.js";
@@ -25,7 +26,7 @@
 
 type AgentDependencies = {
     readonly self: Address;
-    readonly incarnation: string;
+    readonly incarnation: Incarnation;
     /** The time of the process's start on its clock. */
     readonly startedAt: number;
     readonly bound: QuotaBound;
@@ -123,8 +124,8 @@
     }
 
     receiveAnswer(from: Address, answer: QuotaAnswer, now: number): void {
-        if (this.#shards.get(answer.shard)?.client.receive(from, answer, now) === true) {
-            this.#members.record(answer.members, now);
+        if (this.#shards.get(answer.shard)?.client.receive(from, answer, now) === true && answer.clock !== undefined) {
+            this.#members.record(answer.clock.members, now);
         }
     }
 
@@ -137,15 +138,15 @@
         });
     }
 
-    #answer(from: Address, ask: QuotaAsk, now: number): QuotaAnswer {
+    #answer(from: Address, { shard, id, lease, teams }: QuotaAsk, now: number): QuotaAnswer {
         const { incarnation } = this.deps;
-        const { counter } = this.#shard(ask.shard);
+        const { counter } = this.#shard(shard);
         const members = this.#members.get(now);
-        if (ask.until !== undefined && ask.counter === incarnation) {
-            counter.lease(from, ask.until, ask.members, members, now);
+        if (lease?.until !== undefined && lease.counter === incarnation) {
+            counter.lease(from, lease.until, lease.members, members, now);
         }
-        const teams = counter.answer(from, ask.teams, members, now);
-        return { shard: ask.shard, id: ask.id, incarnation, time: now, members: this.#addresses.length, teams };
+        const clock = lease && { incarnation, time: now, members: this.#addresses.length };
+        return { shard, id, ...(clock && { clock }), teams: counter.answer(from, teams, members, now) };
     }
 
     #limitsOf(shard: number): ReadonlyMap<TeamName, ReturnType<typeof quotaLimit>> {
--- a/src/policy/quota/quotaanswer.ts
+++ b/src/policy/quota/quotaanswer.ts
@@ -1,4 +1,5 @@
 /** A counter's answer to a request for tokens. */
+import type { Incarnation } from "../../ids/incarnation.js";
 import type { TeamName } from "../../ids/teamname.js";
 
 /**
@@ -8,12 +9,13 @@
  */
 type TeamAnswer = [team: TeamName, granted: number, spares: number, dueMs: number];
 
-/** `incarnation`, `time`: the counter's process, and its clock at the time of the answer; `members`: the daemons that it knows. */
+/** The counter's process, its clock at the time of the answer, and the number of daemons that it knows. */
+type CounterClock = { readonly incarnation: Incarnation; readonly time: number; readonly members: number; };
+
+/** `clock`: present if the request had a `lease`. */
 export type QuotaAnswer = {
     readonly shard: number;
     readonly id: number;
-    readonly incarnation: string;
-    readonly time: number;
-    readonly members: number;
+    readonly clock?: CounterClock | undefined;
     readonly teams: TeamAnswer[];
 };
--- a/src/policy/quota/quotaask.ts
+++ b/src/policy/quota/quotaask.ts
@@ -1,4 +1,5 @@
 /** A daemon's request for tokens of the teams of one shard. */
+import type { Incarnation } from "../../ids/incarnation.js";
 import type { TeamName } from "../../ids/teamname.js";
 
 /**
@@ -8,16 +9,19 @@
 type TeamAsk = [team: TeamName, wanted: number, held: number, spares: number, returned: number];
 
 /**
- * - `id`: returned in the answer.
- * - `members`: the number of daemons by which the sender's share is computed.
- * - `counter`, `until`: if present, the sender leases its share to this incarnation of the counter until this time on
- *   the counter's clock.
+ * Requests the counter's clock, and may lease the sender's share. `members`: the number of daemons by which the share is
+ * computed. `counter`, `until`: the share is leased to this incarnation of the counter until this time on its clock.
  */
+type LeaseAsk = {
+    readonly members: number;
+    readonly counter?: Incarnation | undefined;
+    readonly until?: number | undefined;
+};
+
+/** `id`: returned in the answer. `lease`: present at the interval at which leases are renewed. */
 export type QuotaAsk = {
     readonly shard: number;
     readonly id: number;
-    readonly members: number;
-    readonly counter?: string | undefined;
-    readonly until?: number | undefined;
+    readonly lease?: LeaseAsk | undefined;
     readonly teams: TeamAsk[];
 };
--- a/src/policy/quota/shardclient.ts
+++ b/src/policy/quota/shardclient.ts
@@ -17,6 +17,8 @@
 
 /** Time after which a request counts as lost and another counter is asked; several round trips. */
 const ANSWER_TIMEOUT_MS = 60;
+/** A request for tokens renews the lease too if the last renewal was this long ago. */
+const PIGGYBACK_MS = quotaTimes.renewMs / 2;
 /** Interval of the requests to a suspected counter, and of those that only learn a counter's clock. */
 const PROBE_INTERVAL_MS = 1000;
 /** Teams in one message; more would exceed the length of a datagram. */
@@ -62,12 +64,10 @@
         this.choice = new CounterChoice(deps);
     }
 
-    /** True while requests wait or answers are outstanding. */
     get isBusy(): boolean {
         return this.#asks.size > 0;
     }
 
-    /** Returns the counter that holds this daemon's share, or the preferred one while none does. */
     counter(now: number): Address {
         return this.deps.lease.holder(now) ?? this.choice.preferred;
     }
@@ -112,10 +112,16 @@
         if (ask?.counter !== from || now >= ask.sentAt + quotaTimes.wantedMs) {
             return false;
         }
-        if (!this.deps.view(from).recordAnswer(answer.incarnation, answer.time, ask.sentAt, now)) {
+        const { clock } = answer;
+        if (clock === undefined) {
+            this.deps.view(from).recordAlive();
+        }
+        else if (this.deps.view(from).recordAnswer(clock.incarnation, clock.time, ask.sentAt, now)) {
+            this.deps.lease.recordIncarnation(from, clock.incarnation);
+        }
+        else {
             return false;
         }
-        this.deps.lease.recordIncarnation(from, answer.incarnation);
         this.#asks.delete(answer.id);
         for (const asked of ask.teams) {
             this.#applyAnswer(asked, answer.teams.find(([name]) => name === asked.team.name), ask, now);
@@ -199,10 +205,12 @@
             team.returned -= returned;
             return [team.name, tickets.length, held, spares, returned];
         });
-        const grant = isPreferred ? lease.grant(counter, view(counter), now) : undefined;
-        this.#lastSentAt.set(counter, now);
+        const isRenewal = now - this.#sentAt(counter) >= PIGGYBACK_MS || entries.length === 0;
+        const grant = isRenewal && isPreferred ? lease.grant(counter, view(counter), now) : undefined;
+        const leaseAsk = isRenewal ? { lease: { members: members(now), ...grant } } : undefined;
+        this.#lastSentAt.set(counter, isRenewal ? now : this.#sentAt(counter));
         this.#asks.set(id, { counter, sentAt: now, teams, isOverdue: false });
-        if (!send(counter, { shard, id, members: members(now), ...grant, teams: asks }, now)) {
+        if (!send(counter, { shard, id, ...leaseAsk, teams: asks }, now)) {
             this.#asks.delete(id);
             teams.forEach(asked => this.#endAsk(asked, counter, -1));
         }
--- a/src/policy/quota/shardcounter.ts
+++ b/src/policy/quota/shardcounter.ts
@@ -18,7 +18,16 @@
 /** Share of the bucket's depth that prefetching leaves for waiting requests. */
 const KEPT_FOR_WAITING = 0.5;
 
-type TeamState<Asker> = { bucket: TeamBucket; spares: SpareTokens<Asker>; returned: RollingCount; };
+/** Window in which refused requests are counted, in milliseconds. */
+const REFUSAL_WINDOW_MS = 1000;
+
+type TeamState<Asker> = {
+    readonly bucket: TeamBucket;
+    readonly spares: SpareTokens<Asker>;
+    readonly returned: RollingCount;
+    /** Answers that granted too few tokens. */
+    readonly refusals: RollingCount;
+};
 type QuotaLimit = ReturnType<typeof quotaLimit>;
 
 /** Times are milliseconds on the counter's clock. */
@@ -49,7 +58,12 @@
             known?.bucket.setLimit(limit, this.#scale);
             if (known === undefined) {
                 const bucket = new TeamBucket(limit, now);
-                this.#teams.set(team, { bucket, spares: new SpareTokens(), returned: new RollingCount(this.windowMs) });
+                this.#teams.set(team, {
+                    bucket,
+                    spares: new SpareTokens(),
+                    returned: new RollingCount(this.windowMs),
+                    refusals: new RollingCount(REFUSAL_WINDOW_MS),
+                });
             }
         }
     }
@@ -75,7 +89,7 @@
     }
 
     #answerTeam(
-        { bucket, spares, returned }: TeamState<Asker>,
+        { bucket, spares, returned, refusals }: TeamState<Asker>,
         asker: Asker,
         [team, wanted, held, wantedSpares, restored]: QuotaAsk["teams"][number],
         members: number,
@@ -97,7 +111,10 @@
         const missing = granted < wanted ? 0 : Math.min(wantedSpares, free) - held;
         const added = bucket.take(Math.max(0, missing), bucket.limits.depth * this.#scale * KEPT_FOR_WAITING);
         spares.record(asker, Math.max(held, extended + added), now + quotaTimes.spareMs * (1 + driftMargin));
-        const dueMs = granted < wanted ? bucket.dueMs(this.#scale) : 0;
+        const dueMs = granted < wanted ? bucket.dueMs(this.#scale, refusals.atMost(now)) : 0;
+        if (granted < wanted) {
+            refusals.add(now);
+        }
         return [team, granted, extended + added, Number.isFinite(dueMs) ? Math.ceil(dueMs) : -1];
     }
 
--- a/src/policy/quota/sharelease.ts
+++ b/src/policy/quota/sharelease.ts
@@ -6,11 +6,12 @@
  * end of the lease is stated on the counter's clock, of which the daemon knows a time that has passed; therefore the
  * counter never counts the lease for longer, however late the message arrives.
  */
+import type { Incarnation } from "../../ids/incarnation.js";
 import type { CounterView } from "./counterview.js";
 import { driftMargin } from "./driftmargin.js";
 import { quotaTimes } from "./quotatimes.js";
 
-type Lease<Counter> = { readonly counter: Counter; readonly incarnation: string; readonly until: number; };
+type Lease<Counter> = { readonly counter: Counter; readonly incarnation: Incarnation; readonly until: number; };
 
 /** Times are milliseconds on the daemon's clock. */
 export class ShareLease<Counter> {
@@ -28,7 +29,7 @@
      * Leases the share to a counter, or renews its lease. Returns the counter's process and the end of the lease on its
      * clock, or undefined if the share is leased elsewhere, may be, or the counter's clock is not known.
      */
-    grant(counter: Counter, view: CounterView, now: number): { counter: string; until: number; } | undefined {
+    grant(counter: Counter, view: CounterView, now: number): { counter: Incarnation; until: number; } | undefined {
         const { incarnation } = view;
         const mayHaveLease = now < this.startedAt + quotaTimes.leaseMs * (1 + driftMargin);
         if (incarnation === undefined || mayHaveLease || !this.#isFree(counter, incarnation, now)) {
@@ -39,13 +40,13 @@
     }
 
     /** Ends the lease if the counter is known to run as another process now. */
-    recordIncarnation(counter: Counter, incarnation: string): void {
+    recordIncarnation(counter: Counter, incarnation: Incarnation): void {
         if (this.#lease?.counter === counter && this.#lease.incarnation !== incarnation) {
             this.#lease = undefined;
         }
     }
 
-    #isFree(counter: Counter, incarnation: string, now: number): boolean {
+    #isFree(counter: Counter, incarnation: Incarnation, now: number): boolean {
         const lease = this.#lease;
         return lease === undefined || now >= lease.until
             || (lease.counter === counter && lease.incarnation === incarnation);
--- a/src/policy/quota/teambucket.ts
+++ b/src/policy/quota/teambucket.ts
@@ -59,9 +59,12 @@
         this.cut(scale);
     }
 
-    /** Returns the time in milliseconds until a whole token is available; Infinity if none will be. */
-    dueMs(scale: number): number {
-        const missing = Math.max(0, 1 - this.#tokens);
+    /**
+     * Returns the time in milliseconds until tokens for one request and for `others` that were refused lately have come
+     * free; Infinity if none will.
+     */
+    dueMs(scale: number, others: number): number {
+        const missing = Math.max(0, 1 + others - this.#tokens);
         const isReachable = this.limit.depth * scale >= 1 && this.limit.ratePerSecond > 0;
         return missing === 0
             ? 0
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -13,6 +13,8 @@
     | "no-upstream"
     | "overloaded"
     | "quarantined"
+    | "over-quota"
+    | "quota-unknown"
     | "unreachable"
     | "deadline"
     | "answer-lost";
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -17,6 +17,9 @@
     | "caller-left"
     // The request is suspected of crashing upstreams.
     | "quarantined"
+    // The requests of the caller's team exceed its quota, or can't be counted at present.
+    | "over-quota"
+    | "quota-unknown"
     // The time limit has passed.
     | "deadline"
     | "deadline-or-revoked"
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -35,6 +35,8 @@
     "handed-back": redirectedForLoad,
     "calls-spent": redirectedForLoad,
     "quarantined": { ...refusedForLoad, isFinal: true, problem: "quarantined" },
+    "over-quota": { ...refusedForLoad, costsBudget: false, problem: "over-quota" },
+    "quota-unknown": { ...refusedForLoad, costsBudget: false, problem: "quota-unknown" },
     "queue-full": refusedForLoad,
     "wait-too-long": refusedForLoad,
     "caller-left": refusedForLoad,
