--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -82,7 +82,7 @@
     }
 
     #createQuota(): QuotaTask {
-        const { settings, self, incarnation, clock, random, send } = this.context;
+        const { settings, self, incarnation, clock, random, send, datagrams } = this.context;
         const quota = new QuotaTask({
             self,
             incarnation,
@@ -90,6 +90,7 @@
             random,
             send,
             bound: settings.policy.quota,
+            onStart: () => datagrams.reserveForQuota(),
             members: () => {
                 const { members, upstreams } = this.membership;
                 return [...new Set([self, ...members.map(({ gate }) => gate), ...upstreams.map(({ gate }) => gate)])];
--- a/src/datagram/datagramsocket.ts
+++ b/src/datagram/datagramsocket.ts
@@ -36,6 +36,13 @@
 /** Share of the datagrams' limit that is reserved for pongs, so that a busy daemon is not taken for unresponsive. */
 const PONG_SHARE = 0.4;
 
+/** Share of the datagrams' limit for messages on quotas, while a team has a rate. */
+const QUOTA_SHARE = 0.36;
+/** Part of that share that is the rate; the rest is the burst. */
+const QUOTA_RATE_SHARE = 0.85;
+/** Share of the rest that is reserved for pongs while a team has a rate. */
+const PONG_SHARE_WITH_QUOTA = 0.23;
+
 /** Label under which the metrics count each type of message. */
 const SPENDING_BY_TYPE = {
     beat: "beat",
@@ -56,8 +63,9 @@
 /** Sends and receives messages; drops datagrams with a wrong tag or an invalid message. */
 export class DatagramSocket {
     readonly #socket: Socket;
-    readonly #bucket: TokenBucket;
-    readonly #pongBucket: TokenBucket;
+    #bucket: TokenBucket;
+    #pongBucket: TokenBucket;
+    #quotaBucket: TokenBucket | undefined;
 
     constructor(private readonly options: DatagramOptions) {
         // A token bucket allows its rate plus its burst in one second, so each of them gets half of the limit.
@@ -86,7 +94,7 @@
     send(to: Address, message: Message): boolean {
         const body = pack(message);
         const bytes = body.length + TAG_BYTES + HEADER_BYTES;
-        const bucket = message.type === "pong" ? this.#pongBucket : this.#bucket;
+        const bucket = this.#bucketFor(message);
         if (body.length > MAX_MESSAGE_BYTES || !bucket.spend(bytes, this.options.clock())) {
             return false;
         }
@@ -96,6 +104,29 @@
         return true;
     }
 
+    /**
+     * Reserves a part of the limit for messages on quotas, which are steady, and reduces the other parts. Called when the
+     * document has a team with a rate.
+     */
+    reserveForQuota(): void {
+        const now = this.options.clock();
+        const bytes = this.options.bytesPerSecond * DATAGRAM_SHARE;
+        const quotaBytes = bytes * QUOTA_SHARE;
+        const otherRate = (bytes - quotaBytes) / 2;
+        const pongRate = otherRate * PONG_SHARE_WITH_QUOTA;
+        this.#quotaBucket ??= new TokenBucket(quotaBytes * QUOTA_RATE_SHARE, quotaBytes * (1 - QUOTA_RATE_SHARE), now);
+        this.#bucket = new TokenBucket(otherRate - pongRate, otherRate - pongRate, now);
+        this.#pongBucket = new TokenBucket(pongRate, pongRate, now);
+    }
+
+    #bucketFor({ type }: Message): TokenBucket {
+        if (type === "pong") {
+            return this.#pongBucket;
+        }
+        const isQuota = type === "quota-ask" || type === "quota-answer";
+        return isQuota && this.#quotaBucket !== undefined ? this.#quotaBucket : this.#bucket;
+    }
+
     #onSent(to: Address, err: Error | null): void {
         if (err !== null) {
             logger.warn("Could not send a datagram; the message is lost.", err, { peer: to });
--- a/src/datagram/message.ts
+++ b/src/datagram/message.ts
@@ -101,9 +101,11 @@
         from,
         shard: z.int().min(0).max(MAX_SHARD),
         id: z.int().min(0),
-        members: z.int().min(1),
-        counter: Incarnation.optional(),
-        until: z.number().optional(),
+        lease: z.object({
+            members: z.int().min(1),
+            counter: Incarnation.optional(),
+            until: z.number().optional(),
+        }).optional(),
         teams: z.array(z.tuple([TeamName, tokenCount, tokenCount, tokenCount, tokenCount])).max(MAX_TEAMS),
     }),
     /** Answers a request for tokens (src/policy/quota/quotaanswer.ts). */
@@ -112,9 +114,7 @@
         from,
         shard: z.int().min(0).max(MAX_SHARD),
         id: z.int().min(0),
-        incarnation: Incarnation,
-        time: z.number(),
-        members: z.int().min(1),
+        clock: z.object({ incarnation: Incarnation, time: z.number(), members: z.int().min(1) }).optional(),
         teams: z.array(z.tuple([TeamName, tokenCount, tokenCount, z.int().min(-1)])).max(MAX_TEAMS),
     }),
 ]);
--- a/src/quota/quotatask.ts
+++ b/src/quota/quotatask.ts
@@ -32,6 +32,8 @@
     readonly random: RandomSource;
     /** Returns the addresses of all daemons, this one included. */
     readonly members: () => readonly Address[];
+    /** Called when the first team gets a rate. */
+    readonly onStart: () => void;
     readonly send: (to: Address, message: Message) => boolean;
 };
 
@@ -114,7 +116,7 @@
     }
 
     #createAgent(now: number): QuotaAgent {
-        const { self, incarnation, bound, random, members, send } = this.deps;
+        const { self, incarnation, bound, random, members, onStart, send } = this.deps;
         // The daemon's clock starts with its process.
         const agent = new QuotaAgent({
             self,
@@ -125,6 +127,7 @@
             sendAsk: (to, ask) => send(to, { type: "quota-ask", from: self, ...ask }),
             sendAnswer: (to, answer) => send(to, { type: "quota-answer", from: self, ...answer }),
         });
+        onStart();
         agent.applyMembers(members(), now);
         logger.change("The requests of teams with a rate are counted over all daemons.", { members: members().length });
         this.#agent = agent;
