--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -7,6 +7,7 @@
 import { PeerServer } from "../peer/peerserver.js";
 import { keyedAgeLimitMs } from "../policy/access/keyedagelimitms.js";
 import { BodyMemory } from "../policy/admission/bodymemory.js";
+import { QuotaTask } from "../quota/quotatask.js";
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
@@ -20,6 +21,7 @@
 export class RequestPathGroup {
     readonly upstreamTable: UpstreamTable;
     readonly loadSharing: LoadSharing;
+    readonly quota: QuotaTask;
     readonly peerServer: PeerServer;
     readonly ingress: Ingress;
     readonly #hops: Hops;
@@ -58,6 +60,7 @@
             upstreams: this.upstreamTable,
             policy: settings.policy,
         });
+        this.quota = this.#createQuota();
         this.peerServer = this.#createPeerServer();
         this.ingress = this.#createIngress();
         context.metrics.showBodyMemory(this.#bodyMemory);
@@ -77,6 +80,7 @@
         const gates = new Set(upstreams.map(({ gate }) => gate));
         this.#daemonCount = Math.max(gates.size, this.membership.members.length);
         this.gates.retriesByService.recordDaemonCount(this.#daemonCount);
+        this.quota.applyMembers();
     }
 
     /** Closes all gates while this daemon's hall is evacuated; each of them is in that hall. */
@@ -85,6 +89,25 @@
         this.gates.gateSet.setClosed("evacuated", isEvacuated);
     }
 
+    #createQuota(): QuotaTask {
+        const { settings, self, incarnation, clock, random, send, datagrams } = this.context;
+        const quota = new QuotaTask({
+            self,
+            incarnation,
+            clock,
+            random,
+            send,
+            bound: settings.policy.quota,
+            onStart: () => datagrams.reserveForQuota(),
+            members: () => {
+                const { members, upstreams } = this.membership;
+                return [...new Set([self, ...members.map(({ gate }) => gate), ...upstreams.map(({ gate }) => gate)])];
+            },
+        });
+        this.configuration.current.onChange(({ teams }) => quota.applyTeams(teams ?? []));
+        return quota;
+    }
+
     readonly #pullConfiguration = (revision: number, from: string | undefined): Promise<void> =>
         this.configuration.puller.pullForRequest(revision, from as Address | undefined);
 
@@ -147,6 +170,7 @@
             retries: service => this.gates.retriesByService.get(service, clock()),
             isHedgingEnabled: policy.hedge,
             crashGuard: this.gates.crashGuard,
+            quota: this.quota,
             daemonCount: () => this.#daemonCount,
             allowsCrossing: bytes => this.context.regionTraffic.allowsCrossing(bytes),
             newRequestId: () => `${incarnation}.${this.#requestCount++}`,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -72,6 +72,13 @@
     maxConfigurationAgeMs: Ms.min(MIN_STRICT_AGE_MS).optional(),
 });
 
+/** Bounds the requests of a team over all daemons (policy/quota/quotabound.ts). */
+const Quota = z.strictObject({
+    windowS: z.number().min(1).max(3600).default(5),
+    overage: z.number().min(0).max(1).default(0.1),
+    slack: z.number().min(0).max(1_000_000).default(20),
+});
+
 const Policy = z.strictObject({
     profile: z.enum(["frugal", "responsive"]).default("responsive"),
     placement: z.enum(["expected-time", "round-robin", "random", "least-outstanding", "two-choices"])
@@ -82,6 +89,7 @@
     retryBurst: z.int().min(0).max(1000).default(20),
     repeats: Repeats.prefault({}),
     cold: Cold.prefault({}),
+    quota: Quota.prefault({}),
     placementOptions: PlacementOptions.prefault({}),
     keys: Keys.prefault({}),
 });
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -17,6 +17,8 @@
     | "region-unavailable"
     | "overloaded"
     | "quarantined"
+    | "over-quota"
+    | "quota-unknown"
     | "unreachable"
     | "deadline"
     | "answer-lost";
--- a/src/policy/retry/reason.ts
+++ b/src/policy/retry/reason.ts
@@ -20,6 +20,9 @@
     | "body-memory"
     // The request is suspected of crashing upstreams.
     | "quarantined"
+    // The requests of the caller's team exceed its quota, or can't be counted at present.
+    | "over-quota"
+    | "quota-unknown"
     // The time limit has passed.
     | "deadline"
     | "deadline-or-revoked"
--- a/src/policy/retry/reasons.ts
+++ b/src/policy/retry/reasons.ts
@@ -37,6 +37,8 @@
     "quarantined": { ...refusedForLoad, isFinal: true, problem: "quarantined" },
     "body-missing": { ...refusedForLoad, costsBudget: false },
     "body-memory": { ...redirectedForLoad, problem: "body-memory" },
+    "over-quota": { ...refusedForLoad, costsBudget: false, problem: "over-quota" },
+    "quota-unknown": { ...refusedForLoad, costsBudget: false, problem: "quota-unknown" },
     "queue-full": refusedForLoad,
     "wait-too-long": refusedForLoad,
     "caller-left": refusedForLoad,
