--- a/src/policy/model/unevenhalls.test.ts
+++ b/src/policy/model/unevenhalls.test.ts
@@ -50,6 +50,16 @@
 
 const FEW = 2;
 
+/**
+ * Asserts that the counts follow a slow swing. Ingresses that leave and return all together would change them by most
+ * of the largest count within a second.
+ */
+const assertFollowsSwing = (bySecond: readonly number[], text: string): void => {
+    const max = Math.max(...bySecond);
+    bySecond.slice(1).forEach((count, index) => assert.ok(Math.abs(count - bySecond[index]!) < 0.65 * max, text));
+    assert.ok(Math.min(...bySecond.slice(5)) < 0.4 * max, text);
+};
+
 test("uneven halls: at the usual load each hall serves its own swing, with at most 1.1 placements a request", () => {
     check(count => count, 1, ({ requests, inTime, placements, byHall, crossings }, text) => {
         assert.ok(inTime > 0.995 * requests, text);
@@ -88,7 +98,8 @@
 // Guards against a full region whose requests are refused while another one has free slots: 14 % of all were.
 test("uneven halls: a region with few upstreams sends its overflow to the halls of the other one by their capacity", () => {
     check((count, hall) => hall < 2 ? FEW : count, 1, (tally, text) => {
-        const { requests, inTime, crossings, placements } = tally;
+        const { requests, inTime, crossings, placements, crossingsBySecond } = tally;
+        assertFollowsSwing(crossingsBySecond.slice(0, 30), text);
         assert.ok(inTime > 0.98 * requests, text);
         assert.ok(placements < 1.6 * requests, text);
         assert.ok(crossings > 0.1 * requests && crossings < 0.3 * requests, text);
--- a/src/policy/model/unevenhalls.ts
+++ b/src/policy/model/unevenhalls.ts
@@ -43,6 +43,7 @@
         placements: 0,
         crossings: 0,
         byHall: [],
+        crossingsBySecond: [],
         byService: new Map(),
     };
 
@@ -87,7 +88,10 @@
         const count = Math.floor((INGRESSES + HALLS - 1 - hall) / HALLS);
         const onPlaced = (target: ModelTarget): void => {
             this.#tally.placements += 1;
-            this.#tally.crossings += Number(target.region !== regionOf(hall));
+            const crossings = Number(target.region !== regionOf(hall));
+            const second = Math.floor(this.#loop.now / MS_PER_SECOND);
+            this.#tally.crossings += crossings;
+            this.#tally.crossingsBySecond[second] = (this.#tally.crossingsBySecond[second] ?? 0) + crossings;
             this.#tally.byHall[hall]![target.hall]! += 1;
         };
         return Array.from(
--- a/src/policy/model/unevenhallstally.ts
+++ b/src/policy/model/unevenhallstally.ts
@@ -11,6 +11,8 @@
     readonly crossings: number;
     /** Attempts by the hall of the ingress, then by that of the upstream. */
     readonly byHall: number[][];
+    /** Attempts in another region by the second in which they were made. */
+    readonly crossingsBySecond: number[];
     /** Requests by their service. */
     readonly byService: Map<string, number>;
 };
