--- a/src/ingress/targetselector.test.ts
+++ b/src/ingress/targetselector.test.ts
@@ -70,6 +70,7 @@
 test("selector: a request crosses to another region, a call of a running request and a hedge stay", () => {
     assert.equal(selectorOf(all).choose(undefined)?.region, "south");
     assert.equal(selectorOf(all, { depth: 1 }).choose(undefined)?.region, "north");
+    assert.equal(selectorOf(all, { depth: 1 }).choose("s0")?.region, "north", "an offered slot elsewhere is not used");
     assert.equal(selectorOf(all).chooseForHedge()?.region, "north");
     assert.equal(selectorOf(all, { depth: 1 }, new Set([busyHome])).choose(undefined), busyHome2);
 });
--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -51,12 +51,12 @@
      */
     choose(slotHolder: string | undefined): UpstreamView | undefined {
         const now = this.deps.clock();
-        const views = this.#views;
+        const views = this.#staysInRegion() ? targetsAtHome(this.#views, now) : this.#views;
         const holder = views.find(view => view.upstream === slotHolder);
         if (holder !== undefined && !holder.isLeavingPermanently && this.#mayCross(holder)) {
             return holder;
         }
-        return this.#place(this.#staysInRegion() ? targetsAtHome(views, now) : views, now);
+        return this.#place(views, now);
     }
 
     /** Records the result of an attempt, by which the next requests leave the hall or the region, or stay. */
