--- a/src/daemon/gategroup.ts
+++ b/src/daemon/gategroup.ts
@@ -71,7 +71,8 @@
                 metrics.countCrash(service);
                 this.crashGuard.recordCrash({ service, crash, requests });
             },
-            onHeldBack: (service: ServiceName, reason: "cold" | "limited") => metrics.countHeldBack(service, reason),
+            onHeldBack: (service: ServiceName, reason: "cold" | "limited") =>
+                metrics.refusals.countHeldBack(service, reason),
             onEnding: (upstream: UpstreamName) => this.#onEnding(upstream),
             onServed: (request: RequestKey) => this.crashGuard.recordServed(request),
             quarantinedForMs: (request: RequestKey | undefined) => this.crashGuard.quarantinedForMs(request),
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -154,7 +154,7 @@
             document: () => current.document,
             configurationAgeMs: () => current.ageMs(clock()),
             keyedAgeLimitMs: keyedAgeLimitMs(policy.keys.maxConfigurationAgeMs),
-            onAccessRefused: reason => metrics.countAccessRefusal(reason),
+            onAccessRefused: reason => metrics.refusals.countAccessRefusal(reason),
             contexts: this.gates.callContexts,
             findRule: (target, sample) => rules.find(target, sample),
         });
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -6,8 +6,6 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { CallerLimits } from "../config/callerlimits.js";
-import { forwardableHeaders } from "../http/forwardableheaders.js";
-import type { HttpHeaders } from "../http/httpheaders.js";
 import { httpStatus } from "../http/httpstatus.js";
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
@@ -19,6 +17,7 @@
 import { closeServer } from "./closeserver.js";
 import { headBytes } from "./headbytes.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
+import { outgoingHeaders } from "./outgoingheaders.js";
 import { pathOf } from "./pathof.js";
 import type { Plan } from "./plan.js";
 import type { Planner } from "./planner.js";
@@ -210,7 +209,9 @@
             return held;
         }
         const { body, release } = held;
-        const outgoing = { id, method: req.method ?? "GET", headers: this.#headers(req, plan), path, body };
+        const { callerService } = this.listenerParts;
+        const headers = outgoingHeaders(req, plan, { dialect: this.deps.dialect, callerService });
+        const outgoing = { id, method: req.method ?? "GET", headers, path, body };
         const handler = new RequestHandler(callerResponse, plan, outgoing, this.deps);
         const outcome = await handler.run().finally(release);
         this.#recordEnd(req, res, plan, requestLog, { outcome, attempts: handler.attempts });
@@ -232,22 +233,4 @@
         this.deps.metrics.recordFinishedRequest({ service: plan.service.name, priority, team }, outcome, elapsedMs);
         requestLog.requestEnded(plan, { outcome, status, revision: this.deps.revision(), attempts, elapsedMs });
     }
-
-    /** Where keys are checked, the key is left out, and the team is the one that the key proves, or none. */
-    #headers(req: IncomingMessage, { identity }: Plan): HttpHeaders {
-        const headers = forwardableHeaders(req.headers);
-        const { dialect } = this.deps;
-        const { callerService } = this.listenerParts;
-        if (callerService !== undefined) {
-            headers[dialect.callerService] = callerService;
-        }
-        if (identity !== undefined) {
-            delete headers[dialect.key];
-            delete headers[dialect.team];
-            if (identity.statedTeam !== undefined) {
-                headers[dialect.team] = identity.statedTeam;
-            }
-        }
-        return headers;
-    }
 }
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -5,14 +5,11 @@
  * on further attempts (see requestretries.ts) and on the problem sent when no attempt served the request; this module
  * carries the decisions out and logs them.
  */
-import { requestKeyOf } from "../dialect/requestkeyof.js";
 import type { GateResponse } from "../hop/gateresponse.js";
 import { Cancellation } from "../http/cancellation.js";
 import { drainBody } from "../http/drainbody.js";
 import { isUnread } from "../http/isunread.js";
-import type { RequestKey } from "../ids/requestkey.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
-import type { QuarantineStatus } from "../policy/quarantine/quarantinestatus.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { AttemptResult } from "../policy/retry/attemptresult.js";
 import { decideProblem } from "../policy/retry/decideproblem.js";
@@ -25,6 +22,7 @@
 import type { Plan } from "./plan.js";
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
+import { RequestQuarantine } from "./requestquarantine.js";
 import { RequestQuota } from "./requestquota.js";
 import { RequestRetries } from "./requestretries.js";
 import { runHedged } from "./runhedged.js";
@@ -47,7 +45,7 @@
     /** The attempt whose response goes to the caller. */
     #claimed: Attempt | undefined;
     #isDeadlinePassed = false;
-    #cachedKey: { readonly key: RequestKey | undefined; } | undefined;
+    readonly #quarantine: RequestQuarantine;
 
     constructor(
         private readonly response: CallerResponse,
@@ -56,12 +54,13 @@
         private readonly deps: IngressDependencies,
     ) {
         this.#log = new RequestLog(outgoing.id);
+        this.#quarantine = new RequestQuarantine(deps, outgoing);
         this.#retries = new RequestRetries({
             ingress: deps,
             plan: () => this.plan,
             bodyKept: outgoing.body.kept,
             isBodyUnread: () => isUnread(outgoing.body.content),
-            quarantineStatus: () => this.#quarantineStatus(),
+            quarantineStatus: () => this.#quarantine.status(),
             log: this.#log,
         });
         this.#targets = new TargetSelector(deps, {
@@ -96,7 +95,7 @@
     }
 
     async #runAttempts(): Promise<RequestOutcome> {
-        let last: UnservedResult | undefined = this.#quarantineRefusal() ?? await this.#quota.refusal();
+        let last: UnservedResult | undefined = this.#quarantine.refusal() ?? await this.#quota.refusal();
         if (last !== undefined) {
             return await this.#respondUnserved(last);
         }
@@ -128,25 +127,6 @@
         }
     }
 
-    /** Returns the result of a request that is quarantined and gets no attempt, or undefined for any other. */
-    #quarantineRefusal(): NoResponse | undefined {
-        const { crashGuard } = this.deps;
-        const retryAfterMs = crashGuard.isEmpty ? undefined : crashGuard.quarantinedForMs(this.#requestKey());
-        return retryAfterMs === undefined ? undefined : { outcome: "not-run", reason: "quarantined", retryAfterMs };
-    }
-
-    #quarantineStatus(): QuarantineStatus {
-        const { crashGuard } = this.deps;
-        return crashGuard.isEmpty ? "free" : crashGuard.statusOf(this.#requestKey());
-    }
-
-    /** Computes the key once, and only while crashes are recorded, since a digest of the body costs time. */
-    #requestKey(): RequestKey | undefined {
-        const { method, path, headers, body } = this.outgoing;
-        this.#cachedKey ??= { key: requestKeyOf({ method, path, headers, body: body.content }, this.deps.dialect) };
-        return this.#cachedKey.key;
-    }
-
     /** Ends a request for which no upstream is eligible; `last` is the result of its last attempt, or that of none. */
     async #endWithoutUpstream(last: UnservedResult): Promise<RequestOutcome> {
         if (this.response.hasCallerLeft) {
--- a/src/ingress/requestquota.ts
+++ b/src/ingress/requestquota.ts
@@ -44,7 +44,7 @@
         }
         const { retryAfterMs } = settled;
         const reason = settled.reason === "over-quota" ? "over-quota" : "quota-unknown";
-        this.deps.metrics.countQuotaRefusal(reason);
+        this.deps.metrics.refusals.countQuotaRefusal(reason);
         this.log.quotaRefused(team, reason, retryAfterMs);
         return { outcome: "not-run", reason, retryAfterMs };
     }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -3,9 +3,9 @@
 import type { Priority } from "../config/priority.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
-import type { AccessRefusalReason } from "../policy/access/accessrefusalreason.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import type { ConnectionKind } from "./connectionkind.js";
+import { RefusalMetrics } from "./refusalmetrics.js";
 import type { StoreCallKind } from "./storecallkind.js";
 
 const MS_PER_SECOND = 1000;
@@ -41,31 +41,13 @@
         labelNames: ["service", "arrival"] as const,
         registers: [this.registry],
     });
+    readonly refusals = new RefusalMetrics(this.registry);
     readonly #crashes = new Counter({
         name: "winglock_upstream_crashes_total",
         help: "Crashes of the upstreams beside this daemon with requests under way.",
         labelNames: ["service"] as const,
         registers: [this.registry],
     });
-    readonly #heldBack = new Counter({
-        name: "winglock_held_back_total",
-        help:
-            "Requests that a gate refused since its upstream is cold, or states a limit, and has been sent all that this allows.",
-        labelNames: ["service", "reason"] as const,
-        registers: [this.registry],
-    });
-    readonly #accessRefusals = new Counter({
-        name: "winglock_access_refused_total",
-        help: "Callers' requests that were refused because of their key, by reason.",
-        labelNames: ["reason"] as const,
-        registers: [this.registry],
-    });
-    readonly #quotaRefusals = new Counter({
-        name: "winglock_quota_refused_total",
-        help: "Callers' requests that were refused because of their team's quota.",
-        labelNames: ["reason"] as const,
-        registers: [this.registry],
-    });
     readonly #unresponsiveConnections = new Counter({
         name: "winglock_silent_connections_total",
         help: "Open connections that were found to carry nothing any more.",
@@ -215,21 +197,6 @@
         this.#crashes.inc({ service });
     }
 
-    /** Records that a gate has refused a request because its upstream's cold limit or stated rate limit is used up. */
-    countHeldBack(service: ServiceName, reason: "cold" | "limited"): void {
-        this.#heldBack.inc({ service, reason });
-    }
-
-    /** Records that a caller's request was refused because of its key. */
-    countAccessRefusal(reason: AccessRefusalReason): void {
-        this.#accessRefusals.inc({ reason });
-    }
-
-    /** Records that a caller's request was refused because of its team's quota. */
-    countQuotaRefusal(reason: "over-quota" | "quota-unknown"): void {
-        this.#quotaRefusals.inc({ reason });
-    }
-
     /** Records an open connection that was found to be unresponsive. */
     countUnresponsiveConnection(kind: ConnectionKind): void {
         this.#unresponsiveConnections.inc({ kind });
