--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -12,19 +12,12 @@
 import type { InstanceControl } from "../standin/instancecontrol.js";
 import type { StoreControl } from "../standin/storecontrol.js";
 import { platformConfiguration } from "./platformconfiguration.js";
+import type { PlatformMeshOptions } from "./platformmeshoptions.js";
 import type { PlatformResponse } from "./platformresponse.js";
 
 const scriptPath = (path: string): string => new URL(`../${path}`, import.meta.url).pathname;
 const HALLS = ["a", "b", "c"];
 
-/** What differs from the daemons of the tests: the script, command-line flags of Node, and settings. */
-type PlatformMeshOptions = {
-    readonly script?: string;
-    readonly nodeFlags?: readonly string[];
-    readonly settings?: object;
-    readonly announceEveryMs?: number;
-};
-
 type Host = { readonly name: string; readonly ip: string; readonly service: string; readonly hall: string; };
 
 /** Starts, controls and stops its own processes, and no others. */
