--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,5 +1,6 @@
 /** Calls peers with tRPC; every call has a timeout. */
 import { createTRPCClient, type TRPCClient } from "@trpc/client";
+import type { Socket } from "node:net";
 import { Agent, buildConnector } from "undici";
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
 import { parse } from "../config/parse.js";
@@ -99,8 +100,9 @@
             localAddress,
             connect: (target, callback) =>
                 connect(target, (...result) => {
-                    const [, socket] = result;
-                    if (socket !== null) {
+                    // A failed connection passes an error alone, contrary to the types, which state null.
+                    const socket = result[1] as Socket | null | undefined;
+                    if (socket) {
                         onSocket?.(socket, target.hostname);
                     }
                     callback(...result);
