--- a/src/ingress/targetselector.ts
+++ b/src/ingress/targetselector.ts
@@ -3,6 +3,7 @@
  * policy/placement.
  */
 import type { RegionName } from "../ids/regionname.js";
+import { allowedRegions } from "../policy/access/allowedregions.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
 import { allowedTargets } from "../policy/placement/allowedtargets.js";
 import { availableTargets } from "../policy/placement/availabletargets.js";
@@ -139,6 +140,6 @@
     /** The regions that the plan allows, and those of its present rule, which may be newer. */
     get #allowedRegions(): readonly (readonly RegionName[] | undefined)[] {
         const { regions, rule } = this.request.plan();
-        return [regions, rule.regions];
+        return [regions, allowedRegions(rule.regions, undefined)];
     }
 }
