--- a/src/datagram/datagramsocket.ts
+++ b/src/datagram/datagramsocket.ts
@@ -37,11 +37,11 @@
 const PONG_SHARE = 0.4;
 
 /** Share of the datagrams' limit for messages on quotas, while a team has a rate. */
-const QUOTA_SHARE = 0.36;
+const QUOTA_SHARE = 0.55;
 /** Part of that share that is the rate; the rest is the burst. */
-const QUOTA_RATE_SHARE = 0.85;
+const QUOTA_RATE_SHARE = 0.88;
 /** Share of the rest that is reserved for pongs while a team has a rate. */
-const PONG_SHARE_WITH_QUOTA = 0.23;
+const PONG_SHARE_WITH_QUOTA = 0.3;
 
 /** Label under which the metrics count each type of message. */
 const SPENDING_BY_TYPE = {
--- a/src/policy/model/quotamesh.ts
+++ b/src/policy/model/quotamesh.ts
@@ -16,6 +16,8 @@
 
 const BUSY_TICK_MS = 20;
 const IDLE_TICK_MS = 200;
+/** Addresses are made of two numbers of this size. */
+const ADDRESS_BITS = 8;
 /** The clock of a daemon begins with its process; the first thing that it does follows this much later. */
 const BOOT_MS = 500;
 
@@ -42,16 +44,17 @@
 export class QuotaMesh {
     readonly #events = new EventLoop();
     readonly daemons: Daemon[];
+    readonly #indexOf: ReadonlyMap<Address, number>;
     /** Returns true if messages pass between two daemons. */
     connects: (from: number, to: number) => boolean = () => true;
     limits: ReadonlyMap<TeamName, TeamLimit>;
     /** Called for each message that is sent. */
-    onMessage: (from: number, message: QuotaAsk | QuotaAnswer) => void = () => {};
+    onMessage: (from: Address, message: QuotaAsk | QuotaAnswer) => void = () => {};
 
     constructor(private readonly options: MeshOptions) {
         this.limits = options.limits;
         this.daemons = options.speeds.map((speed, index) => ({
-            address: `10.0.${index >> 8}.${index & 255}:1` as Address,
+            address: `10.0.${index >> ADDRESS_BITS}.${index % 2 ** ADDRESS_BITS}:1` as Address,
             speed,
             agent: undefined,
             startedAt: 0,
@@ -59,6 +62,7 @@
             process: 0,
             members: [],
         }));
+        this.#indexOf = new Map(this.daemons.map(({ address }, index) => [address, index]));
         const all = this.daemons.map(({ address }) => address);
         this.daemons.forEach((daemon, index) => {
             daemon.members = all;
@@ -130,6 +134,7 @@
         const result = agent.acquire(team, maxWaitMs, this.clock(daemon), settle);
         if (result === undefined) {
             agent.flush(this.clock(daemon));
+            this.schedule(this.now + BUSY_TICK_MS, () => this.#tickWhileBusy(daemon, agent));
         }
         else {
             settle(result);
@@ -166,7 +171,14 @@
             return;
         }
         agent.tick(this.clock(daemon));
-        this.schedule(this.now + (agent.isBusy ? BUSY_TICK_MS : IDLE_TICK_MS), () => this.#tick(daemon, agent));
+        this.schedule(this.now + IDLE_TICK_MS, () => this.#tick(daemon, agent));
+    }
+
+    #tickWhileBusy(daemon: Daemon, agent: QuotaAgent): void {
+        if (daemon.agent === agent && agent.isBusy && daemon.pausedUntil <= this.now) {
+            agent.tick(this.clock(daemon));
+            this.schedule(this.now + BUSY_TICK_MS, () => this.#tickWhileBusy(daemon, agent));
+        }
     }
 
     #send(
@@ -175,9 +187,9 @@
         message: QuotaAsk | QuotaAnswer,
         receive: (agent: QuotaAgent, now: number) => void,
     ): boolean {
-        const target = this.daemons.findIndex(({ address }) => address === to);
+        const target = this.#indexOf.get(to)!;
         const { random, delayMs, lossRatio, duplicateRatio } = this.options;
-        this.onMessage(from, message);
+        this.onMessage(this.daemons[from]!.address, message);
         const copies = random() < duplicateRatio ? 2 : 1;
         for (let copy = 0; copy < copies; copy++) {
             if (this.connects(from, target) && random() >= lossRatio) {
--- a/src/policy/quota/clientteam.ts
+++ b/src/policy/quota/clientteam.ts
@@ -13,7 +13,7 @@
 /** After a refusal, requests are refused without asking a counter for at least this long. */
 const MIN_BLOCK_MS = 50;
 /** Bounds the time in which tokens that have come free are not asked for. */
-const MAX_BLOCK_MS = 500;
+const MAX_BLOCK_MS = 1000;
 /** Least time between two requests that only ask for prefetched tokens. */
 const SPARES_INTERVAL_MS = 300;
 /** Tells callers to return when another counter may have been found; used if no counter answers. */
--- a/src/policy/quota/counterchoice.ts
+++ b/src/policy/quota/counterchoice.ts
@@ -8,10 +8,12 @@
 import type { Address } from "../../ids/address.js";
 import { counterOrder } from "./counterorder.js";
 import type { CounterView } from "./counterview.js";
-import { hash } from "./hash.js";
 
 /** Counters that are used at a time; with more, the bucket of a small team at one of them holds too few tokens. */
-const COUNTERS = 5;
+const COUNTERS = 6;
+
+/** Counters that are asked after the preferred one for a request. */
+const OTHERS = 2;
 
 type ChoiceDependencies = {
     readonly shard: number;
@@ -22,12 +24,15 @@
 /** Holds the order of the daemons that may be a counter of the shard. */
 export class CounterChoice {
     #order: readonly Address[] = [];
+    /** The place of this daemon among all, which divides the daemons evenly among the counters. */
+    #place = 0;
 
     constructor(private readonly deps: ChoiceDependencies) {}
 
     /** Applies the addresses of all daemons, this one included. */
     setMembers(members: readonly Address[]): void {
         this.#order = counterOrder(members, this.deps.shard);
+        this.#place = Math.max(0, [...members].sort().indexOf(this.deps.self));
     }
 
     /** The counters that are used now: the first that are not suspected, or this daemon itself if there is none. */
@@ -38,17 +43,17 @@
 
     /** The counter to which this daemon leases its share. */
     get preferred(): Address {
-        const { self, shard } = this.deps;
         const { picks } = this;
-        return picks[hash(`${self} ${shard}`) % picks.length]!;
+        return picks[this.#place % picks.length]!;
     }
 
     /** Returns the counters to ask for tokens, in order; `holder` is the one that holds this daemon's share, if any. */
     targets(holder: Address | undefined): Address[] {
         const held = holder === undefined || this.#isSuspected(holder) ? [] : [holder];
         const { picks, preferred } = this;
-        const next = picks[(picks.indexOf(preferred) + 1) % picks.length]!;
-        return [...new Set([preferred, next, ...held])];
+        const place = picks.indexOf(preferred);
+        const others = Array.from({ length: OTHERS }, (_, index) => picks[(place + 1 + index) % picks.length]!);
+        return [...new Set([preferred, ...others, ...held])];
     }
 
     /** The counters whose state has to be found out: suspected ones that precede, and those that never answered. */
--- a/src/policy/quota/quotalimit.ts
+++ b/src/policy/quota/quotalimit.ts
@@ -11,7 +11,7 @@
 
 const MS_PER_SECOND = 1000;
 /** Share of the slack that is added to the depth of the bucket. */
-const DEPTH_SHARE = 0.5;
+const DEPTH_SHARE = 0.85;
 /** Share of the remaining allowance for returned tokens. */
 const RETURN_SHARE = 0.25;
 
--- a/src/policy/quota/quotamodel.test.ts
+++ b/src/policy/quota/quotamodel.test.ts
@@ -55,6 +55,16 @@
 const wait = (steps: number): QuotaEvent => ({ type: "wait", steps });
 /** Histories in which a fault has its largest effect; random ones rarely have it. */
 const DIRECTED: readonly History[] = [
+    // Partitions change the counters again and again, so that shares move.
+    {
+        ...quietNetwork,
+        limit: { ratePerSecond: 8, burst: 8 },
+        slack: 8,
+        events: [0b1111, 0b110011, 0b1010101, 0b111100, 0b1111].flatMap((daemons): QuotaEvent[] => [
+            { type: "cut", daemons, forgets: false },
+            wait(4),
+        ]),
+    },
     // A partition lets each side forget the other.
     {
         ...quietNetwork,
--- a/src/policy/quota/shardof.ts
+++ b/src/policy/quota/shardof.ts
@@ -1,13 +1,8 @@
 /** Assigns teams to shards; the teams of a shard have the same counters. */
 import { hash } from "./hash.js";
+import { shardCount } from "./shardcount.js";
 
-/**
- * The same at all daemons and in all versions. A daemon renews a lease for each shard; with fewer shards a counter
- * would handle a larger part of the requests.
- */
-const SHARDS = 4;
-
-/** Returns the shard of a team, from 0 to 3. */
+/** Returns the number of a team's shard, from 0. */
 export function shardOf(team: string): number {
-    return hash(team) % SHARDS;
+    return hash(team) % shardCount;
 }
--- a/src/policy/quota/teamdemand.ts
+++ b/src/policy/quota/teamdemand.ts
@@ -9,7 +9,7 @@
 /** Time constant of the mean rate, in milliseconds. */
 const MEMORY_MS = 5000;
 /** Least number of requests expected in the lifetime of a prefetched token. */
-const MIN_EXPECTED = 0.6;
+const MIN_EXPECTED = 1;
 /** Bounds what one daemon holds, so that it leaves tokens for the others. */
 const MAX_SPARES = 8;
 
