--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -60,6 +60,7 @@
             plan: () => this.plan,
             bodyKept: outgoing.body.kept,
             isBodyUnread: () => isUnread(outgoing.body.content),
+            requestsBehind: () => response.requestsBehind,
             quarantineStatus: () => this.#quarantineStatus(),
             log: this.#log,
         });
--- a/src/ingress/requestretries.ts
+++ b/src/ingress/requestretries.ts
@@ -26,6 +26,8 @@
     readonly bodyKept: boolean;
     /** True if the body is a stream of which no attempt has sent anything. */
     readonly isBodyUnread: () => boolean;
+    /** The number of requests that wait behind this one on the caller's connection. */
+    readonly requestsBehind: () => number;
     readonly quarantineStatus: () => QuarantineStatus;
     readonly log: RequestLog;
 };
@@ -90,7 +92,7 @@
 
     /** Returns the time after which a response is overdue, or undefined if the request must not be hedged. */
     hedgeAfterMs(): number | undefined {
-        const { ingress: { isHedgingEnabled }, plan, bodyKept, quarantineStatus } = this.deps;
+        const { ingress: { isHedgingEnabled }, plan, bodyKept, quarantineStatus, requestsBehind } = this.deps;
         const { kind, rule } = plan();
         return decideHedge({
             isEnabled: isHedgingEnabled && quarantineStatus() === "free",
@@ -100,6 +102,7 @@
             attempts: this.history.countedAttempts,
             maxAttempts: this.#maxAttempts(),
             afterMs: this.#retries().hedgeDelay.afterMs,
+            requestsBehind: requestsBehind(),
         });
     }
 
--- a/src/policy/retry/decidehedge.test.ts
+++ b/src/policy/retry/decidehedge.test.ts
@@ -10,6 +10,7 @@
     attempts: 1,
     maxAttempts: 3,
     afterMs: 40,
+    requestsBehind: 0,
 } as const;
 
 test("hedge: only a repeatable request with a whole response and a body that can be sent again is hedged", () => {
@@ -21,3 +22,10 @@
     assert.equal(decideHedge({ ...request, attempts: 3 }), undefined);
     assert.equal(decideHedge({ ...request, afterMs: undefined }), undefined);
 });
+
+test("hedge: a request with others behind it on its connection is hedged sooner, by a quarter at most", () => {
+    assert.equal(decideHedge({ ...request, requestsBehind: 1 }), 37.5);
+    assert.equal(decideHedge({ ...request, requestsBehind: 4 }), 30);
+    assert.equal(decideHedge({ ...request, requestsBehind: 1000 }), 30);
+    assert.equal(decideHedge({ ...request, requestsBehind: 4, kind: "once" }), undefined);
+});
