--- a/src/config/makepatch.ts
+++ b/src/config/makepatch.ts
@@ -1,12 +1,13 @@
 /** Computes the patch between two documents. */
 import type { Document } from "./document.js";
+import { isEqualJson } from "./isequaljson.js";
 import type { Patch } from "./patch.js";
 
 type Named = { readonly name: string; };
 
 const changedItems = <Item extends Named>(before: readonly Item[], after: readonly Item[]): Item[] => {
-    const beforeByName = new Map(before.map(item => [item.name, JSON.stringify(item)]));
-    return after.filter(item => beforeByName.get(item.name) !== JSON.stringify(item));
+    const beforeByName = new Map(before.map(item => [item.name, item]));
+    return after.filter(item => !isEqualJson(beforeByName.get(item.name), item));
 };
 
 const deletedNames = (before: readonly Named[], after: readonly Named[]): string[] => {
--- a/src/daemon/bootstrap.ts
+++ b/src/daemon/bootstrap.ts
@@ -4,10 +4,8 @@
  * Reads the store and pulls from the seeds at the same time; the highest revision wins. The state that the store
  * returns may be some seconds old. The next heartbeat of a watcher, or the daemon's own watch, brings newer changes.
  */
-import { applyStored } from "../distribution/applystored.js";
 import type { ConfigurationPuller } from "../distribution/configurationpuller.js";
-import type { CurrentConfiguration } from "../distribution/currentconfiguration.js";
-import type { DocumentRejection } from "../distribution/documentrejection.js";
+import type { DocumentApplier } from "../distribution/documentapplier.js";
 import type { Evacuations } from "../evacuation/evacuations.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
@@ -18,25 +16,18 @@
 
 const readFromStore = async (
     store: Store,
-    configuration: CurrentConfiguration,
     evacuations: Evacuations,
-    rejection: DocumentRejection,
+    applier: DocumentApplier,
     clock: Clock,
 ): Promise<void> => {
     const requestedAt = clock();
     try {
-        const { document, invalid, halls, isLatest } = await store.readCached();
+        const { document, halls, isLatest } = await store.readCached();
         if (halls !== undefined) {
             evacuations.recordStoreChange(halls);
         }
-        if (invalid !== undefined) {
-            rejection.record(invalid, clock());
-        }
         if (document !== undefined) {
-            applyStored(document.value, configuration, rejection, clock());
-        }
-        if (isLatest) {
-            configuration.confirm(configuration.revision, requestedAt);
+            await applier.apply(document, isLatest ? requestedAt : -Infinity);
         }
     }
     catch (err) {
@@ -51,12 +42,11 @@
 export async function bootstrap(
     store: Store,
     seeds: readonly Address[],
-    configuration: CurrentConfiguration,
     puller: ConfigurationPuller,
     evacuations: Evacuations,
-    rejection: DocumentRejection,
+    applier: DocumentApplier,
     clock: Clock,
 ): Promise<void> {
     const pulls = seeds.map(async seed => await puller.pull(Infinity, seed));
-    await Promise.all([readFromStore(store, configuration, evacuations, rejection, clock), ...pulls]);
+    await Promise.all([readFromStore(store, evacuations, applier, clock), ...pulls]);
 }
--- a/src/daemon/configurationgroup.ts
+++ b/src/daemon/configurationgroup.ts
@@ -3,6 +3,7 @@
 import { ChangePublisher } from "../distribution/changepublisher.js";
 import { ConfigurationPuller } from "../distribution/configurationpuller.js";
 import { CurrentConfiguration } from "../distribution/currentconfiguration.js";
+import { DocumentApplier } from "../distribution/documentapplier.js";
 import { DocumentRejection } from "../distribution/documentrejection.js";
 import { DocumentWatcher } from "../distribution/documentwatcher.js";
 import { Evacuations } from "../evacuation/evacuations.js";
@@ -32,14 +33,16 @@
     readonly rules: RuleMatcher;
     readonly puller: ConfigurationPuller;
     readonly watcher: DocumentWatcher;
+    readonly #applier: DocumentApplier;
     readonly publisher: ChangePublisher;
 
     constructor(private readonly context: DaemonContext) {
         const { environment, clock, peer, metrics } = context;
         const { current, evacuations } = this;
         this.rules = new RuleMatcher(current, clock);
-        this.puller = new ConfigurationPuller(current, peer, metrics);
-        this.watcher = new DocumentWatcher(environment.store, current, evacuations, this.rejection, clock);
+        this.puller = new ConfigurationPuller(current, peer, metrics, clock);
+        this.#applier = new DocumentApplier(current, this.rejection, clock);
+        this.watcher = new DocumentWatcher(environment.store, current, evacuations, this.#applier, clock);
         this.publisher = new ChangePublisher(environment.store, current, attempt => sleep(RETRY_DELAY_MS * attempt));
         current.onChange(document => metrics.revision.set(document.revision));
         metrics.showRejected(() => this.rejection.isRejected);
@@ -53,7 +56,6 @@
     /** Resolves when the store and the seeds have responded or failed. */
     load(): Promise<void> {
         const { environment, settings, clock } = this.context;
-        const { current, puller, evacuations, rejection } = this;
-        return bootstrap(environment.store, settings.seeds, current, puller, evacuations, rejection, clock);
+        return bootstrap(environment.store, settings.seeds, this.puller, this.evacuations, this.#applier, clock);
     }
 }
--- a/src/distribution/configurationpuller.ts
+++ b/src/distribution/configurationpuller.ts
@@ -1,10 +1,11 @@
 /** Pulls newer revisions of the configuration from peers. */
-import { ConfigurationUpdate } from "../config/configurationupdate.js";
-import { parse } from "../config/parse.js";
+import { decodeUpdate } from "../config/decodeupdate.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { PeerClient } from "../peer/peerclient.js";
+import type { Clock } from "../time/clock.js";
+import { createStepPause } from "../time/createsteppause.js";
 import { sleep } from "../time/sleep.js";
 import type { CurrentConfiguration } from "./currentconfiguration.js";
 
@@ -21,6 +22,7 @@
         private readonly configuration: CurrentConfiguration,
         private readonly peer: PeerClient,
         private readonly metrics: Metrics,
+        private readonly clock: Clock,
     ) {}
 
     /** Pulls from a peer if `revision` is newer. Resolves when the pull has ended, also if it failed. */
@@ -44,7 +46,10 @@
             const update = await this.peer.update(from, this.configuration.revision);
             if (update !== undefined) {
                 this.metrics.countControlTraffic("pull", JSON.stringify(update).length);
-                this.configuration.applyUpdate(parse(ConfigurationUpdate, update));
+                const pause = createStepPause(this.clock);
+                const decoded = await decodeUpdate(update, pause);
+                await pause();
+                this.configuration.applyUpdate(decoded);
             }
         }
         catch (err) {
--- a/src/distribution/currentconfiguration.ts
+++ b/src/distribution/currentconfiguration.ts
@@ -65,8 +65,14 @@
         if (document.revision <= this.revision) {
             return false;
         }
+        this.#replace(document, () => [makePatch(this.#document, document)]);
+        return true;
+    }
+
+    /** Patches are kept from the first document on. */
+    #replace(document: Document, patches: () => readonly Patch[]): void {
         if (this.revision > 0) {
-            this.#patches.push(makePatch(this.#document, document));
+            this.#patches.push(...patches());
             this.#patches.splice(0, this.#patches.length - MAX_PATCHES);
         }
         logger.change("A new configuration revision is applied.", {
@@ -75,7 +81,6 @@
         });
         this.#document = document;
         this.#listeners.forEach(listener => listener(document));
-        return true;
     }
 
     /** Applies an update from a peer; returns false if it contained nothing newer. */
@@ -83,11 +88,20 @@
         if (update.type === "full") {
             return this.apply(update.document);
         }
-        const previousRevision = this.revision;
+        let document = this.#document;
+        const applied: Patch[] = [];
         for (const patch of update.patches) {
-            this.apply(applyPatch(this.#document, patch) ?? this.#document);
+            const patched = applyPatch(document, patch);
+            if (patched !== undefined) {
+                document = patched;
+                applied.push(patch);
+            }
         }
-        return this.revision > previousRevision;
+        if (applied.length === 0) {
+            return false;
+        }
+        this.#replace(document, () => applied);
+        return true;
     }
 
     /** Returns the update for a peer that has the revision `peerRevision`, or undefined if the peer needs none. */
--- a/src/distribution/documentwatcher.ts
+++ b/src/distribution/documentwatcher.ts
@@ -4,9 +4,8 @@
 import type { Store } from "../store/store.js";
 import { StoreLoop } from "../store/storeloop.js";
 import type { Clock } from "../time/clock.js";
-import { applyStored } from "./applystored.js";
 import type { CurrentConfiguration } from "./currentconfiguration.js";
-import type { DocumentRejection } from "./documentrejection.js";
+import type { DocumentApplier } from "./documentapplier.js";
 
 const logger = log("config");
 
@@ -19,7 +18,7 @@
         private readonly store: Store,
         private readonly configuration: CurrentConfiguration,
         private readonly evacuations: Evacuations,
-        private readonly rejection: DocumentRejection,
+        private readonly applier: DocumentApplier,
         private readonly clock: Clock,
     ) {
         this.#loop = new StoreLoop({
@@ -54,21 +53,21 @@
 
     /**
      * Confirms the revision as of the time before the request, because the response may have been in transit for long.
-     * The previous document is confirmed while an invalid one is stored, since it stays in force.
+     * A document is confirmed when it is applied, and the previous one while an invalid one is stored, since it stays in
+     * force. Documents are applied beside the next watch, so that they don't delay evacuations.
      */
     async #watchOnce(signal: AbortSignal): Promise<void> {
         const requestedAt = this.clock();
-        const { document, invalid, halls } = await this.store.watch(this.#version, signal);
+        const { document, halls } = await this.store.watch(this.#version, signal);
         if (halls !== undefined) {
             this.evacuations.recordStoreChange(halls);
         }
-        if (invalid !== undefined) {
-            this.rejection.record(invalid, this.clock());
-        }
         if (document !== undefined) {
             this.#version = document.version;
-            applyStored(document.value, this.configuration, this.rejection, this.clock());
+            void this.applier.apply(document, requestedAt);
+        }
+        else if (this.applier.isIdle) {
+            this.configuration.confirm(this.configuration.revision, requestedAt);
         }
-        this.configuration.confirm(this.configuration.revision, requestedAt);
     }
 }
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -1,9 +1,14 @@
 /** Keeps the configuration in the key-value service over HTTP; docs/DESIGN.md describes the calls. */
 import { z } from "zod";
+import type { Document } from "../config/document.js";
+import { DocumentDecoder } from "../config/documentdecoder.js";
+import { emptyDocument } from "../config/emptydocument.js";
 import { httpStatus } from "../http/httpstatus.js";
 import type { Address } from "../ids/address.js";
+import type { StepPause } from "../time/steppause.js";
 import { Store } from "./store.js";
 import { StoreClient } from "./storeclient.js";
+import type { StoredDocument } from "./storeddocument.js";
 import { StoredHost } from "./storedhost.js";
 import type { StoreEvents } from "./storeevents.js";
 import type { StoreUpdate } from "./storeupdate.js";
@@ -24,6 +29,7 @@
 /** The store as an HTTP service. `events` is notified of its calls. */
 export class HttpStore extends Store {
     readonly #client: StoreClient;
+    readonly #decoder = new DocumentDecoder();
 
     constructor(address: Address, localIp: string, events: StoreEvents) {
         super();
@@ -41,6 +47,10 @@
             ?? EMPTY_VALUE;
     }
 
+    async readCached(): ReturnType<Store["readCached"]> {
+        return { document: this.#stored(await this.read()), isLatest: true };
+    }
+
     async write(value: string, version: number): Promise<boolean> {
         const path = `${KEY_PATH}?version=${version}`;
         return await this.#client.tryCall({
@@ -62,7 +72,15 @@
             signal,
             emptyStatuses: [httpStatus.noContent],
         });
-        return document === undefined ? {} : { document };
+        return document === undefined ? {} : { document: this.#stored(document) };
+    }
+
+    #stored({ value, version }: VersionedValue): StoredDocument {
+        return { version, decode: pause => this.#decode(value, pause) };
+    }
+
+    async #decode(value: string, pause: StepPause): Promise<Document> {
+        return value === "" ? emptyDocument : await this.#decoder.decode(JSON.parse(value), pause);
     }
 
     async hosts(): Promise<StoredHost[]> {
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -11,9 +11,7 @@
      * Returns the state of the store. It may be seconds old if such a read costs the store less; `isLatest` is true if
      * it is the latest one.
      */
-    async readCached(): Promise<StoreUpdate & { readonly isLatest: boolean; }> {
-        return { document: await this.read(), isLatest: true };
-    }
+    abstract readCached(): Promise<StoreUpdate & { readonly isLatest: boolean; }>;
     /** Writes the value if the stored version is still `version`; returns false if it is not. */
     abstract write(value: string, version: number): Promise<boolean>;
     /**
--- a/src/store/storeupdate.ts
+++ b/src/store/storeupdate.ts
@@ -1,14 +1,9 @@
 /** Defines the result of a watch or a stale read of the store. */
 import type { HallsChange } from "../policy/halls/hallschange.js";
-import type { VersionedValue } from "./versionedvalue.js";
+import type { StoredDocument } from "./storeddocument.js";
 
 /**
- * `document` is the configuration if it has changed. `invalid` is the error of a changed configuration that the store's
- * client could not decode; there is no `document` then. `halls` are the evacuated halls if the store keeps them beside
- * the configuration.
+ * `document` is the configuration if it has changed. `halls` are the evacuated halls if the store keeps them beside the
+ * configuration.
  */
-export type StoreUpdate = {
-    readonly document?: VersionedValue;
-    readonly invalid?: unknown;
-    readonly halls?: HallsChange;
-};
+export type StoreUpdate = { readonly document?: StoredDocument; readonly halls?: HallsChange; };
