--- a/src/cli/statustable.ts
+++ b/src/cli/statustable.ts
@@ -1,6 +1,7 @@
 /** Formats the status as a table. */
 import type { GetStatusResponse, UpstreamStatus } from "../gen/winglock/operator/v1/operator_pb.js";
 import { hallTable } from "./halltable.js";
+import { quotaTable } from "./quotatable.js";
 import { table } from "./table.js";
 
 const headers = [
@@ -40,6 +41,9 @@
     if (status.evacuatedHalls.length > 0) {
         sections.push(`evacuated: ${status.evacuatedHalls.join(", ")}`);
     }
+    if (status.quotas.length > 0) {
+        sections.push(quotaTable(status.quotas));
+    }
     if (isGrouped) {
         sections.push(hallTable(status));
     }
--- a/src/daemon/operatorgroup.ts
+++ b/src/daemon/operatorgroup.ts
@@ -15,7 +15,7 @@
     constructor(
         private readonly context: DaemonContext,
         { current, publisher, evacuations }: ConfigurationGroup,
-        { upstreamTable }: RequestPathGroup,
+        { upstreamTable, quota }: RequestPathGroup,
         membership: MembershipGroup,
     ) {
         const { clock, peer, metrics } = context;
@@ -26,6 +26,7 @@
             evacuations,
             configuration: current,
             upstreams: upstreamTable,
+            quotas: () => quota.status(),
             knownUpstreams: () => membership.upstreams,
         });
         this.server = new OperatorServer(api, metrics, () => current.revision > 0);
--- a/src/operator/operatorapi.ts
+++ b/src/operator/operatorapi.ts
@@ -10,6 +10,7 @@
 import type { HallName } from "../ids/hallname.js";
 import type { UpstreamTable } from "../ingress/upstreamtable.js";
 import type { PeerClient } from "../peer/peerclient.js";
+import type { QuotaStatus } from "../policy/quota/quotastatus.js";
 import type { Clock } from "../time/clock.js";
 import { collectStatus } from "./collectstatus.js";
 import { explain } from "./explain.js";
@@ -24,6 +25,8 @@
     /** Returns all known upstreams: those of the document and those that announce themselves. */
     readonly knownUpstreams: () => readonly Upstream[];
     readonly peer: PeerClient;
+    /** Returns the state of the quota of each team with a rate. */
+    readonly quotas: () => readonly QuotaStatus[];
 };
 
 /** Serves calls from the state of one daemon. */
@@ -43,6 +46,11 @@
         return this.deps.evacuations.halls;
     }
 
+    /** The quota of each team with a rate, as this daemon knows it. */
+    get quotas(): readonly QuotaStatus[] {
+        return this.deps.quotas();
+    }
+
     apply(request: ChangeRequest): Promise<ChangeResult> {
         return this.deps.publisher.apply(request);
     }
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -99,6 +99,7 @@
                     fresh: api.isFresh,
                     evacuatedHalls: [...api.evacuatedHalls],
                     upstreams: (await api.status()).map(encodeStatus),
+                    quotas: api.quotas.map(quota => ({ ...quota, refused: BigInt(quota.refused) })),
                 }),
             explainRequest: req => {
                 const { rule, kind, kindReason, candidates } = explainUrl(api, req.method, req.url);
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -80,6 +80,8 @@
         assert.ok(worstWindow(responses) <= bound(RATE), `${worstWindow(responses)} in 5 s`);
         assert.ok(worstWindow(responses) >= RATE * WINDOW_S * 0.8, `${worstWindow(responses)} in 5 s`);
         assert.ok(refused.length > 0 && refused.every(({ retryAfter }) => retryAfter !== undefined));
+        const { stdout } = await mesh.cli("status");
+        assert.match(stdout, /readers +20 +20 +127\.\d+\.\d+\.\d+:\d+ +[1-9]\d* +\d+/);
         assert.equal(responses.length, responses.filter(({ status }) => status === 200 || status === 429).length);
     });
 });
