--- a/src/cli/statustable.ts
+++ b/src/cli/statustable.ts
@@ -2,6 +2,7 @@
 import type { GetStatusResponse, UpstreamStatus } from "../gen/winglock/operator/v1/operator_pb.js";
 import { formatRejection } from "./formatrejection.js";
 import { hallTable } from "./halltable.js";
+import { quotaTable } from "./quotatable.js";
 import { regionLines } from "./regionlines.js";
 import { table } from "./table.js";
 
@@ -46,6 +47,9 @@
         sections.push(`evacuated: ${status.evacuatedHalls.join(", ")}`);
     }
     sections.push(...regionLines(status.upstreams));
+    if (status.quotas.length > 0) {
+        sections.push(quotaTable(status.quotas));
+    }
     if (isGrouped) {
         sections.push(hallTable(status));
     }
--- a/src/operator/operatorroutes.ts
+++ b/src/operator/operatorroutes.ts
@@ -103,6 +103,7 @@
         evacuatedHalls: [...api.evacuatedHalls],
         upstreams: lines.map(encodeStatus),
         rejection: findRejection(lines),
+        quotas: api.quotas.map(quota => ({ ...quota, refused: BigInt(quota.refused) })),
     });
 };
 
