--- a/src/link/framedbody.ts
+++ b/src/link/framedbody.ts
@@ -19,6 +19,8 @@
             destroy: (err, callback) => {
                 if (!this.#ended) {
                     onAbandoned();
+                    // What still arrives of the body is discarded.
+                    socket.resume();
                 }
                 callback(err);
             },
@@ -31,7 +33,7 @@
     /** Adds a frame of the body; returns true if it is the last one. */
     add({ type, payload }: Frame): boolean {
         if (type === frameType.data) {
-            if (!this.stream.push(payload)) {
+            if (!this.stream.destroyed && !this.stream.push(payload)) {
                 this.socket.pause();
             }
             return false;
--- a/src/peer/ondemandbody.test.ts
+++ b/src/peer/ondemandbody.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, createServer } from "node:net";
+import { Readable } from "node:stream";
 import { test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
 import { BodyBench } from "../../test/bodybench.js";
@@ -165,6 +166,20 @@
     assert.ok(bodies.length === 2 && bodies.every(body => BODY.equals(body as Buffer)));
 });
 
+// The rest of a streamed body that the gate no longer read kept the connection paused, also for the next request.
+test("body on demand: a connection on which a stream was abandoned serves the next request", async () => {
+    await BodyBench.run(AMPLE_MEMORY, async (bench, hop) => {
+        bench.isBreaking = true;
+        for (let index = 0; index < 4; index++) {
+            const parts = Array.from({ length: 128 }, () => Buffer.alloc(64 * 1024));
+            const body = Readable.from(parts, { objectMode: false }).on("error", () => {});
+            const startedAt = performance.now();
+            await reasonOf(BodyBench.send(hop, `broken-${index}`, { body }));
+            assert.ok(performance.now() - startedAt < 2000, "the request has a result before its deadline");
+        }
+    });
+});
+
 test("body on demand: a body of at most 16 KiB is sent with its request", async () => {
     await BodyBench.run(AMPLE_MEMORY, async (bench, hop) => {
         await BodyBench.send(hop, "first", { body: BODY.subarray(0, 16 * 1024) });
--- a/test/bodybench.ts
+++ b/test/bodybench.ts
@@ -38,6 +38,8 @@
     readonly bodies: Buffer[] = [];
     /** While true, the upstream does not respond. */
     isHolding = false;
+    /** While true, the upstream closes its connection before it reads a body. */
+    isBreaking = false;
     readonly #held: (() => void)[] = [];
     readonly #sockets = new Set<Socket>();
     #stop: () => Promise<void> = async () => {};
@@ -84,6 +86,10 @@
     async #start(): Promise<RemoteHop> {
         const clock = (): number => performance.now();
         const upstream = createHttpServer((req, res) => {
+            if (this.isBreaking) {
+                req.socket.destroy();
+                return;
+            }
             void buffer(req).then(received => {
                 this.bodies.push(received);
                 this.#respond(() => res.end("ok"));
