--- a/src/datagram/datagramsocket.ts
+++ b/src/datagram/datagramsocket.ts
@@ -38,13 +38,6 @@
 /** Share of the datagrams' limit that is reserved for pongs, so that a busy daemon is not taken for unresponsive. */
 const PONG_SHARE = 0.4;
 
-/** Share of the datagrams' limit for messages on quotas, while a team has a rate. */
-const QUOTA_SHARE = 0.55;
-/** Part of that share that is the rate; the rest is the burst. */
-const QUOTA_RATE_SHARE = 0.88;
-/** Share of the rest that is reserved for pongs while a team has a rate. */
-const PONG_SHARE_WITH_QUOTA = 0.3;
-
 /** Label under which the metrics count each type of message. */
 const SPENDING_BY_TYPE = {
     beat: "beat",
@@ -65,8 +58,8 @@
 /** Sends and receives messages; drops datagrams with a wrong tag or an invalid message. */
 export class DatagramSocket {
     readonly #socket: Socket;
-    #bucket: TokenBucket;
-    #pongBucket: TokenBucket;
+    readonly #bucket: TokenBucket;
+    readonly #pongBucket: TokenBucket;
     #quotaBucket: TokenBucket | undefined;
 
     constructor(private readonly options: DatagramOptions) {
@@ -111,18 +104,14 @@
     }
 
     /**
-     * Reserves a part of the limit for messages on quotas, which are steady, and reduces the other parts. Called when the
-     * document has a team with a rate.
+     * Allows messages on quotas, up to a limit of their own that is as large as that of all other control traffic: they
+     * grow with the callers' requests, and a caller waits for each of them. With a part of the common limit they were
+     * dropped in bursts, and requests below the limits of their teams were refused. Called when the document has a team
+     * with a rate.
      */
     reserveForQuota(): void {
-        const now = this.options.clock();
-        const bytes = this.options.bytesPerSecond * DATAGRAM_SHARE;
-        const quotaBytes = bytes * QUOTA_SHARE;
-        const otherRate = (bytes - quotaBytes) / 2;
-        const pongRate = otherRate * PONG_SHARE_WITH_QUOTA;
-        this.#quotaBucket ??= new TokenBucket(quotaBytes * QUOTA_RATE_SHARE, quotaBytes * (1 - QUOTA_RATE_SHARE), now);
-        this.#bucket = new TokenBucket(otherRate - pongRate, otherRate - pongRate, now);
-        this.#pongBucket = new TokenBucket(pongRate, pongRate, now);
+        const rate = this.options.bytesPerSecond / 2;
+        this.#quotaBucket ??= new TokenBucket(rate, rate, this.options.clock());
     }
 
     #bucketFor({ type }: Message): TokenBucket {
