--- a/src/time/ticker.ts
+++ b/src/time/ticker.ts
@@ -1,5 +1,4 @@
 /** Calls a function periodically. */
-import { processClock } from "./processclock.js";
 import { tickMs } from "./tickms.js";
 import { tickSource } from "./ticksource.js";
 
@@ -18,7 +17,7 @@
     start(): void {
         this.stop();
         if (this.intervalMs % tickMs === 0) {
-            this.#dueAt = processClock() + this.intervalMs;
+            this.#dueAt = tickSource.now + this.intervalMs;
             tickSource.add(this.#listener);
             return;
         }
--- a/src/time/ticksource.ts
+++ b/src/time/ticksource.ts
@@ -7,17 +7,28 @@
 import { processClock } from "./processclock.js";
 import { tickMs } from "./tickms.js";
 
-/** Called at each tick with the process clock, in milliseconds. */
+/** Called at each tick with the time of the source, in milliseconds. */
 type TickListener = (now: number) => void;
 
-/** The timer runs while there are listeners. */
+/** The timer runs while there are listeners. The time of the source advances with its ticks. */
 class TickSource {
     readonly #listeners = new Set<TickListener>();
     #timer: NodeJS.Timeout | undefined;
+    #now = 0;
+    #tickedAt = 0;
 
+    get now(): number {
+        return this.#now;
+    }
+
+    /** Starts the timer again for each listener, so that it is one of the timers in use, also where tests replace them. */
     add(listener: TickListener): void {
+        if (this.#listeners.size === 0) {
+            this.#tickedAt = processClock();
+        }
         this.#listeners.add(listener);
-        this.#timer ??= setInterval(() => this.#tick(), tickMs);
+        clearInterval(this.#timer);
+        this.#timer = setInterval(() => this.#tick(), tickMs);
     }
 
     remove(listener: TickListener): void {
@@ -28,9 +39,12 @@
         }
     }
 
+    /** Counts a late tick with its delay, so that tickers keep their intervals on a slow host. */
     #tick(): void {
-        const now = processClock();
-        this.#listeners.forEach(listener => listener(now));
+        const clockNow = processClock();
+        this.#now += Math.max(tickMs, clockNow - this.#tickedAt);
+        this.#tickedAt = clockNow;
+        this.#listeners.forEach(listener => listener(this.#now));
     }
 }
 
