--- a/src/quota/quotatask.ts
+++ b/src/quota/quotatask.ts
@@ -41,6 +41,7 @@
 export class QuotaTask {
     #agent: QuotaAgent | undefined;
     #timer: NodeJS.Timeout | undefined;
+    #hadAgent = false;
     #isTickSoon = false;
     #isFlushDue = false;
     #isStopped = false;
@@ -117,11 +118,13 @@
 
     #createAgent(now: number): QuotaAgent {
         const { self, incarnation, bound, random, members, onStart, send } = this.deps;
-        // The daemon's clock starts with its process.
+        // The daemon's clock starts with its process. A later agent may follow one whose leases are still counted.
+        const startedAt = this.#hadAgent ? now : 0;
+        this.#hadAgent = true;
         const agent = new QuotaAgent({
             self,
             incarnation,
-            startedAt: 0,
+            startedAt,
             bound,
             random,
             sendAsk: (to, ask) => send(to, { type: "quota-ask", from: self, ...ask }),
