--- a/src/config/describerejection.test.ts
+++ b/src/config/describerejection.test.ts
@@ -23,7 +23,7 @@
         { ...emptyDocument, teams: [{ name: "a", keyDigests: [KEY] }] },
         { ...emptyDocument, teams: [{ name: "a", keys: [KEY] }] },
         { ...emptyDocument, teams: { a: { keyDigests: [KEY] } } },
-        { ...emptyDocument, tenants: KEY },
+        { ...emptyDocument, callers: KEY },
         { ...emptyDocument, rules: KEY },
     ];
     for (const document of documents) {
@@ -35,7 +35,7 @@
 });
 
 test("rejection: the text of a document that is not JSON is not shown", () => {
-    assert.deepEqual(rejectionOf(() => JSON.parse(`{"apiKeys":[${KEY}]}`)), ["(top): the text is not JSON"]);
+    assert.deepEqual(rejectionOf(() => JSON.parse(`{"keys":[${KEY}]}`)), ["(top): the text is not JSON"]);
 });
 
 test("rejection: the description is bounded", () => {
--- a/src/ingress/callerconnections.test.ts
+++ b/src/ingress/callerconnections.test.ts
@@ -1,30 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
-import { withConnection } from "../../test/withconnection.js";
+import { connectionBench } from "../../test/connectionbench.js";
 
-const MAX_ACCEPTED = 3;
 /** The bound on the time from a caller's leaving to the cancellation of its requests. */
 const CANCEL_BOUND_MS = 500;
 /** Long enough for everything that was written on loopback to be read. */
 const SETTLE_MS = 50;
 
-type Body = Parameters<typeof withConnection>[1];
-type Accepted = Parameters<Body>[0]["accepted"][number];
-
-const withBench = (body: Body): Promise<void> => withConnection(MAX_ACCEPTED, body);
-
-const get = (path: string, fields = ""): string => `GET /${path} HTTP/1.1\r\nhost: h\r\n${fields}\r\n`;
-
-const answer = ({ path, res, turn }: Accepted): void => {
-    res.setHeader("content-length", path.length);
-    turn.whenFirst(() => res.end(path));
-};
-
-const pathsOf = (accepted: readonly Accepted[]): string => accepted.map(({ path }) => path).join("");
-/** Returns the bodies of the responses, which are the paths of their requests. */
-const bodiesOf = (text: string): string => [...text.matchAll(/\r\n\r\n(\w?)/g)].map(([, body]) => body).join("");
-const closingOf = (text: string): string => [...text.matchAll(/onnection: (\w)/g)].map(([, value]) => value).join("");
+const { maxAccepted: MAX_ACCEPTED, run: withBench, get, answer, pathsOf, bodiesOf, closingOf } = connectionBench;
 
 test("connection: responses that are ready early are sent in the order of the requests", async () => {
     await withBench(async ({ accepted, socket, received }) => {
