--- a/src/policy/quota/counterchoice.ts
+++ b/src/policy/quota/counterchoice.ts
@@ -41,6 +41,11 @@
         return alive.length === 0 ? [this.deps.self] : alive.slice(0, COUNTERS);
     }
 
+    /** The daemons that may be a counter of the shard. */
+    get candidates(): readonly Address[] {
+        return this.#order;
+    }
+
     /** The counter to which this daemon leases its share. */
     get preferred(): Address {
         const { picks } = this;
@@ -63,7 +68,8 @@
         const suspected = this.#order.filter((counter, place) =>
             this.#isSuspected(counter) && (place < last || last < 0)
         );
-        return [...suspected, ...picks.filter(counter => this.deps.view(counter).incarnation === undefined)];
+        const unknown = this.#order.filter(counter => this.deps.view(counter).incarnation === undefined);
+        return [...new Set([...suspected, ...unknown])];
     }
 
     #isSuspected(counter: Address): boolean {
--- a/src/policy/quota/counterview.ts
+++ b/src/policy/quota/counterview.ts
@@ -12,12 +12,18 @@
     #time = 0;
     #heardAt = -Infinity;
     #unanswered = 0;
+    #startedAfter = -Infinity;
 
     /** The process that answered last; undefined if none has. */
     get incarnation(): Incarnation | undefined {
         return this.#incarnation;
     }
 
+    /** A time after which the process that answered last was started; -Infinity if none has answered. */
+    get startedAfter(): number {
+        return this.#startedAfter;
+    }
+
     get isSuspected(): boolean {
         return this.#unanswered >= MAX_UNANSWERED;
     }
@@ -36,6 +42,7 @@
             this.#incarnationSince = now;
             this.#time = time;
             this.#heardAt = now;
+            this.#startedAfter = askedAt - time * (1 + driftMargin);
         }
         else if (time > this.estimate(now)) {
             this.#time = time;
--- a/src/policy/quota/quotaagent.ts
+++ b/src/policy/quota/quotaagent.ts
@@ -9,6 +9,7 @@
 import type { RandomSource } from "../randomsource.js";
 import { ClientTeam } from "./clientteam.js";
 import { CounterView } from "./counterview.js";
+import { excludesFormerLease } from "./excludesformerlease.js";
 import { MemberMaximum } from "./membermaximum.js";
 import type { QuotaAnswer } from "./quotaanswer.js";
 import type { QuotaAsk } from "./quotaask.js";
@@ -164,7 +165,7 @@
             shard: number,
             self,
             random,
-            lease: new ShareLease(startedAt),
+            lease: new ShareLease(startedAt, () => startedAt === 0 && this.#excludesFormerLease(number)),
             view: address => this.#view(address),
             members: now => this.#members.get(now),
             nextId: () => ++this.#lastId,
@@ -176,6 +177,11 @@
         return shard;
     }
 
+    #excludesFormerLease(shard: number): boolean {
+        const { candidates } = this.#shard(shard).client.choice;
+        return excludesFormerLease(candidates.map(address => this.#view(address)), this.deps.startedAt);
+    }
+
     #askSelf(ask: QuotaAsk, now: number): boolean {
         this.receiveAnswer(this.deps.self, this.#answer(this.deps.self, ask, now), now);
         return true;
--- a/src/policy/quota/shardclient.ts
+++ b/src/policy/quota/shardclient.ts
@@ -5,6 +5,7 @@
 import type { Address } from "../../ids/address.js";
 import type { TeamName } from "../../ids/teamname.js";
 import type { RandomSource } from "../randomsource.js";
+import { askIntervals } from "./askintervals.js";
 import type { ClientTeam } from "./clientteam.js";
 import { CounterChoice } from "./counterchoice.js";
 import type { CounterView } from "./counterview.js";
@@ -19,8 +20,6 @@
 const ANSWER_TIMEOUT_MS = 60;
 /** A request for tokens renews the lease too if the last renewal was this long ago. */
 const PIGGYBACK_MS = quotaTimes.renewMs / 2;
-/** Interval of the requests to a suspected counter, and of those that only learn a counter's clock. */
-const PROBE_INTERVAL_MS = 1000;
 /** Teams in one message; more would exceed the length of a datagram. */
 const MAX_TEAMS = 16;
 /** Prefetched tokens are renewed if they expire within this time. */
@@ -154,11 +153,12 @@
 
     #renew(now: number): void {
         const { preferred, uncertain } = this.choice;
-        if (now - this.#sentAt(preferred) >= quotaTimes.renewMs) {
+        const isLeased = this.deps.lease.holder(now) !== undefined;
+        if (now - this.#sentAt(preferred) >= (isLeased ? quotaTimes.renewMs : askIntervals.unleasedMs)) {
             this.#ask(preferred, [], now);
         }
         for (const counter of uncertain) {
-            if (now - this.#sentAt(counter) >= PROBE_INTERVAL_MS) {
+            if (now - this.#sentAt(counter) >= (isLeased ? askIntervals.probeMs : askIntervals.unleasedMs)) {
                 this.#ask(counter, [], now);
             }
         }
--- a/src/policy/quota/sharelease.ts
+++ b/src/policy/quota/sharelease.ts
@@ -17,8 +17,11 @@
 export class ShareLease<Counter> {
     #lease: Lease<Counter> | undefined;
 
-    /** `startedAt`: the start of the process; a lease of its former life may last until a lease's duration later. */
-    constructor(private readonly startedAt: number) {}
+    /**
+     * `startedAt`: the start of the process; a lease of its former life may last until a lease's duration later, unless
+     * `excludesFormer` returns true.
+     */
+    constructor(private readonly startedAt: number, private readonly excludesFormer = (): boolean => false) {}
 
     /** Returns the counter that holds the share; undefined if none does. */
     holder(now: number): Counter | undefined {
@@ -31,7 +34,7 @@
      */
     grant(counter: Counter, view: CounterView, now: number): { counter: Incarnation; until: number; } | undefined {
         const { incarnation } = view;
-        const mayHaveLease = now < this.startedAt + quotaTimes.leaseMs * (1 + driftMargin);
+        const mayHaveLease = now < this.startedAt + quotaTimes.leaseMs * (1 + driftMargin) && !this.excludesFormer();
         if (incarnation === undefined || mayHaveLease || !this.#isFree(counter, incarnation, now)) {
             return undefined;
         }
