--- a/test/keys.test.ts
+++ b/test/keys.test.ts
@@ -5,6 +5,7 @@
 import { pause } from "./pause.js";
 import type { PlatformMesh } from "./platformmesh.js";
 import type { PlatformResponse } from "./platformresponse.js";
+import { rejectedDocument } from "./rejecteddocument.js";
 import { teamsConfiguration } from "./teamsconfiguration.js";
 import { withPlatform } from "./withplatform.js";
 
@@ -220,10 +221,13 @@
             [{ name: "red", apiKeys: { first: SCRAMBLED } }],
         ];
         for (const tenants of malformed) {
-            await mesh.configure(teamsConfiguration(9, tenants));
+            await rejectedDocument(mesh, () => mesh.configure(teamsConfiguration(9, tenants)));
         }
-        await mesh.putAsOperator("op/config", `{"tenants":[{"apiKeys":["${SCRAMBLED}"]}] x`);
-        await mesh.putAsOperator("op/config", SCRAMBLED);
+        await rejectedDocument(
+            mesh,
+            () => mesh.putAsOperator("op/config", `{"tenants":[{"apiKeys":["${SCRAMBLED}"]}] x`),
+        );
+        await rejectedDocument(mesh, () => mesh.putAsOperator("op/config", SCRAMBLED));
         await pause(CHANGE_MS);
         assert.equal(await allAnswer(mesh, RED_NEW, 200), true);
         assert.ok(mesh.log.filter(line => line.includes("The stored configuration is invalid")).length >= 6);
