Logs and metrics of how a revision of the configuration is passed on

Cause: a change of 1,280 rules was not in force at a daemon 2.7 s after the store had acknowledged it. The logs give the time at which a daemon applied a revision, and nothing of what came before: whether the watcher waited before it decoded the document, whether the send budget held back its heartbeats, how long pulls took, how many bytes they received and from whom, and how those that failed ended.

Change: no behaviour. A watcher logs how long a document waited and took, and how long the announcement took; a follower logs each pull with peer, bytes and times, also if it failed. Histograms of pulls by outcome and of announcements. The bytes of a pull are those that were received, also of a pull that failed; before, they were computed from the update and counted on success only.

--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -161,7 +161,7 @@
     }
 
     #createHeartbeats(): HallHeartbeats {
-        const { settings, environment, clock, random, self, send } = this.context;
+        const { settings, environment, clock, random, self, send, metrics } = this.context;
         const { current, puller, watcher } = this.configuration;
         return new HallHeartbeats({
             self,
@@ -171,6 +171,7 @@
             hall: settings.hall,
             host: settings.host,
             configuration: current,
+            metrics,
             confirmationIntervalMs: confirmationIntervalMs(
                 keyedAgeLimitMs(settings.policy.keys.maxConfigurationAgeMs),
             ),
--- a/src/distribution/configurationpuller.ts
+++ b/src/distribution/configurationpuller.ts
@@ -4,6 +4,7 @@
 import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { PeerClient } from "../peer/peerclient.js";
+import { Transfer } from "../peer/transfer.js";
 import type { Clock } from "../time/clock.js";
 import { createStepPause } from "../time/createsteppause.js";
 import { sleep } from "../time/sleep.js";
@@ -42,18 +43,37 @@
     }
 
     async #pullFrom(from: Address): Promise<void> {
+        const before = this.configuration.revision;
+        const startedAt = this.clock();
+        const transfer = new Transfer();
+        const describe = (): object => ({
+            peer: from,
+            before,
+            bytes: transfer.bytes,
+            tookMs: Math.round(this.clock() - startedAt),
+        });
         try {
-            const update = await this.peer.update(from, this.configuration.revision);
+            const update = await this.peer.update(from, before, transfer);
+            this.metrics.countControlTraffic("pull", transfer.bytes);
+            const receivedMs = Math.round(this.clock() - startedAt);
             if (update !== undefined) {
-                this.metrics.countControlTraffic("pull", JSON.stringify(update).length);
                 const pause = createStepPause(this.clock);
                 const decoded = await decodeUpdate(update, pause);
                 await pause();
                 this.configuration.applyUpdate(decoded);
             }
+            const outcome = this.configuration.revision > before ? "newer" : "not-newer";
+            this.metrics.configuration.recordPull(outcome, this.clock() - startedAt);
+            logger.change("An update of the configuration was pulled from a peer.", {
+                revision: this.configuration.revision,
+                ...describe(),
+                receivedMs,
+            });
         }
         catch (err) {
-            logger.warn("Pulling a newer configuration from a peer failed.", err, { peer: from });
+            this.metrics.countControlTraffic("pull", transfer.bytes);
+            this.metrics.configuration.recordPull("failed", this.clock() - startedAt);
+            logger.warn("Pulling a newer configuration from a peer failed.", err, describe());
         }
     }
 }
--- a/src/distribution/documentapplier.ts
+++ b/src/distribution/documentapplier.ts
@@ -4,6 +4,7 @@
  * Decodes one document at a time and only the newest of those that wait, and rests after each, so that many versions in
  * a short time cost little more than two.
  */
+import { log } from "../log/log.js";
 import type { StoredDocument } from "../store/storeddocument.js";
 import type { Clock } from "../time/clock.js";
 import { createStepPause } from "../time/createsteppause.js";
@@ -11,12 +12,14 @@
 import type { CurrentConfiguration } from "./currentconfiguration.js";
 import type { DocumentRejection } from "./documentrejection.js";
 
+const logger = log("config");
+
 /** Rest after a document, as a multiple of the time that it took: decoding takes at most a twentieth of the time. */
 const REST_FACTOR = 20;
 /** A third of the time in which a change has to be in force. */
 const MAX_REST_MS = 700;
 
-type Waiting = { readonly stored: StoredDocument; readonly requestedAt: number; };
+type Waiting = { readonly stored: StoredDocument; readonly requestedAt: number; readonly receivedAt: number; };
 
 /** An invalid document leaves the previous one in force, and is recorded as rejected. */
 export class DocumentApplier {
@@ -40,7 +43,7 @@
      * Resolves when the newest one is applied or rejected; never rejects.
      */
     apply(stored: StoredDocument, requestedAt: number): Promise<void> {
-        this.#waiting = { stored, requestedAt };
+        this.#waiting = { stored, requestedAt, receivedAt: this.clock() };
         this.#applying ??= this.#applyWaiting().finally(() => this.#applying = undefined);
         return this.#applying;
     }
@@ -51,11 +54,17 @@
             if (restMs > 0) {
                 await sleep(restMs);
             }
-            const { stored, requestedAt } = this.#waiting!;
+            const { stored, requestedAt, receivedAt } = this.#waiting!;
             this.#waiting = undefined;
             const startedAt = this.clock();
             await this.#decodeAndApply(stored);
             const endedAt = this.clock();
+            logger.change("A document that was read from the store has been handled.", {
+                revision: this.configuration.revision,
+                storeVersion: stored.version,
+                waitedMs: Math.round(startedAt - receivedAt),
+                tookMs: Math.round(endedAt - startedAt),
+            });
             this.#restsUntil = endedAt + Math.min(MAX_REST_MS, REST_FACTOR * (endedAt - startedAt));
             if (this.#waiting === undefined) {
                 this.configuration.confirm(this.configuration.revision, requestedAt);
--- a/src/distribution/hallheartbeats.test.ts
+++ b/src/distribution/hallheartbeats.test.ts
@@ -5,6 +5,7 @@
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
 import type { Incarnation } from "../ids/incarnation.js";
+import { Metrics } from "../metrics/metrics.js";
 import type { RecordsPosition } from "../wire/recordsposition.js";
 import { CurrentConfiguration } from "./currentconfiguration.js";
 import type { DaemonLocation } from "./daemonlocation.js";
@@ -58,6 +59,7 @@
         clock: () => now,
         random: () => 0,
         configuration: new CurrentConfiguration(),
+        metrics: new Metrics(),
         puller: { pull: async () => {} } as never,
         election: new WatcherElection(rankedMembers[rankIndex]!, 0),
         watch,
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -19,6 +19,7 @@
 import { otherHallCandidates } from "./otherhallcandidates.js";
 import { partitionHall } from "./partitionhall.js";
 import { rank } from "./rank.js";
+import { RevisionAnnouncements } from "./revisionannouncements.js";
 import type { WatchScope } from "./watchscope.js";
 
 /** Interval at which a watcher sends the heartbeats that are due: divides a round of 2 s into 40 parts. */
@@ -47,6 +48,7 @@
 export class HallHeartbeats {
     readonly #sender: HeartbeatSender;
     readonly #confirmations: HeartbeatConfirmations;
+    readonly #announcements: RevisionAnnouncements;
     readonly #tickers = [
         new Ticker(ELECTION_INTERVAL_MS, () => this.#updateScope()),
         new Ticker(HOST_LIST_INTERVAL_MS, () => void this.#refreshLeavingHosts()),
@@ -58,7 +60,8 @@
     constructor(private readonly deps: HeartbeatDependencies) {
         this.#confirmations = new HeartbeatConfirmations(deps.confirmationIntervalMs);
         this.#sender = new HeartbeatSender(() => this.#recipients(), to => deps.send(to, this.#createHeartbeat()));
-        deps.configuration.onChange(() => this.#sender.sendSoon());
+        this.#announcements = new RevisionAnnouncements(this.#sender, deps.metrics);
+        deps.configuration.onChange(({ revision }) => this.#announce(revision));
         deps.evacuations.onChange(() => this.#sender.sendSoon());
     }
 
@@ -149,6 +152,14 @@
         this.#notifySuspectChange(now);
         this.#notifyConfirmation(now);
         this.#sender.tick(now);
+        this.#announcements.check(now);
+    }
+
+    #announce(revision: number): void {
+        this.#sender.sendSoon();
+        if (this.watchesEvacuations) {
+            this.#announcements.begin(revision, this.deps.clock());
+        }
     }
 
     /** Sends heartbeats at once to this daemon's followers; the rest of the hall gets the change in the next round. */
--- a/src/distribution/heartbeatdependencies.ts
+++ b/src/distribution/heartbeatdependencies.ts
@@ -4,6 +4,7 @@
 import type { Address } from "../ids/address.js";
 import type { HallName } from "../ids/hallname.js";
 import type { HostName } from "../ids/hostname.js";
+import type { Metrics } from "../metrics/metrics.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
 import type { ConfigurationPuller } from "./configurationpuller.js";
@@ -21,6 +22,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly configuration: CurrentConfiguration;
+    readonly metrics: Metrics;
     readonly puller: ConfigurationPuller;
     readonly election: WatcherElection;
     readonly watch: StoreWatch;
--- a/src/distribution/heartbeatsender.ts
+++ b/src/distribution/heartbeatsender.ts
@@ -18,9 +18,20 @@
     readonly #urgent = new Set<Address>();
     #pending: Address[] = [];
     #roundStartedAt = -Infinity;
+    #refusedCount = 0;
 
     constructor(private readonly recipients: () => Address[], private readonly send: SendHeartbeat) {}
 
+    /** True while urgent heartbeats wait to be sent. */
+    get hasUrgent(): boolean {
+        return this.#urgent.size > 0;
+    }
+
+    /** Number of urgent heartbeats that the send budget has held back for a tick. */
+    get refusedCount(): number {
+        return this.#refusedCount;
+    }
+
     /**
      * Marks heartbeats to the given recipients, or to all, as urgent: the next ticks send them as fast as the budget
      * allows.
@@ -37,6 +48,7 @@
         }
         for (const recipient of this.#urgent) {
             if (!this.send(recipient)) {
+                this.#refusedCount += 1;
                 return;
             }
             this.#urgent.delete(recipient);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -4,12 +4,13 @@
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { Arrival } from "../policy/retry/arrival.js";
+import { ConfigurationMetrics } from "./configurationmetrics.js";
 import type { ConnectionKind } from "./connectionkind.js";
+import { latencyBucketsS } from "./latencybuckets.js";
 import { RefusalMetrics } from "./refusalmetrics.js";
 import type { StoreCallKind } from "./storecallkind.js";
 
 const MS_PER_SECOND = 1000;
-const LATENCY_BUCKETS_S = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
 /** The labels of a request that has finished. */
 type FinishedRequest = { readonly service: ServiceName; readonly priority: Priority; readonly team: TeamName; };
@@ -25,7 +26,7 @@
         name: "winglock_request_seconds",
         help: "Time from a caller's request to the end of its answer.",
         labelNames: ["service", "class", "tenant", "outcome"] as const,
-        buckets: LATENCY_BUCKETS_S,
+        buckets: latencyBucketsS,
         registers: [this.registry],
     });
     readonly #retries = new Counter({
@@ -42,6 +43,7 @@
         registers: [this.registry],
     });
     readonly refusals = new RefusalMetrics(this.registry);
+    readonly configuration = new ConfigurationMetrics(this.registry);
     readonly #crashes = new Counter({
         name: "winglock_upstream_crashes_total",
         help: "Crashes of the upstreams beside this daemon with requests under way.",
@@ -63,7 +65,7 @@
     readonly #eventLoopDelay = new Histogram({
         name: "winglock_event_loop_delay_seconds",
         help: "How late a timer of this daemon is, ten times a second.",
-        buckets: LATENCY_BUCKETS_S,
+        buckets: latencyBucketsS,
         registers: [this.registry],
     });
     readonly #controlMessages = new Counter({
--- a/src/peer/calllink.ts
+++ b/src/peer/calllink.ts
@@ -9,6 +9,7 @@
 import { observable } from "@trpc/server/observable";
 import { z } from "zod";
 import type { peerRouter } from "./peerrouter.js";
+import { Transfer } from "./transfer.js";
 
 /** The HTTP request of a call. */
 type Call = { readonly method: "GET" | "POST"; readonly path: string; readonly body?: string; };
@@ -18,14 +19,19 @@
     z.object({ error: z.object({ message: z.string() }) }),
 ]);
 
-/** Creates a link; `send` resolves with the response's parsed body, whatever its status. */
+/**
+ * Creates a link; `send` resolves with the response's parsed body, whatever its status, and updates the transfer, which
+ * a caller may pass in the context of the call.
+ */
 export function callLink(
-    send: (call: Call, signal: AbortSignal | undefined) => Promise<unknown>,
+    send: (call: Call, signal: AbortSignal | undefined, transfer: Transfer) => Promise<unknown>,
 ): TRPCLink<typeof peerRouter> {
     return () => ({ op }) =>
         observable(observer => {
             const fail = (err: unknown): void => observer.error(TRPCClientError.from(err as Error));
-            send(toCall(op), op.signal ?? undefined).then(body => {
+            const { transfer } = op.context;
+            const observed = transfer instanceof Transfer ? transfer : new Transfer();
+            send(toCall(op), op.signal ?? undefined, observed).then(body => {
                 const response = ResponseBody.parse(body);
                 if ("error" in response) {
                     throw new TRPCClientError(response.error.message);
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -18,7 +18,9 @@
 import type { PeerOptions } from "./peeroptions.js";
 import type { peerRouter } from "./peerrouter.js";
 import type { PeerService } from "./peerservice.js";
+import { readJsonBody } from "./readjsonbody.js";
 import type { RevokeInput } from "./revokeinput.js";
+import type { Transfer } from "./transfer.js";
 
 /** Covers the largest response, a whole configuration. */
 const CALL_TIMEOUT_MS = 1000;
@@ -64,9 +66,13 @@
         }
     }
 
-    /** Resolves with the peer's changes of the configuration since the revision `have`, or undefined if it has none. */
-    async update(address: Address, have: number): Promise<ConfigurationUpdate | undefined> {
-        return await this.#client(address).update.query({ have }, this.#timeout()) as ConfigurationUpdate | undefined;
+    /**
+     * Resolves with the peer's changes of the configuration since the revision `have`, or undefined if it has none.
+     * `transfer` observes the response.
+     */
+    async update(address: Address, have: number, transfer: Transfer): Promise<ConfigurationUpdate | undefined> {
+        const options = { ...this.#timeout(), context: { transfer } };
+        return await this.#client(address).update.query({ have }, options) as ConfigurationUpdate | undefined;
     }
 
     /** Resolves with the peer's own record. */
@@ -121,11 +127,12 @@
         }
         const { ip } = splitAddress(address);
         const client = createTRPCClient<typeof peerRouter>({
-            links: [callLink(async (call, signal) => {
+            links: [callLink(async (call, signal, transfer) => {
                 const headers = { [headerName.key]: this.options.key, "content-type": "application/json" };
                 this.options.onCall?.(ip);
                 const { body } = await this.#agent.request({ origin: `http://${address}`, ...call, headers, signal });
-                return await body.json();
+                transfer.hasResponse = true;
+                return await readJsonBody(body, transfer);
             })],
         });
         this.#clients.set(address, client);
