--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -131,7 +131,7 @@
                 const headers = { [headerName.key]: this.options.key, "content-type": "application/json" };
                 this.options.onCall?.(ip);
                 const { body } = await this.#agent.request({ origin: `http://${address}`, ...call, headers, signal });
-                transfer.hasResponse = true;
+                transfer.recordResponse();
                 return await readJsonBody(body, transfer);
             })],
         });
--- a/src/peer/readjsonbody.ts
+++ b/src/peer/readjsonbody.ts
@@ -5,7 +5,7 @@
 export async function readJsonBody(body: AsyncIterable<Buffer>, transfer: Transfer): Promise<unknown> {
     const chunks: Buffer[] = [];
     for await (const chunk of body) {
-        transfer.bytes += chunk.length;
+        transfer.recordBytes(chunk.length);
         chunks.push(chunk);
     }
     return JSON.parse(Buffer.concat(chunks).toString());
--- a/src/peer/transfer.ts
+++ b/src/peer/transfer.ts
@@ -2,8 +2,21 @@
 
 /** Updated during the call, so that it also tells what was received of a response that did not end. */
 export class Transfer {
-    /** True once the head of the response has been received. */
-    hasResponse = false;
+    #bytes = 0;
+
+    /** `onResponse` is called when the head of the response has been received. */
+    constructor(private readonly onResponse: () => void = () => {}) {}
+
     /** Bytes of the body that have been received, as they are sent over the connection. */
-    bytes = 0;
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    recordResponse(): void {
+        this.onResponse();
+    }
+
+    recordBytes(count: number): void {
+        this.#bytes += count;
+    }
 }
