A large change reaches all followers of a watcher over a slow link

What callers saw: 404, or the former service, seconds after a change that added some 1,300 rules.

Cause: about a dozen followers pull the same patch, 313 KB, from one watcher at the same moment, and a pull was given up after 1 s, whatever had been received. 12 x 313 KB take 4.3 s on such a link, so no pull ended; the next heartbeat, up to 2 s later, began them all again. The more followers, the less likely that any has the change: a congestion collapse.

A call that brings an update is limited by silence (1 s without a byte) and by 10 s as a whole.

--- a/src/distribution/currentconfiguration.ts
+++ b/src/distribution/currentconfiguration.ts
@@ -23,6 +23,8 @@
 /** Calls its listeners after each change, in the order in which they were added. */
 export class CurrentConfiguration {
     readonly #patches: Patch[] = [];
+    /** The updates that peers have requested, by the index of their first patch; they change with the revision. */
+    readonly #updates = new Map<number, ConfigurationUpdate>();
     readonly #listeners: ((document: Document) => void)[] = [];
     #document: Document = emptyDocument;
     #confirmedAt = -Infinity;
@@ -85,6 +87,7 @@
             before: this.revision,
         });
         this.#document = document;
+        this.#updates.clear();
         this.#listeners.forEach(listener => listener(document));
     }
 
@@ -109,12 +112,22 @@
         return true;
     }
 
-    /** Returns the update for a peer that has the revision `peerRevision`, or undefined if the peer needs none. */
+    /**
+     * Returns the update for a peer that has the revision `peerRevision`, or undefined if the peer needs none. Peers with
+     * the same revision get the same object, so that it is encoded once.
+     */
     updateFor(peerRevision: number): ConfigurationUpdate | undefined {
         if (peerRevision >= this.revision) {
             return undefined;
         }
         const firstIndex = this.#patches.findIndex(patch => patch.from === peerRevision);
+        const known = this.#updates.get(firstIndex);
+        const update = known ?? this.#createUpdate(firstIndex);
+        this.#updates.set(firstIndex, update);
+        return update;
+    }
+
+    #createUpdate(firstIndex: number): ConfigurationUpdate {
         return firstIndex < 0
             ? { type: "full", document: this.#document }
             : { type: "patches", patches: this.#patches.slice(firstIndex) };
--- a/src/peer/handlecall.ts
+++ b/src/peer/handlecall.ts
@@ -11,13 +11,20 @@
 import { httpStatus } from "../http/httpstatus.js";
 import { peerRouter } from "./peerrouter.js";
 import type { PeerService } from "./peerservice.js";
+import type { ResponseBodies } from "./responsebodies.js";
 
 /** Many times the size of the largest call. */
 const MAX_BODY_BYTES = 64 * 1024;
+const CONTENT_TYPE = { "content-type": "application/json" };
 const PATH_PATTERN = /^\/trpc\/([a-z]+)$/;
 
 /** Handles a call; never rejects, since failures are sent as responses. */
-export async function handleCall(req: IncomingMessage, res: ServerResponse, service: PeerService): Promise<void> {
+export async function handleCall(
+    req: IncomingMessage,
+    res: ServerResponse,
+    service: PeerService,
+    bodies: ResponseBodies,
+): Promise<void> {
     try {
         const url = new URL(`http://peer${req.url ?? "/"}`);
         const data = await callTRPCProcedure({
@@ -29,11 +36,14 @@
             signal: undefined,
             batchIndex: 0,
         });
-        send(res, httpStatus.ok, { result: { data } });
+        const { body, encoding } = await bodies.encode(data, req.headers["accept-encoding"] === "gzip");
+        const headers = encoding === undefined ? CONTENT_TYPE : { ...CONTENT_TYPE, "content-encoding": encoding };
+        res.writeHead(httpStatus.ok, headers).end(body);
     }
     catch (err) {
         const error = getTRPCErrorFromUnknown(err);
-        send(res, getHTTPStatusCodeFromError(error), { error: { message: error.message, data: { code: error.code } } });
+        const body = { error: { message: error.message, data: { code: error.code } } };
+        res.writeHead(getHTTPStatusCodeFromError(error), CONTENT_TYPE).end(JSON.stringify(body));
     }
 }
 
@@ -57,7 +67,3 @@
     }
     return text;
 };
-
-const send = (res: ServerResponse, status: number, body: object): void => {
-    res.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
-};
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -22,13 +22,17 @@
 import type { RevokeInput } from "./revokeinput.js";
 import type { Transfer } from "./transfer.js";
 
-/** Covers the largest response, a whole configuration. */
+/** Longest time without a byte of the response, and for most calls the time limit as a whole. */
 const CALL_TIMEOUT_MS = 1000;
+/** Time limit of a call whose response may be a whole configuration; over a slow link it takes seconds. */
+const UPDATE_TIMEOUT_MS = 10_000;
 /** Several times the round trip between data halls. */
 const CONNECT_TIMEOUT_MS = 500;
 /** Short, since a caller is waiting for its response meanwhile. */
 const REVOKE_TIMEOUT_MS = 300;
 
+const REQUEST_HEADERS = { "content-type": "application/json", "accept-encoding": "gzip" };
+
 const logger = log("peer");
 
 type Client = TRPCClient<typeof peerRouter>;
@@ -71,7 +75,7 @@
      * `transfer` observes the response.
      */
     async update(address: Address, have: number, transfer: Transfer): Promise<ConfigurationUpdate | undefined> {
-        const options = { ...this.#timeout(), context: { transfer } };
+        const options = { ...this.#timeout(UPDATE_TIMEOUT_MS), context: { transfer } };
         return await this.#client(address).update.query({ have }, options) as ConfigurationUpdate | undefined;
     }
 
@@ -128,11 +132,17 @@
         const { ip } = splitAddress(address);
         const client = createTRPCClient<typeof peerRouter>({
             links: [callLink(async (call, signal, transfer) => {
-                const headers = { [headerName.key]: this.options.key, "content-type": "application/json" };
                 this.options.onCall?.(ip);
-                const { body } = await this.#agent.request({ origin: `http://${address}`, ...call, headers, signal });
+                const { body, headers } = await this.#agent.request({
+                    origin: `http://${address}`,
+                    ...call,
+                    headers: { ...REQUEST_HEADERS, [headerName.key]: this.options.key },
+                    headersTimeout: CALL_TIMEOUT_MS,
+                    bodyTimeout: CALL_TIMEOUT_MS,
+                    signal,
+                });
                 transfer.recordResponse();
-                return await readJsonBody(body, transfer);
+                return await readJsonBody(body, headers["content-encoding"], transfer);
             })],
         });
         this.#clients.set(address, client);
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -30,6 +30,7 @@
 import { BodyHold } from "./bodyhold.js";
 import { handleCall } from "./handlecall.js";
 import type { PeerService } from "./peerservice.js";
+import { ResponseBodies } from "./responsebodies.js";
 
 /** The response fields of a refusal, which consists of its metadata only. */
 const REFUSAL = { status: 0, headers: {}, body: undefined };
@@ -68,6 +69,7 @@
     readonly #server: Server;
     readonly #key: Buffer;
     readonly #sessions = new Set<LinkSession>();
+    readonly #bodies = new ResponseBodies();
     #openCalls = 0;
     #isClosing = false;
 
@@ -141,7 +143,7 @@
             res.writeHead(httpStatus.forbidden).end();
             return;
         }
-        void handleCall(req, res, this.deps.service);
+        void handleCall(req, res, this.deps.service, this.#bodies);
     }
 
     #hasKey(req: IncomingMessage): boolean {
