Followers get every rule of a document in which a name is used twice

At the daemons that read the store a route is served, at those that pull from them it gets 404.

Cause: patches between daemons replace items by name. Of two rules of one name a patch keeps the last, so a follower has one rule fewer than its watcher, for as long as the name is used twice. The platform's documents are not checked for unique names, and its pages don't ask for them.

Change: a patch is made only if the names of both documents are unique; otherwise peers get the full document.

--- a/src/distribution/currentconfiguration.ts
+++ b/src/distribution/currentconfiguration.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
 import type { Document } from "../config/document.js";
 import { emptyDocument } from "../config/emptydocument.js";
+import { hasUniqueNames } from "../config/hasuniquenames.js";
 import { makePatch } from "../config/makepatch.js";
 import type { Patch } from "../config/patch.js";
 import { log } from "../log/log.js";
@@ -72,15 +73,29 @@
         if (document.revision <= this.revision) {
             return false;
         }
-        this.#replace(document, () => [makePatch(this.#document, document)]);
+        this.#replace(document, () => this.#patchTo(document));
         return true;
     }
 
-    /** Patches are kept from the first document on. */
-    #replace(document: Document, patches: () => readonly Patch[]): void {
+    /**
+     * Returns the patch to a document, or undefined if it would not give a peer the same items: they are patched by name,
+     * so a name that is used twice can't be expressed.
+     */
+    #patchTo(document: Document): readonly Patch[] | undefined {
+        return [this.#document, document].every(hasUniqueNames) ? [makePatch(this.#document, document)] : undefined;
+    }
+
+    /** Patches are kept from the first document on. Peers get the full document if there is no patch. */
+    #replace(document: Document, createPatches: () => readonly Patch[] | undefined): void {
         if (this.revision > 0) {
-            this.#patches.push(...patches());
-            this.#patches.splice(0, this.#patches.length - MAX_PATCHES);
+            const patches = createPatches();
+            if (patches === undefined) {
+                this.#patches.length = 0;
+            }
+            else {
+                this.#patches.push(...patches);
+                this.#patches.splice(0, this.#patches.length - MAX_PATCHES);
+            }
         }
         logger.change("A new configuration revision is applied.", {
             revision: document.revision,
