A stored document that refers to an unknown service is rejected

A rule, or a share of a split, whose service is not in the document was applied, and its requests got 404.

Cause: references were checked when operators change a document through a daemon, but not when a document is read from a store that others write.

Change: DocumentApplier, through which every stored document passes, checks them; the document is rejected as a whole, the previous one stays in force, and the field is named in the log, metric and status. Not rejected: two rules of one place (the first name in lexical order serves at every daemon), a target above the time limit, a rule without a host (it matches all hosts), two rules of one name (followers get the full document).

--- a/src/distribution/documentapplier.ts
+++ b/src/distribution/documentapplier.ts
@@ -4,6 +4,8 @@
  * Decodes one document at a time and only the newest of those that wait, and rests after each, so that many versions in
  * a short time cost little more than two.
  */
+import { checkReferences } from "../config/checkreferences.js";
+import { ConfigError } from "../config/configerror.js";
 import { log } from "../log/log.js";
 import type { StoredDocument } from "../store/storeddocument.js";
 import type { Clock } from "../time/clock.js";
@@ -77,6 +79,10 @@
             const pause = createStepPause(this.clock);
             const document = await stored.decode(pause);
             await pause();
+            const issues = checkReferences(document);
+            if (issues.length > 0) {
+                throw new ConfigError(issues);
+            }
             this.configuration.apply(document);
             this.rejection.end();
         }
