A new revision is passed on by every daemon that has it, not by the watchers alone

What callers saw: 404, 401 or the former service at single daemons, seconds after a change.

Cause: a change reached a daemon through heartbeats of its hall's two watchers, or by chance through a hello to random peers every 3 s. - A watcher's send budget (2.9 KB/s beside pongs) spreads its heartbeats. Followers of the other watcher come last, so if that one has stopped, half of the hall is later than the 2.5 s in which a change has to be in force. - If both have stopped, nobody takes over for 5 s (HEARTBEAT_TIMEOUT_MS), and only hellos reach the hall. - A daemon that starts reads a stale configuration, and sent its first hello after 3 s.

Change: a daemon sends a hello with its revision to three random peers of its hall and one of another hall as soon as the revision changes, and again to others 0.5 s later; what exceeds the send budget is sent 0.1 s later. It does the same once it knows the first member: members with a newer revision reply.

At most eight more datagrams of about 170 bytes a daemon and change.

--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -52,6 +52,7 @@
         gates.onEnding(name => this.registryMembership?.recordLeaving(name));
         context.metrics.showMembership(() => this.members.length, () => this.heartbeats.isWatcher);
         configuration.current.onChange(() => this.#applyUpstreamChange());
+        configuration.current.onChange(() => this.registryMembership?.gossip.announceRevision());
         this.registryMembership?.onChange(() => this.#applyUpstreamChange());
         configuration.evacuations.onChange(() => this.#checkEvacuatedHalls());
     }
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -3,13 +3,16 @@
  *
  * A daemon sends each change of its record to the daemons that watch the store in each hall, which notify their halls
  * (distribution/hallheartbeats.ts). In addition, it periodically sends a hello with its incarnation, the version of its
- * record and the revision of its configuration to a few random peers, most of them in its own region. A receiver that is behind requests what it lacks:
- * the sender's record (or all the sender's records, if it knows no other member) and the configuration.
+ * record and the revision of its configuration to a few random peers, most of them in its own region, and does so at once
+ * when the revision has changed or the first member is known. A receiver that is behind requests what it lacks: the
+ * sender's record (or all the sender's records, if it knows no other member) and the configuration. A receiver that is
+ * ahead replies.
  */
 import type { Message } from "../datagram/message.js";
 import type { Evacuations } from "../evacuation/evacuations.js";
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
+import { selectRevisionPeers } from "../policy/distribution/selectrevisionpeers.js";
 import { selectHelloPeers } from "../policy/membership/selecthellopeers.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import type { Clock } from "../time/clock.js";
@@ -17,6 +20,7 @@
 import type { Member } from "../wire/member.js";
 import type { RecordChanges } from "../wire/recordchanges.js";
 import type { MemberList } from "./memberlist.js";
+import { RevisionGossip } from "./revisiongossip.js";
 
 const logger = log("roster");
 
@@ -61,7 +65,17 @@
         new Ticker(HELLO_INTERVAL_MS, () => this.#sendHellos()),
     ];
 
-    constructor(private readonly deps: GossipDependencies) {}
+    readonly #revisions: RevisionGossip;
+    #hasGreeted = false;
+
+    constructor(private readonly deps: GossipDependencies) {
+        const { clock, memberList, ownRecord, random } = deps;
+        this.#revisions = new RevisionGossip({
+            clock,
+            selectPeers: () => selectRevisionPeers(memberList.members, ownRecord(), random).map(({ gate }) => gate),
+            sendHello: to => this.#sendHello(to),
+        });
+    }
 
     start(): void {
         this.#tickers.forEach(ticker => ticker.start());
@@ -69,6 +83,12 @@
 
     stop(): void {
         this.#tickers.forEach(ticker => ticker.stop());
+        this.#revisions.stop();
+    }
+
+    /** Notifies a few peers of the revision in force; those that have a newer one reply. */
+    announceRevision(): void {
+        this.#revisions.announce();
     }
 
     /** Sends this daemon's changed record to the relays. */
@@ -165,6 +185,18 @@
             });
         });
         memberList.doubtfulGates(now).forEach(gate => this.#sendHello(gate));
+        this.#greetFirstMembers();
+    }
+
+    /**
+     * Sends hellos once there are other members: the configuration that was read at the start may be seconds old, and
+     * members with a newer one reply.
+     */
+    #greetFirstMembers(): void {
+        if (!this.#hasGreeted && this.deps.memberList.size > 0) {
+            this.#hasGreeted = true;
+            this.announceRevision();
+        }
     }
 
     #sendHellos(): void {
@@ -174,12 +206,13 @@
             .forEach(member => this.#sendHello(member.gate));
     }
 
-    #sendHello(to: Address): void {
+    /** Returns false if the send budget is spent. */
+    #sendHello(to: Address): boolean {
         const { self: from, ownRecord, configurationRevision, send, memberList, clock, evacuations } = this.deps;
         const { incarnation, version } = ownRecord();
         const knowsYou = memberList.find(to) !== undefined && !memberList.isDoubtful(to, clock());
         const evacuated = evacuations.stateForPeers;
-        send(to, {
+        return send(to, {
             type: "hello",
             from,
             incarnation,
