A request whose rule was moved or removed is refused by a gate that knows it

What callers saw: the former service of a route answered, or a removed route was served, because only the daemon that they called had an older configuration.

Cause: a gate compares its newer rule with the sender's decision for the kind and the region only. A request that the sender places by a rule that has moved to another service since, or is gone, was run, although the gate's daemon knew better.

If no rule matches any more, it answers 404; before, it kept the former plan.

A test of the matcher without network.

--- a/demo/runrecord.ts
+++ b/demo/runrecord.ts
@@ -89,6 +89,11 @@
         this.#limitedPeriods.set(key, period);
     }
 
+    /** Returns the upstreams at which the request with this id arrived, in order. */
+    upstreamsOf(id: string): string[] {
+        return this.#arrivals.filter(arrival => arrival.id === id).map(({ upstream }) => upstream);
+    }
+
     /** Returns how often the request ran. */
     countRuns(id: string): number {
         return this.#runCounts.get(id) ?? 0;
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -136,7 +136,7 @@
             bodyMemory: this.#bodyMemory,
             pullConfiguration: this.#pullConfiguration,
             findRule: target => rules.find(target),
-            isStale: (head, rule) => rules.isStale(head, rule),
+            isStale: (head, rule, service) => rules.isStale(head, rule, service),
             onSocket: this.context.regionTraffic.watch,
             onSender: sender => this.loadSharing.reporter.recordSender(sender as Address),
         });
--- a/src/daemon/rulematcher.test.ts
+++ b/src/daemon/rulematcher.test.ts
@@ -7,6 +7,7 @@
 import { Service } from "../config/service.js";
 import { CurrentConfiguration } from "../distribution/currentconfiguration.js";
 import type { RegionName } from "../ids/regionname.js";
+import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { OutgoingRequest } from "../ingress/outgoingrequest.js";
 import type { Plan } from "../ingress/plan.js";
@@ -39,7 +40,7 @@
             arrival: "first",
         };
         const out = { method: "GET", path: "/", headers: { host: "h" } } as unknown as OutgoingRequest;
-        assert.equal(matcher.replan(out, plan).service.name, matched.service.name);
+        assert.equal(matcher.replan(out, plan)?.service.name, matched.service.name);
     }
 });
 
@@ -51,9 +52,35 @@
     const target = { method: "GET", host: "h", path: "/" };
     const isStaleIn = (region: string, revision: number): boolean => {
         const matcher = new RuleMatcher(configuration, () => 0, region as RegionName);
-        return matcher.isStale({ kind: "repeatable", revision } as never, matcher.find(target));
+        return matcher.isStale({ kind: "repeatable", revision } as never, matcher.find(target), "old" as ServiceName);
     };
     assert.equal(isStaleIn("north", 1), true);
     assert.equal(isStaleIn("south", 1), false);
     assert.equal(isStaleIn("north", 2), false, "a sender with the same rules has decided by them");
 });
+
+// Guards against a request that is run by the former service of its rule, or after its rule was removed, because its
+// sender has an older document than the daemon of the upstream.
+test("stale rule: a request that the newer rules here send to another service, or do not match, is refused", () => {
+    const configuration = new CurrentConfiguration();
+    const [rule] = document.rules;
+    configuration.apply({
+        ...document,
+        revision: 2,
+        rules: [parse(Rule, { ...rule, split: undefined, service: "new" })],
+    });
+    const matcher = new RuleMatcher(configuration, () => 0, "north" as RegionName);
+    const isStale = (path: string, service: string, revision: number): boolean =>
+        matcher.isStale(
+            { kind: "repeatable", revision } as never,
+            matcher.find({ method: "GET", host: "h", path }),
+            service as ServiceName,
+        );
+    assert.equal(isStale("/", "old", 1), true);
+    assert.equal(isStale("/", "new", 1), false);
+    assert.equal(isStale("/", "old", 2), false, "a sender with the same rules has decided by them");
+    configuration.apply({ ...document, revision: 3, rules: [parse(Rule, { ...rule, pathPrefix: "/kept/" })] });
+    assert.equal(isStale("/removed", "old", 2), true);
+    assert.equal(isStale("/kept/1", "old", 2), false, "each service of a split with a weight is allowed");
+    assert.equal(isStale("/kept/1", "new", 2), false);
+});
--- a/src/ingress/ingressdependencies.ts
+++ b/src/ingress/ingressdependencies.ts
@@ -41,6 +41,6 @@
     readonly peerAddress: string;
     /** Pulls the configuration from a gate whose revision is newer. */
     readonly pullConfiguration: (revision: number, from: Address) => Promise<void>;
-    /** Returns the plan under the current rules, or the given plan if no rule matches. */
-    readonly replan: (out: OutgoingRequest, plan: Plan) => Plan;
+    /** Returns the plan under the current rules, or undefined if no rule matches any more. */
+    readonly replan: (out: OutgoingRequest, plan: Plan) => Plan | undefined;
 };
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -45,6 +45,8 @@
     /** The attempt whose response goes to the caller. */
     #claimed: Attempt | undefined;
     #isDeadlinePassed = false;
+    /** False once a newer configuration has no rule for the request. */
+    #hasRule = true;
     readonly #quarantine: RequestQuarantine;
 
     constructor(
@@ -123,6 +125,9 @@
             if (this.plan.kind === "once" && this.#retries.history.mayHaveRun) {
                 return await this.#respondUnserved(result);
             }
+            if (!this.#hasRule) {
+                return this.#respondWithoutRule();
+            }
             this.#claimed = undefined;
             last = result;
         }
@@ -194,10 +199,18 @@
         if (result.reason === "stale-rule") {
             this.#retries.history.attempted.delete(target);
             await this.deps.pullConfiguration(result.revision ?? 0, target.settings.gate);
-            this.plan = this.deps.replan(this.outgoing, this.plan);
+            const plan = this.deps.replan(this.outgoing, this.plan);
+            this.#hasRule = plan !== undefined;
+            this.plan = plan ?? this.plan;
         }
     }
 
+    #respondWithoutRule(): RequestOutcome {
+        const outcome = this.#retries.history.mayHaveRun ? "unknown" : "not-run";
+        this.response.sendProblem("no-rule", { outcome, detail: `${this.outgoing.method} ${this.outgoing.path}` });
+        return outcome;
+    }
+
     async #respondUnserved(result: UnservedResult): Promise<RequestOutcome> {
         if (result.outcome === "failed") {
             return await this.#respondFailed(result.response);
--- a/src/peer/peerserver.test.ts
+++ b/src/peer/peerserver.test.ts
@@ -51,7 +51,7 @@
         identity: { responseMetadata: () => LinkEnds.metadata } as never,
         service: undefined as never,
         bodyMemory: new BodyMemory(0),
-        gate: () => ({ serve }) as never,
+        gate: () => ({ serve, upstream: {} }) as never,
         pullConfiguration: async () => {},
         findRule: () => undefined,
         isStale: () => false,
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -13,6 +13,7 @@
 import { HopError } from "../hop/hoperror.js";
 import type { Cancellation } from "../http/cancellation.js";
 import { httpStatus } from "../http/httpstatus.js";
+import type { ServiceName } from "../ids/servicename.js";
 import type { UpstreamName } from "../ids/upstreamname.js";
 import { detectProtocol } from "../link/detectprotocol.js";
 import { LinkSession } from "../link/linksession.js";
@@ -52,10 +53,10 @@
     /** Returns the rule of this daemon's configuration that matches a request. */
     readonly findRule: (target: RequestTarget) => MatchedRule | undefined;
     /**
-     * Returns true if the sender's older rules allow repeating the request, or serving it here, but this daemon's newer
-     * ones do not.
+     * Returns true if the sender's older rules allow repeating the request, or serving it here by an upstream of the
+     * service, but this daemon's newer ones do not.
      */
-    readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined) => boolean;
+    readonly isStale: (head: RequestMetadata, rule: MatchedRule | undefined, service: ServiceName) => boolean;
     /** Bounds the bytes of the bodies that are held. */
     readonly bodyMemory: BodyMemory;
     /** Called with the address of each sender of a request, so that load reports are sent to it. */
@@ -205,7 +206,7 @@
         }
         const host = Array.isArray(headers.host) ? headers.host[0] : headers.host;
         const matched = this.deps.findRule({ method, host, path });
-        if (this.deps.isStale(head, matched)) {
+        if (this.deps.isStale(head, matched, gate.upstream.service)) {
             throw new HopError("not-run", "stale-rule");
         }
         return await gate.serve({ head, rule: matched?.rule.name, method, path, headers, body, cancel, fetchBody });
