A large document is read from the store over a slow link

A daemon that starts on a link of 7 Mbit/s beside a document of 3,400 rules (some 0.8 MB as the store sends it) could not read it; a watcher that has to read the whole state again, because the store has forgotten its history, would not get it at all, and with it its hall.

A call to the store was given up after 1 s as a whole, whatever had been received.

Test of the client: a response whose parts take longer than the limit together fails on the former code and passes; one that stops in the middle is given up as before.

--- a/bench/documentgrowth.ts
+++ b/bench/documentgrowth.ts
@@ -9,6 +9,9 @@
 import { ConfigurationDecoder } from "../platform/configurationdecoder.js";
 import { decodeUpdate } from "../src/config/decodeupdate.js";
 import { CurrentConfiguration } from "../src/distribution/currentconfiguration.js";
+import { readJsonBody } from "../src/peer/readjsonbody.js";
+import { ResponseBodies } from "../src/peer/responsebodies.js";
+import { Transfer } from "../src/peer/transfer.js";
 import { routingTableOf } from "../src/policy/routing/routingtableof.js";
 import { createStepPause } from "../src/time/createsteppause.js";
 import { processClock } from "../src/time/processclock.js";
@@ -64,6 +67,11 @@
     storeRevision: revision,
 });
 
+async function* streamOf(bytes: Buffer): AsyncGenerator<Buffer> {
+    yield bytes;
+}
+
+const bodies = new ResponseBodies();
 const decoder = new ConfigurationDecoder();
 const configuration = new CurrentConfiguration();
 const receiver = new CurrentConfiguration();
@@ -75,11 +83,16 @@
     await measure(`${label}: apply`, () => configuration.apply(document));
     await measure(`${label}: routing table`, () => routingTableOf(document));
     const update = configuration.updateFor(revision - 1);
-    const text = await measure(`${label}: update to JSON`, () => JSON.stringify(update));
-    const received = await measure(`${label}: update from JSON`, () => JSON.parse(text) as unknown);
+    const { body, encoding } = await measure(`${label}: update to bytes`, () => bodies.encode(update, true));
+    const transfer = new Transfer();
+    const response = await measure(
+        `${label}: update from bytes`,
+        () => readJsonBody(streamOf(Buffer.from(body)), encoding, transfer),
+    );
+    const received = (response as { readonly result: { readonly data: unknown; }; }).result.data;
     const decoded = await measure(`${label}: decode update`, pause => decodeUpdate(received, pause));
     await measure(`${label}: apply update`, () => receiver.applyUpdate(decoded));
-    console.log(label, "bytes for peers", text.length);
+    console.log(label, "bytes for peers", transfer.bytes, "of", JSON.stringify(update).length);
 };
 
 await applyVersion("first", 1, rules.slice(0, 8));
--- a/src/store/storeclient.test.ts
+++ b/src/store/storeclient.test.ts
@@ -82,3 +82,28 @@
         });
     }
 });
+
+// Guards against a daemon that never gets a large document over a slow link, because each read is given up half-way.
+test("store client: a response is received whole while its parts arrive, also for longer than the time limit", async () => {
+    const text = JSON.stringify({ at: 1 });
+    const serve: Serve = async (_, res) => {
+        for (const character of text) {
+            res.write(character);
+            await new Promise(resolve => setTimeout(resolve, TIMEOUT_MS / 2));
+        }
+        res.end();
+    };
+    await withClient(serve, async client => {
+        const startedAt = performance.now();
+        assert.deepEqual(await find(client), { value: { at: 1 }, era: 0 });
+        assert.ok(performance.now() - startedAt > 2 * TIMEOUT_MS);
+    });
+});
+
+test("store client: a response that stops in the middle is given up after the time limit", async () => {
+    await withClient((_, res) => void res.write(`{"at"`), async client => {
+        const startedAt = performance.now();
+        await assert.rejects(find(client), { message: "the store did not respond" });
+        assert.ok(performance.now() - startedAt < 5 * TIMEOUT_MS);
+    });
+});
--- a/src/store/storeclient.ts
+++ b/src/store/storeclient.ts
@@ -9,6 +9,7 @@
 import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
 import type { StoreCallKind } from "../metrics/storecallkind.js";
+import { CallTimeLimit } from "./calltimelimit.js";
 import { HistoryUnavailableError } from "./historyunavailableerror.js";
 import { StoreConnections } from "./storeconnections.js";
 import { StoreError } from "./storeerror.js";
@@ -23,7 +24,7 @@
 /** Statuses of a store that is rate limiting or unavailable; they prove that the call was not executed. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([httpStatus.tooManyRequests, httpStatus.serviceUnavailable]);
 
-/** `timeoutMs` limits each call except watches. */
+/** `timeoutMs` limits the time without data of each call; watches may wait longer for the first. */
 type ClientOptions = StoreEvents & {
     readonly address: Address;
     readonly localIp: string;
@@ -139,17 +140,15 @@
         const { calls, watches } = this.#connections;
         this.options.onCall(kind);
         const controller = new AbortController();
-        const clearTimeLimit = this.#startTimeLimit(call, controller);
+        const limit = this.#createTimeLimit(call, controller);
+        const stopListening = this.#cancelWithCaller(call, controller);
         try {
             const { signal } = controller;
             const connections = waitMs === undefined ? calls : watches;
-            const { status, headers: responseHeaders, text } = await connections.request({
-                method,
-                path,
-                headers,
-                body,
-                signal,
-            });
+            const { status, headers: responseHeaders, text } = await connections.request(
+                { method, path, headers, body, signal },
+                () => limit.recordData(),
+            );
             this.#recordResponse();
             this.options.onBytes(text.length + (body?.length ?? 0));
             return { status, text, era: this.#eraOf(responseHeaders) };
@@ -159,7 +158,8 @@
             throw new StoreError(!isConnectError(err), "the store did not respond", { cause: err });
         }
         finally {
-            clearTimeLimit();
+            limit.end();
+            stopListening();
         }
     }
 
@@ -214,13 +214,15 @@
         return { calls: open(), watches: open() };
     }
 
-    /** Aborts the call at its time limit or when its caller cancels it. Returns a function that removes both. */
-    #startTimeLimit({ waitMs, signal }: Call, controller: AbortController): () => void {
-        const limitMs = waitMs === undefined ? this.options.timeoutMs : waitMs + WATCH_SLACK_MS;
-        const timer = setTimeout(
-            () => controller.abort(new DOMException("no response within the time limit", TIMEOUT_ERROR)),
-            limitMs,
-        );
+    #createTimeLimit({ waitMs }: Call, controller: AbortController): CallTimeLimit {
+        const { timeoutMs } = this.options;
+        const abort = (): void =>
+            controller.abort(new DOMException("no response within the time limit", TIMEOUT_ERROR));
+        return new CallTimeLimit(abort, waitMs === undefined ? timeoutMs : waitMs + WATCH_SLACK_MS, timeoutMs);
+    }
+
+    /** Aborts the call when its caller cancels it. Returns a function that ends this, to be called when the call has ended. */
+    #cancelWithCaller({ waitMs, signal }: Call, controller: AbortController): () => void {
         const cancel = (): void => controller.abort(signal?.reason);
         signal?.addEventListener("abort", cancel);
         if (signal?.aborted) {
@@ -230,7 +232,6 @@
             this.#watches.set(controller, this.#connections);
         }
         return () => {
-            clearTimeout(timer);
             signal?.removeEventListener("abort", cancel);
             this.#watches.delete(controller);
         };
--- a/src/store/storeconnections.ts
+++ b/src/store/storeconnections.ts
@@ -23,11 +23,16 @@
 
     constructor(private readonly options: ConnectionOptions) {}
 
-    /** Sends a request and reads the response; rejects with the connection's error or the signal's reason. */
-    async request(options: Dispatcher.RequestOptions): Promise<HttpResponse> {
+    /**
+     * Sends a request and reads the response; rejects with the connection's error or the signal's reason. Calls `onData`
+     * for the head and each part of the body that is received.
+     */
+    async request(options: Dispatcher.RequestOptions, onData: () => void): Promise<HttpResponse> {
         const client = this.#acquire();
         try {
             const { statusCode: status, headers, body } = await client.request(options);
+            onData();
+            body.on("data", onData);
             return { status, headers, text: await body.text() };
         }
         finally {
