--- a/src/membership/revisiongossip.ts
+++ b/src/membership/revisiongossip.ts
@@ -23,21 +23,25 @@
     #unsent: readonly Address[] = [];
     #roundsLeft = 0;
     #nextRoundAt = 0;
+    #isStopped = false;
 
     constructor(private readonly deps: RevisionGossipDependencies) {}
 
-    /** Announces the revision that is in force now. */
+    /** Announces the revision that is in force now. Does nothing after `stop`: a pull may end while the daemon stops. */
     announce(): void {
+        if (this.#isStopped) {
+            return;
+        }
         this.#roundsLeft = ROUNDS;
         this.#nextRoundAt = this.deps.clock();
         this.#ticker.start();
         this.#tick();
     }
 
+    /** Ends all announcements for good. */
     stop(): void {
+        this.#isStopped = true;
         this.#ticker.stop();
-        this.#roundsLeft = 0;
-        this.#unsent = [];
     }
 
     #tick(): void {
