--- a/src/policy/distribution/selectrevisionpeers.ts
+++ b/src/policy/distribution/selectrevisionpeers.ts
@@ -10,8 +10,9 @@
 import { sample } from "../placement/sample.js";
 import type { RandomSource } from "../randomsource.js";
 
-/** With two rounds, a daemon that gets no announcement in its hall is rarer than one in a thousand. */
+/** Peers in the own hall: with two rounds, fewer than one daemon in a hundred gets no announcement in its hall. */
 const OWN_HALL_FANOUT = 3;
+/** Peers in other halls: many daemons send these, so that they reach a hall without watchers. */
 const OTHER_HALL_FANOUT = 1;
 
 type Place = { readonly hall: HallName; readonly region: RegionName; };
