--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -6,13 +6,16 @@
 // `copy` (see below). A line `{"shed":S,"copies":C}` on standard input sets its disruptions:
 // - shed: the share of requests that it refuses with 503 and `Not-Executed` though it could run them (srv_grey, shed);
 // - copies: the share of its answers of which it sends a second copy, late: in the slot where the next answer on that
-//   connection is due (garble, extra late). The copy is exactly the answer before, with the id of that request.
+//   connection is due (garble, extra late). The copy is exactly the answer before, with the id of that request;
+// - unframed: the share of its successes that have no length and end with their connection (garble, unframed);
+// - cut: the share of its successes that are lost on the way: the connection is reset behind their first half
+//   (answer_lost, reset).
 import { createHash } from "node:crypto";
 import { createServer } from "node:http";
 import { createInterface } from "node:readline";
 
 const options = JSON.parse(process.argv[2]);
-const { id, service, ip, port, hall, slots, queue, workMs, announce, beatMs } = options;
+const { id, service, ip, port, hall, slots, queue, workMs, announce, beatMs, bodyBytes = 0 } = options;
 let disruption = { shed: 0, copies: 0, workX: 1 };
 let running = 0;
 let sequence = 0;
@@ -22,20 +25,29 @@
 const record = fields => console.log(JSON.stringify({ t: Math.round(performance.timeOrigin + performance.now()), instance: id, ...fields }));
 const hasLuck = share => Math.random() < share;
 
-const answer = (socket, { status, attempt, headers = {}, body = "" }) => {
+const answer = (socket, { status, attempt, headers = {}, body = "", isUnframed = false, isCut = false }) => {
     const reason = { 200: "OK", 421: "Misdirected Request", 503: "Service Unavailable" }[status];
     const fields = {
         ...attempt === undefined ? {} : { "Attempt-Id": attempt },
         "Server-Load": `${running},${waiting.length},${slots},100`,
         "Content-Type": "application/octet-stream",
-        "Content-Length": Buffer.byteLength(body),
+        ...isUnframed ? { Connection: "close" } : { "Content-Length": Buffer.byteLength(body) },
         ...headers,
     };
     const head = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`).join("");
     const bytes = `HTTP/1.1 ${status} ${reason}\r\n${head}\r\n${body}`;
+    if (isCut) {
+        socket.write(bytes.slice(0, bytes.length - Math.ceil(body.length / 2)));
+        setImmediate(() => socket.resetAndDestroy());
+        return;
+    }
     if (!socket.destroyed) {
         socket.write(bytes);
     }
+    if (isUnframed) {
+        socket.end();
+        return;
+    }
     if (attempt !== undefined && hasLuck(disruption.copies)) {
         copies.set(socket, { bytes, attempt, status });
         socket.once("close", () => copies.delete(socket));
@@ -52,10 +64,11 @@
     record({ event: "run", attempt, path });
     setTimeout(() => {
         running -= 1;
-        const body = `${id} ran ${attempt} ${path}`;
+        const body = `${id} ran ${attempt} ${path}`.padEnd(bodyBytes, ".");
         const signature = createHash("sha256").update(body).digest("hex").slice(0, 16);
-        record({ event: "end", attempt, open: !socket.destroyed });
-        answer(socket, { status: 200, attempt, headers: { "Server-Signature": `${id}.${signature}` }, body });
+        const [isUnframed, isCut] = [hasLuck(disruption.unframed ?? 0), hasLuck(disruption.cut ?? 0)];
+        record({ event: "end", attempt, open: !socket.destroyed, ...isUnframed && { isUnframed }, ...isCut && { isCut } });
+        answer(socket, { status: 200, attempt, headers: { "Server-Signature": `${id}.${signature}` }, body, isUnframed, isCut });
         if (waiting.length > 0) {
             run(waiting.shift());
         }
