Log what a planned stop does to each request

A request that the daemon cut off looked like one whose caller had left: `outcome: left, status: 200`, though no response had begun. After a second signal there was no line of the stop's end, and nothing named the process or the signal, so a line could not be assigned to the stopping process or its successor. An error in the stop ended the process with exit code 0 and no line.

Change: outcome `cut`, and no status if no response was begun; lines for each signal and for the end of the stop, with counts of the requests accepted, answered, unanswered, cut off and dropped, and the bytes that were not sent; the incarnation on the lines of start and stop; a stop that fails is logged and exits with 1. No decision changes. The checks of a request's head and the type of the limits move to files of their own.

Measured: `stop: the log states which requests the daemon cut off, and accounts for all others` fails on the code before (no request with outcome `cut`) and passes now.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -86,6 +86,7 @@
         logger.change("The daemon is up.", {
             ready: true,
             host: settings.host,
+            incarnation: this.#context.incarnation,
             hall: settings.hall,
             ingress: settings.ingress,
             operator: settings.operator,
@@ -99,9 +100,14 @@
      * left after the time limit are cut off. `forceStop` ends all waits at once.
      */
     async stop(forceStop: AbortSignal): Promise<void> {
-        const { settings, clock } = this.#context;
+        const { settings, clock, incarnation } = this.#context;
         const { lingerMs, limitMs } = settings.stop;
-        logger.change("The daemon is stopping.", { host: settings.host, inFlight: this.#inFlightCount() });
+        const startedAt = clock();
+        logger.change("The daemon is stopping.", {
+            host: settings.host,
+            incarnation,
+            inFlight: this.#inFlightCount(),
+        });
         this.#operators.server.setNotReady();
         this.#requestPath.ingress.startClosing();
         await sleep(lingerMs, forceStop);
@@ -122,6 +128,13 @@
         this.#requestPath.ingress.destroy();
         await this.#closePeerServer(forceStop);
         this.#stopControlTasks();
+        logger.change("The daemon has stopped.", {
+            host: settings.host,
+            incarnation,
+            tookMs: Math.round(clock() - startedAt),
+            left,
+            ...this.#requestPath.ingress.stopSummary(),
+        });
     }
 
     /**
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { ConfigError } from "../config/configerror.js";
 import { parse } from "../config/parse.js";
+import { log } from "../log/log.js";
 import { logSink } from "../log/logsink.js";
 import type { Metrics } from "../metrics/metrics.js";
 import { Daemon } from "./daemon.js";
@@ -9,7 +10,9 @@
 import { Settings } from "./settings.js";
 import { SettingsFile } from "./settingsfile.js";
 
-/** Exit code if the daemon can't start, for example because an address is in use. */
+const logger = log("daemon");
+
+/** Exit code if the daemon can't start, for example because an address is in use, or if its stop fails. */
 const EXIT_FAILED = 1;
 /** Exit code if the settings are missing or invalid. */
 const EXIT_SETTINGS = 2;
@@ -26,16 +29,30 @@
     }
 };
 
+const stopAndExit = async (daemon: Daemon, forceStop: AbortSignal): Promise<void> => {
+    let exitCode = 0;
+    try {
+        await daemon.stop(forceStop);
+    }
+    catch (err) {
+        logger.warn("The stop has failed; the daemon ends at once.", err);
+        exitCode = EXIT_FAILED;
+    }
+    await logSink.end();
+    process.exit(exitCode);
+};
+
 const stopOnSignal = (daemon: Daemon): void => {
     const forceStop = new AbortController();
     let isStopping = false;
-    const onSignal = (): void => {
+    const onSignal = (signal: NodeJS.Signals): void => {
+        logger.change("The daemon has received a signal.", { signal, isStopping });
         if (isStopping) {
             forceStop.abort();
             return;
         }
         isStopping = true;
-        void daemon.stop(forceStop.signal).finally(() => logSink.end()).finally(() => process.exit(0));
+        void stopAndExit(daemon, forceStop.signal);
     };
     STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
 };
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -32,6 +32,8 @@
     readonly isStopping: () => boolean;
     /** Serves an accepted request. */
     readonly serve: (request: ParsedRequest, connection: CallerConnection) => void;
+    /** Called for each request that was parsed and will not be accepted. */
+    readonly onDropped: () => void;
 };
 
 /** The state of one connection, from its acceptance to its end. */
@@ -73,7 +75,7 @@
     /** Accepts a request that was parsed, keeps it until it can be accepted, or drops it. */
     offer(req: IncomingMessage, res: ServerResponse): void {
         if (this.#isSealed) {
-            this.#droppedCount += 1;
+            this.#drop(1);
         }
         else if (this.#waiting.length === 0 && this.#accepted.length < this.deps.maxAccepted) {
             this.#accept({ req, res, arrivedAt: this.deps.clock() });
@@ -140,12 +142,19 @@
             return;
         }
         this.#isSealed = true;
-        this.#droppedCount = this.#waiting.length;
+        this.#drop(this.#waiting.length);
         this.#waiting.length = 0;
         // Unread data would make the system reset the connection when it is closed, and discard the last response.
         this.#resume();
     }
 
+    #drop(count: number): void {
+        this.#droppedCount += count;
+        for (let dropped = 0; dropped < count; dropped++) {
+            this.deps.onDropped();
+        }
+    }
+
     #handleAnswered(res: ServerResponse): void {
         const index = this.#accepted.indexOf(res);
         if (index >= 0) {
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -10,7 +10,13 @@
 ) => void;
 
 /** Dependencies of the connections; `maxAccepted` bounds the accepted, unanswered requests of each. */
-type ConnectionsDependencies = { readonly clock: Clock; readonly maxAccepted: number; readonly serve: Serve; };
+type ConnectionsDependencies = {
+    readonly clock: Clock;
+    readonly maxAccepted: number;
+    readonly serve: Serve;
+    /** Called for each request that was parsed and will not be accepted. */
+    readonly onDropped: () => void;
+};
 
 /** Errors of the parser begin so; all others are errors of the socket. */
 const PARSER_ERROR_PREFIX = "HPE_";
@@ -43,6 +49,15 @@
         return count;
     }
 
+    /** The number of bytes that were written to connections and are still buffered in the process. */
+    get unsentBytes(): number {
+        let bytes = 0;
+        for (const socket of this.#connections.keys()) {
+            bytes += socket.writableLength;
+        }
+        return bytes;
+    }
+
     /** Accepts no further requests on connections that have accepted ones; the last response closes each connection. */
     startClosing(): void {
         this.#isStopping = true;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -14,11 +14,11 @@
 import type { CallerConnection } from "./callerconnection.js";
 import { CallerConnections } from "./callerconnections.js";
 import { CallerResponse } from "./callerresponse.js";
+import { checkHead } from "./checkhead.js";
 import { closeServer } from "./closeserver.js";
-import { headBytes } from "./headbytes.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
+import type { IngressLimits } from "./ingresslimits.js";
 import { outgoingHeaders } from "./outgoingheaders.js";
-import { pathOf } from "./pathof.js";
 import type { Plan } from "./plan.js";
 import type { Planner } from "./planner.js";
 import { readCallerBody } from "./readcallerbody.js";
@@ -26,25 +26,10 @@
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
 import type { RequestRefusal } from "./requestrefusal.js";
+import { StopCounts } from "./stopcounts.js";
 
 const logger = log("ingress");
 
-/** The version of HTTP whose requests must have a host field (RFC 9112, 3.2). */
-const HOST_REQUIRED_VERSION = "1.1";
-
-/** Limits on what callers send; sizes in bytes, times in milliseconds. */
-type IngressLimits = {
-    readonly headerBytes: number;
-    /** Bodies up to this size are kept whole, so that they can be sent again. */
-    readonly keepBytes: number;
-    readonly bodyBytes: number;
-    readonly headersTimeoutMs: number;
-    readonly requestTimeoutMs: number;
-    readonly keepAliveMs: number;
-    /** The most requests of a connection that are accepted and not answered. */
-    readonly requestsPerConnection: number;
-};
-
 /** A request that its connection has accepted; `arrivedAt` is in milliseconds on the daemon's clock. */
 type AcceptedRequest = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number; };
 
@@ -66,6 +51,9 @@
     readonly #connections: CallerConnections;
     #callerLimits: CallerLimits = {};
     #inFlight = 0;
+    /** Undefined until a planned stop begins. */
+    #stopCounts: StopCounts | undefined;
+    #isDestroyed = false;
 
     constructor(
         private readonly limits: IngressLimits,
@@ -84,6 +72,7 @@
             clock: deps.clock,
             maxAccepted: limits.requestsPerConnection,
             serve: (request, connection) => void this.#handle(request, connection),
+            onDropped: () => this.#stopCounts?.recordDropped(),
         });
     }
 
@@ -113,9 +102,15 @@
      * connection. On other connections one more request is served.
      */
     startClosing(): void {
+        this.#stopCounts = new StopCounts(this.#inFlight);
         this.#connections.startClosing();
     }
 
+    /** Returns what became of the requests since the stop began, for the log. */
+    stopSummary(): object {
+        return this.#stopCounts?.summary() ?? {};
+    }
+
     /** Stops accepting connections, closes idle ones, and resolves when no new request can arrive. */
     close(): Promise<void> {
         return closeServer(this.#server);
@@ -123,12 +118,16 @@
 
     /** Closes all remaining connections, also those with a request in flight. */
     destroy(): void {
+        this.#isDestroyed = true;
+        this.#stopCounts?.recordUnsent(this.#connections.unsentBytes);
         this.#server.closeAllConnections();
     }
 
     async #handle({ req, res, arrivedAt }: AcceptedRequest, connection: CallerConnection): Promise<void> {
         const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
         this.#inFlight += 1;
+        this.#stopCounts?.recordAccepted();
+        res.once("close", () => this.#stopCounts?.recordEnd(this.#endOf(res)));
         try {
             const refusal = await this.#serve(req, res, callerResponse, arrivedAt);
             if (refusal !== undefined) {
@@ -148,6 +147,13 @@
         }
     }
 
+    #endOf({ writableFinished }: ServerResponse): Parameters<StopCounts["recordEnd"]>[0] {
+        if (writableFinished) {
+            return "answered";
+        }
+        return this.#isDestroyed ? "cut" : "unanswered";
+    }
+
     /** A response that is held is in flight until it was sent. */
     #countEnd(res: ServerResponse, { isHeld }: CallerResponse): void {
         if (isHeld && !res.destroyed) {
@@ -165,16 +171,11 @@
         callerResponse: CallerResponse,
         startedAt: number,
     ): Promise<RequestRefusal | undefined> {
-        const path = pathOf(req);
-        if (path === undefined) {
-            return { type: "refusal", problem: "bad-request", detail: "target" };
-        }
-        if (req.headers.host === undefined && req.httpVersion === HOST_REQUIRED_VERSION) {
-            return { type: "refusal", problem: "bad-request", detail: "host" };
-        }
-        if (headBytes(req) > (this.#callerLimits.headerBytes ?? this.limits.headerBytes)) {
-            return { type: "refusal", problem: "head-too-large", detail: "header" };
+        const head = checkHead(req, this.#callerLimits.headerBytes ?? this.limits.headerBytes);
+        if (head.type === "refusal") {
+            return head;
         }
+        const { path } = head;
         const id = this.deps.dialect.idOf(req.headers, this.deps.newRequestId());
         const requestLog = new RequestLog(id);
         const plan = this.listenerParts.planner.plan(req, path, startedAt, requestLog);
@@ -220,13 +221,16 @@
 
     #recordEnd(
         req: IncomingMessage,
-        { statusCode: status }: ServerResponse,
+        { statusCode, headersSent }: ServerResponse,
         plan: Plan,
         requestLog: RequestLog,
-        { outcome, attempts }: { readonly outcome: RequestOutcome; readonly attempts: number; },
+        { outcome: handledAs, attempts }: { readonly outcome: RequestOutcome; readonly attempts: number; },
     ): void {
         const elapsedMs = this.deps.clock() - plan.startedAt;
-        if (outcome !== "served" || status >= httpStatus.internalServerError) {
+        const outcome = handledAs === "left" && this.#isDestroyed ? "cut" : handledAs;
+        const hasBegun = headersSent || outcome !== "left" && outcome !== "cut";
+        const status = hasBegun ? statusCode : undefined;
+        if (outcome !== "served" || statusCode >= httpStatus.internalServerError) {
             this.listenerParts.planner.reportFailureToParent(req);
         }
         const { priority, team } = plan;
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -34,7 +34,8 @@
 /** The fields that are logged when a request ends; `elapsedMs` is in milliseconds since its arrival. */
 type EndedRequest = {
     readonly outcome: RequestOutcome;
-    readonly status: number;
+    /** Undefined if no response was begun. */
+    readonly status: number | undefined;
     readonly revision: number;
     readonly attempts: number;
     readonly elapsedMs: number;
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -42,6 +42,31 @@
     });
 });
 
+/** Returns the fields of the log lines with the message. */
+const linesOf = (mesh: Mesh, message: string): Record<string, unknown>[] =>
+    mesh.log.filter(line => line.includes(message)).map(line => JSON.parse(line) as Record<string, unknown>);
+
+// Guards against requests whose end by the daemon can't be told from a caller that left.
+test("stop: the log states which requests the daemon cut off, and accounts for all others", async () => {
+    await withMesh(async mesh => {
+        const host = mesh.host("pages-1");
+        const poll = request(`http://${host.ingress}/poll?ms=4500`).then(res => res.body.text());
+        const rejected = assert.rejects(poll);
+        await pause(300);
+        const stopped = mesh.daemons.get(host.name)!.end("SIGTERM");
+        await request(`http://${host.ingress}/poll?ms=50`).then(res => res.body.text());
+        assert.equal(await stopped, 0);
+        await rejected;
+        const cut = linesOf(mesh, "The request has ended.").filter(({ outcome }) => outcome === "cut");
+        assert.deepEqual(cut.map(({ status, tries }) => [status, tries]), [[undefined, 1]]);
+        const [stop, ...others] = linesOf(mesh, "The daemon has stopped.");
+        const { accepted, answered, unanswered, cut: cutCount, dropped, unsentBytes } = stop!;
+        assert.deepEqual([accepted, answered, unanswered, cutCount, dropped, unsentBytes], [2, 1, 0, 1, 0, 0]);
+        assert.equal(others.length, 0);
+        assert.deepEqual(linesOf(mesh, "received a signal").map(({ signal }) => signal), ["SIGTERM"]);
+    }, { settings: { stop: { lingerMs: 500, limitMs: 500 } } });
+});
+
 test("stop: a second signal ends the daemon at once, and the daemon logs how many requests it cuts off", async () => {
     await withMesh(async mesh => {
         const host = mesh.host("pages-1");
--- a/test/withconnection.ts
+++ b/test/withconnection.ts
@@ -32,6 +32,7 @@
     const connections = new CallerConnections(server, {
         clock: () => performance.now(),
         maxAccepted,
+        onDropped: () => {},
         serve: ({ req, res }, connection) => {
             let size = 0;
             req.on("data", (chunk: Buffer) => size += chunk.length);
