The time limit of a planned stop follows from the supervisor's grace time

Cause: the deployed settings had a fixed limit, 2.6 s and 1.6 s, and knew nothing of the time that the platform grants. The wait for requests in flight counted its polls in place of reading the clock, so it took longer than its limit on a busy host.

Change: the setting `stop.graceS`, filled from the platform's bounds. `planStop` computes the linger time, the limit and the end of the process from it: the limit is seven eighths of the grace time, at most 1 s before its end. The waits read the clock. Without the setting the limit is as before; a daemon with nothing in flight still ends early.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
  */
 import { log } from "../log/log.js";
 import { Metrics } from "../metrics/metrics.js";
+import { planStop } from "../policy/stop/planstop.js";
 import { sleep } from "../time/sleep.js";
 import { ConfigurationGroup } from "./configurationgroup.js";
 import { DaemonContext } from "./daemoncontext.js";
@@ -101,8 +102,9 @@
      */
     async stop(forceStop: AbortSignal): Promise<void> {
         const { settings, clock, incarnation } = this.#context;
-        const { lingerMs, limitMs } = settings.stop;
         const startedAt = clock();
+        const schedule = planStop(settings.stop, startedAt);
+        const limit = { clock, until: schedule.limitAt, forceStop };
         logger.change("The daemon is stopping.", {
             host: settings.host,
             incarnation,
@@ -110,13 +112,12 @@
         });
         this.#operators.server.setNotReady();
         this.#requestPath.ingress.startClosing();
-        await sleep(lingerMs, forceStop);
-        const deadline = clock() + limitMs;
+        await sleep(schedule.lingerEndsAt - clock(), forceStop);
         this.#startLeaving();
         await sleep(LEAVE_PROPAGATION_MS, forceStop);
-        await waitIdle(() => this.#gates.gateSet.pendingCount(), deadline - clock(), forceStop);
+        await waitIdle(() => this.#gates.gateSet.pendingCount(), limit);
         await this.#requestPath.ingress.close();
-        const left = await waitIdle(() => this.#inFlightCount(), deadline - clock(), forceStop);
+        const left = await waitIdle(() => this.#inFlightCount(), limit);
         if (left > 0) {
             logger.warn(
                 "Requests were cut off by the stop.",
@@ -126,7 +127,7 @@
             console.error(`winglock:daemon ${left} requests were cut off by the stop.`);
         }
         this.#requestPath.ingress.destroy();
-        await this.#closePeerServer(forceStop);
+        await this.#closePeerServer(schedule.exitAt, forceStop);
         this.#stopControlTasks();
         logger.change("The daemon has stopped.", {
             host: settings.host,
@@ -151,11 +152,13 @@
     }
 
     /** Waits before it closes, so that a peer that sent a request into a closing connection can still revoke it. */
-    async #closePeerServer(forceStop: AbortSignal): Promise<void> {
+    async #closePeerServer(exitAt: number, forceStop: AbortSignal): Promise<void> {
+        const { clock } = this.#context;
         const { peerServer } = this.#requestPath;
+        const remainingMs = (): number => Math.max(0, Math.min(PEER_REVOKE_GRACE_MS, exitAt - clock()));
         peerServer.closeIdle();
-        await sleep(PEER_REVOKE_GRACE_MS, forceStop);
-        await waitIdle(() => this.#inFlightCount(), PEER_REVOKE_GRACE_MS, forceStop);
+        await sleep(remainingMs(), forceStop);
+        await waitIdle(() => this.#inFlightCount(), { clock, until: clock() + remainingMs(), forceStop });
         const closed = peerServer.close();
         peerServer.destroy();
         await closed;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -102,6 +102,7 @@
 const Stop = z.strictObject({
     lingerMs: Ms.default(500),
     limitMs: Ms.default(30_000),
+    graceS: z.number().min(1).max(3600).optional(),
 });
 
 const Settings = z.strictObject({
--- a/src/daemon/waitidle.ts
+++ b/src/daemon/waitidle.ts
@@ -1,13 +1,16 @@
 /** Waits until no work is left. */
+import type { Clock } from "../time/clock.js";
 import { sleep } from "../time/sleep.js";
 
 /** Interval of the checks; a stop takes longer than the work in progress by this at most. */
 const POLL_INTERVAL_MS = 20;
 
-/** Resolves with the last `count` when it is 0, when `limitMs` have passed, or when `forceStop` aborts. */
-export async function waitIdle(count: () => number, limitMs: number, forceStop: AbortSignal): Promise<number> {
-    const maxPolls = Math.ceil(limitMs / POLL_INTERVAL_MS);
-    for (let poll = 0; poll < maxPolls && count() > 0 && !forceStop.aborted; poll++) {
+/** `until` is a time on the clock. */
+type WaitLimit = { readonly clock: Clock; readonly until: number; readonly forceStop: AbortSignal; };
+
+/** Resolves with the last `count` when it is 0, when the time `until` is reached, or when `forceStop` aborts. */
+export async function waitIdle(count: () => number, { clock, until, forceStop }: WaitLimit): Promise<number> {
+    while (count() > 0 && clock() < until && !forceStop.aborted) {
         await sleep(POLL_INTERVAL_MS, forceStop);
     }
     return count();
--- /dev/null
+++ b/src/policy/stop/stop.test.ts
@@ -0,0 +1,32 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planStop } from "./planstop.js";
+
+/** From this share of the grace time on, a request that is still running may be cut off. */
+const MIN_LIMIT_SHARE = 5 / 6;
+
+const graceTimes = fc.double({ min: 1, max: 3600, noNaN: true });
+const settings = fc.record({
+    lingerMs: fc.integer({ min: 1, max: 60_000 }),
+    limitMs: fc.integer({ min: 1, max: 60_000 }),
+    graceS: fc.option(graceTimes, { nil: undefined }),
+});
+
+test("stop schedule: the stop lingers, then finishes its requests, then exits", () => {
+    fc.assert(fc.property(settings, fc.integer({ min: 0, max: 1e9 }), (stop, startedAt) => {
+        const { lingerEndsAt, limitAt, exitAt } = planStop(stop, startedAt);
+        assert.ok(startedAt < lingerEndsAt && lingerEndsAt < limitAt && limitAt < exitAt);
+    }));
+});
+
+test("stop schedule: requests get all of the grace time but its last part, and the process ends within it", () => {
+    fc.assert(fc.property(graceTimes, graceS => {
+        const { limitAt, exitAt } = planStop({ lingerMs: 2600, limitMs: 1600, graceS }, 0);
+        assert.ok(limitAt >= MIN_LIMIT_SHARE * graceS * 1000 && exitAt < graceS * 1000);
+    }));
+});
+
+test("stop schedule: without a grace time, the limit applies after the linger time", () => {
+    assert.equal(planStop({ lingerMs: 500, limitMs: 2000 }, 100).limitAt, 2600);
+});
--- a/test/withplatform.ts
+++ b/test/withplatform.ts
@@ -1,6 +1,7 @@
 /** Runs a test body against daemons that run as on the users' platform. */
 import { eventually } from "./eventually.js";
 import { PlatformMesh } from "./platformmesh.js";
+import type { PlatformMeshOptions } from "./platformmeshoptions.js";
 import { runWith } from "./runwith.js";
 
 /** More concurrent requests than one instance has slots, so that every known instance receives some. */
@@ -34,8 +35,11 @@
 };
 
 /** Runs the body once each daemon uses all instances of both services; stops every process, also if the body fails. */
-export async function withPlatform(body: (mesh: PlatformMesh) => Promise<void>): Promise<void> {
-    await runWith(await PlatformMesh.start(), async mesh => {
+export async function withPlatform(
+    body: (mesh: PlatformMesh) => Promise<void>,
+    options: PlatformMeshOptions = {},
+): Promise<void> {
+    await runWith(await PlatformMesh.start(undefined, undefined, undefined, options), async mesh => {
         await waitUntilAllInstancesServe(mesh);
         await body(mesh);
     });
