A stopping daemon refuses requests that it could not finish

Callers saw: requests that were accepted late in a stop, passed on, and closed without an answer at its end, however short their work.

Cause: the listener for callers stays open while the daemon's own gates have work, since the running requests may call through it. Callers that have nowhere else to go, as when most daemons of a hall restart, use it for all of that time. When the limit was reached, the wait for callers' requests had no time left, and everything in flight was cut off, also what had arrived milliseconds before.

Change: after the linger time a request is accepted only if its deadline lies before the stop's limit, so that it is answered before it, whatever its upstream does. Any other is refused at once (503 `stopping`, not run) with the time until the process has ended. Calls of running requests are accepted.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -111,7 +111,7 @@
             inFlight: this.#inFlightCount(),
         });
         this.#operators.server.setNotReady();
-        this.#requestPath.ingress.startClosing();
+        this.#requestPath.ingress.startClosing(schedule);
         await sleep(schedule.lingerEndsAt - clock(), forceStop);
         this.#startLeaving();
         await sleep(LEAVE_PROPAGATION_MS, forceStop);
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -10,6 +10,7 @@
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
 import type { BodyMemory } from "../policy/admission/bodymemory.js";
+import type { StopSchedule } from "../policy/stop/stopschedule.js";
 import { listen } from "../time/listen.js";
 import type { CallerConnection } from "./callerconnection.js";
 import { CallerConnections } from "./callerconnections.js";
@@ -20,13 +21,14 @@
 import type { IngressLimits } from "./ingresslimits.js";
 import { outgoingHeaders } from "./outgoingheaders.js";
 import type { Plan } from "./plan.js";
+import { PlannedStop } from "./plannedstop.js";
 import type { Planner } from "./planner.js";
 import { readCallerBody } from "./readcallerbody.js";
 import { RequestHandler } from "./requesthandler.js";
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
 import type { RequestRefusal } from "./requestrefusal.js";
-import { StopCounts } from "./stopcounts.js";
+import type { StopCounts } from "./stopcounts.js";
 
 const logger = log("ingress");
 
@@ -52,7 +54,7 @@
     #callerLimits: CallerLimits = {};
     #inFlight = 0;
     /** Undefined until a planned stop begins. */
-    #stopCounts: StopCounts | undefined;
+    #stop: PlannedStop | undefined;
     #isDestroyed = false;
 
     constructor(
@@ -72,7 +74,7 @@
             clock: deps.clock,
             maxAccepted: limits.requestsPerConnection,
             serve: (request, connection) => void this.#handle(request, connection),
-            onDropped: () => this.#stopCounts?.recordDropped(),
+            onDropped: () => this.#stop?.counts.recordDropped(),
         });
     }
 
@@ -99,16 +101,16 @@
 
     /**
      * Accepts no further requests on connections that have unanswered ones; the response to the last of them closes the
-     * connection. On other connections one more request is served.
+     * connection. On other connections one more request is served, or refused if it could outlast the stop.
      */
-    startClosing(): void {
-        this.#stopCounts = new StopCounts(this.#inFlight);
+    startClosing(schedule: StopSchedule): void {
+        this.#stop = new PlannedStop(schedule, this.#inFlight);
         this.#connections.startClosing();
     }
 
     /** Returns what became of the requests since the stop began, for the log. */
     stopSummary(): object {
-        return this.#stopCounts?.summary() ?? {};
+        return this.#stop?.counts.summary() ?? {};
     }
 
     /** Stops accepting connections, closes idle ones, and resolves when no new request can arrive. */
@@ -119,15 +121,15 @@
     /** Closes all remaining connections, also those with a request in flight. */
     destroy(): void {
         this.#isDestroyed = true;
-        this.#stopCounts?.recordUnsent(this.#connections.unsentBytes);
+        this.#stop?.counts.recordUnsent(this.#connections.unsentBytes);
         this.#server.closeAllConnections();
     }
 
     async #handle({ req, res, arrivedAt }: AcceptedRequest, connection: CallerConnection): Promise<void> {
         const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
         this.#inFlight += 1;
-        this.#stopCounts?.recordAccepted();
-        res.once("close", () => this.#stopCounts?.recordEnd(this.#endOf(res)));
+        this.#stop?.counts.recordAccepted();
+        res.once("close", () => this.#stop?.counts.recordEnd(this.#endOf(res)));
         try {
             const refusal = await this.#serve(req, res, callerResponse, arrivedAt);
             if (refusal !== undefined) {
@@ -182,6 +184,10 @@
         if (plan.type === "refusal") {
             return plan;
         }
+        const stopRefusal = this.#stop?.refusal(plan, requestLog, this.deps.clock());
+        if (stopRefusal !== undefined) {
+            return stopRefusal;
+        }
         const parent = this.listenerParts.planner.parentOf(req);
         parent?.work.callBegan(startedAt);
         try {
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -9,6 +9,7 @@
 export const problems: Readonly<Record<ProblemType, Problem>> = {
     "no-rule": { status: httpStatus.notFound, title: "No rule matches the request." },
     "not-ready": { status: httpStatus.serviceUnavailable, title: "The daemon has no configuration yet." },
+    "stopping": { status: httpStatus.serviceUnavailable, title: "The daemon is stopping." },
     "unauthorized": { status: httpStatus.unauthorized, title: "The request needs the key of a team." },
     "stale": {
         status: httpStatus.serviceUnavailable,
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -111,6 +111,14 @@
         logger.failure(this.id, "The daemon has no configuration yet; the request is refused.", {});
     }
 
+    /** `remainingMs` is the time that the request has, `limitMs` the time until the stop cuts off requests. */
+    refusedByStop(remainingMs: number, limitMs: number): void {
+        logger.failure(this.id, "The daemon is stopping and could not finish the request; it is refused.", {
+            remainingMs: Math.round(remainingMs),
+            limitMs: Math.round(limitMs),
+        });
+    }
+
     /** `configurationAgeMs` is the time since the configuration was last confirmed, in milliseconds. */
     accessRefused(reason: AccessRefusalReason, key: PresentedKey, rule: RuleName, configurationAgeMs: number): void {
         logger.failure(this.id, "The request is refused because of its key.", {
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -5,6 +5,7 @@
 export type ProblemType =
     | "no-rule"
     | "not-ready"
+    | "stopping"
     | "unauthorized"
     | "stale"
     | "too-deep"
--- a/src/policy/stop/stop.test.ts
+++ b/src/policy/stop/stop.test.ts
@@ -1,7 +1,9 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { acceptsWhileStopping } from "./acceptswhilestopping.js";
 import { planStop } from "./planstop.js";
+import { stoppingRetryAfterMs } from "./stoppingretryafterms.js";
 
 /** From this share of the grace time on, a request that is still running may be cut off. */
 const MIN_LIMIT_SHARE = 5 / 6;
@@ -30,3 +32,25 @@
 test("stop schedule: without a grace time, the limit applies after the linger time", () => {
     assert.equal(planStop({ lingerMs: 500, limitMs: 2000 }, 100).limitAt, 2600);
 });
+
+// Guards against requests that are accepted late in a stop and cut off by its end.
+test("stop admission: after the linger time, a request is accepted exactly if it ends before the limit", () => {
+    const schedule = { lingerEndsAt: 2600, limitAt: 5250, exitAt: 5600 };
+    const accepts = (now: number, deadline: number): boolean =>
+        acceptsWhileStopping({ depth: 0, deadline }, schedule, now);
+    assert.equal(accepts(2599, 9000), true);
+    assert.equal(accepts(2600, 5250), true);
+    assert.equal(accepts(2600, 5251), false);
+    assert.equal(accepts(5000, 5250), true);
+});
+
+test("stop admission: the calls of a running request are accepted", () => {
+    const schedule = { lingerEndsAt: 2600, limitAt: 5250, exitAt: 5600 };
+    assert.equal(acceptsWhileStopping({ depth: 1, deadline: 9000 }, schedule, 5000), true);
+});
+
+test("stop admission: a refused caller is asked to return when the process has ended", () => {
+    const schedule = { lingerEndsAt: 2600, limitAt: 5250, exitAt: 5600 };
+    assert.equal(stoppingRetryAfterMs(schedule, 4000), 1600);
+    assert.equal(stoppingRetryAfterMs(schedule, 5600), 250);
+});
