A repeated SIGTERM does not cut off requests

Callers saw: connections closed without an answer, all at once, when a stopping daemon got SIGTERM again, as when two rounds of restarts overlap.

Cause: the second stop signal of any kind aborted every wait of the stop. A supervisor that repeats SIGTERM does not take back the time that it has granted; to end a process at once it has SIGKILL.

Change: only SIGINT, which comes from a terminal, ends a stop at once; further SIGTERM are logged and change nothing. A stop that cuts requests off waits until their ends are logged, before it was over first. The test of the second signal asked for the fault. In its place: repeated SIGTERM and SIGHUP cut off no request, and an interrupt does all that the former test asserted, and logs the request as `cut`.

Measured: `stop: repeated stop and reload signals cut off no request` fails on the code before (`other side closed`) and passes now, and so for the log line of the interrupt.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -27,6 +27,9 @@
 /** Time in which peers learn that the gates here take no more requests: several times the delay of a datagram. */
 const LEAVE_PROPAGATION_MS = 100;
 
+/** Bounds the wait for the handlers of requests that were cut off, which takes milliseconds. */
+const CUT_OFF_WAIT_MS = 100;
+
 /** `start` and `stop` may be called once each. */
 export class Daemon {
     readonly #context: DaemonContext;
@@ -121,12 +124,12 @@
         if (left > 0) {
             logger.warn(
                 "Requests were cut off by the stop.",
-                "the time limit of the stop has passed, or a second signal has ended it",
+                forceStop.aborted ? "an interrupt has ended the stop" : "the time limit of the stop has passed",
                 { left },
             );
             console.error(`winglock:daemon ${left} requests were cut off by the stop.`);
         }
-        this.#requestPath.ingress.destroy();
+        await this.#cutOff();
         await this.#closePeerServer(schedule.exitAt, forceStop);
         this.#stopControlTasks();
         logger.change("The daemon has stopped.", {
@@ -151,6 +154,14 @@
         this.#requestPath.peerServer.startClosing();
     }
 
+    /** Closes the connections of callers; resolves when the end of each request on them has been logged. */
+    async #cutOff(): Promise<void> {
+        const { clock } = this.#context;
+        const { ingress } = this.#requestPath;
+        ingress.destroy();
+        await waitIdle(() => ingress.inFlight, { clock, until: clock() + CUT_OFF_WAIT_MS });
+    }
+
     /** Waits before it closes, so that a peer that sent a request into a closing connection can still revoke it. */
     async #closePeerServer(exitAt: number, forceStop: AbortSignal): Promise<void> {
         const { clock } = this.#context;
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -16,7 +16,9 @@
 const EXIT_FAILED = 1;
 /** Exit code if the settings are missing or invalid. */
 const EXIT_SETTINGS = 2;
-const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+/** Sent from a terminal. A supervisor that wants to end a daemon at once sends SIGKILL. */
+const INTERRUPT = "SIGINT";
+const STOP_SIGNALS = ["SIGTERM", INTERRUPT] as const;
 
 const readSettings = (file: string): Settings => {
     try {
@@ -47,12 +49,13 @@
     let isStopping = false;
     const onSignal = (signal: NodeJS.Signals): void => {
         logger.change("The daemon has received a signal.", { signal, isStopping });
-        if (isStopping) {
+        if (!isStopping) {
+            isStopping = true;
+            void stopAndExit(daemon, forceStop.signal);
+        }
+        else if (signal === INTERRUPT) {
             forceStop.abort();
-            return;
         }
-        isStopping = true;
-        void stopAndExit(daemon, forceStop.signal);
     };
     STOP_SIGNALS.forEach(signal => process.on(signal, onSignal));
 };
@@ -62,7 +65,7 @@
     settings.start();
 };
 
-/** Reads the settings and starts a daemon. The first signal stops it gracefully, the second one at once. */
+/** Reads the settings and starts a daemon. The first signal stops it gracefully; an interrupt after it, at once. */
 export async function serve(
     file: string,
     createEnvironment: (settings: Settings, metrics: Metrics) => Environment,
--- a/src/daemon/waitidle.ts
+++ b/src/daemon/waitidle.ts
@@ -6,11 +6,11 @@
 const POLL_INTERVAL_MS = 20;
 
 /** `until` is a time on the clock. */
-type WaitLimit = { readonly clock: Clock; readonly until: number; readonly forceStop: AbortSignal; };
+type WaitLimit = { readonly clock: Clock; readonly until: number; readonly forceStop?: AbortSignal; };
 
 /** Resolves with the last `count` when it is 0, when the time `until` is reached, or when `forceStop` aborts. */
 export async function waitIdle(count: () => number, { clock, until, forceStop }: WaitLimit): Promise<number> {
-    while (count() > 0 && clock() < until && !forceStop.aborted) {
+    while (count() > 0 && clock() < until && forceStop?.aborted !== true) {
         await sleep(POLL_INTERVAL_MS, forceStop);
     }
     return count();
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -67,7 +67,27 @@
     }, { settings: { stop: { lingerMs: 500, limitMs: 500 } } });
 });
 
-test("stop: a second signal ends the daemon at once, and the daemon logs how many requests it cuts off", async () => {
+// Guards against a stop that cuts off requests when its supervisor repeats the signal.
+test("stop: repeated stop and reload signals cut off no request", async () => {
+    await withMesh(async mesh => {
+        const host = mesh.host("pages-1");
+        const daemon = mesh.daemons.get(host.name)!;
+        const poll = request(`http://${host.ingress}/poll?ms=2500`).then(({ statusCode, body }) =>
+            body.text().then(() => statusCode)
+        );
+        await pause(300);
+        const signals = ["SIGTERM", "SIGHUP", "SIGTERM", "SIGTERM", "SIGHUP"] as const;
+        for (const signal of signals) {
+            daemon.signal(signal);
+            await pause(200);
+        }
+        assert.equal(await daemon.end("SIGTERM"), 0);
+        assert.equal(await poll, 200);
+        assert.doesNotMatch(daemon.errors.join("\n"), /cut off/);
+    });
+});
+
+test("stop: an interrupt during a stop ends the daemon at once, and the daemon logs how many requests it cuts off", async () => {
     await withMesh(async mesh => {
         const host = mesh.host("pages-1");
         const daemon = mesh.daemons.get(host.name)!;
@@ -76,8 +96,10 @@
         await pause(300);
         daemon.signal("SIGTERM");
         await pause(300);
-        assert.equal(await daemon.end("SIGTERM"), 0);
+        assert.equal(await daemon.end("SIGINT"), 0);
         await rejected;
         assert.match(daemon.errors.join("\n"), /requests were cut off by the stop/);
+        const cut = linesOf(mesh, "The request has ended.").filter(({ outcome }) => outcome === "cut");
+        assert.equal(cut.length, 1);
     });
 });
