A response counts as in flight until it was written to the socket

Callers saw (in a test): responses that broke off, or never came, when a daemon stopped while they read slowly.

Cause: the ingress counted a whole response as done when it was handed to Node's HTTP server. A part that the socket could not take yet was then discarded twice over: `closeIdleConnections` closes connections whose last response is complete, sent or not, and with a count of 0 the stop closed all others. Over loopback the system takes megabytes at once; over a path with delay far less.

Change: a request is in flight until its response was written out or its caller has left; the connections of callers decide themselves which of them are idle: all responses sent, and nothing received since. Pausing a connection's socket moves to a class of its own.

--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -10,9 +10,8 @@
 import type { Clock } from "../time/clock.js";
 import { connectionProblem } from "./connectionproblem.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
+import { ReadPause } from "./readpause.js";
 
-/** A paused connection is read again after this time, since a caller's leaving shows only when its socket is read. */
-const READ_PAUSE_MS = 200;
 /** Requests that are parsed beyond the accepted ones before reading stops for good. */
 const MAX_PARSED_AHEAD = 256;
 
@@ -44,13 +43,15 @@
     /** True once no further request may be accepted; those that are parsed are dropped. */
     #isSealed = false;
     #isHalfClosed = false;
-    #isPaused = false;
+    readonly #reading: ReadPause;
     #droppedCount = 0;
-    #readTimer: NodeJS.Timeout | undefined;
+    /** The bytes that had been read when the last response was sent; undefined before the first response. */
+    #bytesReadAtAnswer: number | undefined;
     /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
     #problem: string | undefined;
 
     constructor(private readonly socket: Socket, private readonly deps: ConnectionDependencies) {
+        this.#reading = new ReadPause(socket);
         this.#probe = new DisconnectProbe(socket, () => this.#accepted[0]?.headersSent === false);
         socket.on("end", () => this.#handleEnd());
         socket.on("close", () => this.#handleClose());
@@ -106,6 +107,13 @@
         }
     }
 
+    /** Closes the connection if its responses were sent and nothing was received since. */
+    closeIfIdle(): void {
+        if (this.#accepted.length === 0 && this.socket.bytesRead === this.#bytesReadAtAnswer) {
+            this.socket.destroySoon();
+        }
+    }
+
     /** Makes the response the last one of the connection, if nothing behind it has been accepted. */
     closeAfter(res: ServerResponse): void {
         if (this.isLast(res)) {
@@ -145,7 +153,7 @@
         this.#drop(this.#waiting.length);
         this.#waiting.length = 0;
         // Unread data would make the system reset the connection when it is closed, and discard the last response.
-        this.#resume();
+        this.#reading.resume();
     }
 
     #drop(count: number): void {
@@ -163,6 +171,7 @@
         if (this.socket.destroyed) {
             return;
         }
+        this.#bytesReadAtAnswer = this.socket.bytesRead;
         this.#acceptWaiting();
         this.#sendProblemIfDue();
         if (this.#isSealed && this.#accepted.length === 0) {
@@ -174,8 +183,8 @@
         while (!this.#isSealed && this.#waiting.length > 0 && this.#accepted.length < this.deps.maxAccepted) {
             this.#accept(this.#waiting.shift()!);
         }
-        if (this.#isPaused && this.#waiting.length === 0) {
-            this.#resume();
+        if (this.#waiting.length === 0) {
+            this.#reading.resume();
         }
     }
 
@@ -197,27 +206,10 @@
 
     #pauseIfNeeded(): void {
         const aheadCount = this.#waiting.length + this.#droppedCount;
-        if (this.#isPaused || this.#isSealed && aheadCount < MAX_PARSED_AHEAD) {
+        if (this.#reading.isPaused || this.#isSealed && aheadCount < MAX_PARSED_AHEAD) {
             return;
         }
-        this.#isPaused = true;
-        this.socket.on("resume", this.#keepPaused);
-        this.socket.pause();
-        if (aheadCount < MAX_PARSED_AHEAD) {
-            this.#readTimer = setTimeout(() => this.#resume(), READ_PAUSE_MS);
-        }
-    }
-
-    /** Node's HTTP server resumes its socket whenever a request was parsed or its body is read. */
-    readonly #keepPaused = (): void => void this.socket.pause();
-
-    #resume(): void {
-        if (this.#isPaused) {
-            this.#isPaused = false;
-            clearTimeout(this.#readTimer);
-            this.socket.off("resume", this.#keepPaused);
-            this.socket.resume();
-        }
+        this.#reading.pause(aheadCount < MAX_PARSED_AHEAD);
     }
 
     /** A caller that has ended its side may still read, unless it has left, which a probe finds out. */
@@ -236,7 +228,7 @@
     /** Node emits `close` only for the first response; the others are cancelled here. */
     #handleClose(): void {
         this.#probe.stop();
-        clearTimeout(this.#readTimer);
+        this.#reading.end();
         this.#isSealed = true;
         this.#waiting.length = 0;
         for (const res of this.#accepted.splice(0)) {
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -58,6 +58,13 @@
         return bytes;
     }
 
+    /** Closes the connections on which a response was sent and nothing has arrived since. */
+    closeIdle(): void {
+        for (const connection of this.#connections.values()) {
+            connection.closeIfIdle();
+        }
+    }
+
     /** Accepts no further requests on connections that have accepted ones; the last response closes each connection. */
     startClosing(): void {
         this.#isStopping = true;
--- a/src/ingress/closeserver.test.ts
+++ b/src/ingress/closeserver.test.ts
@@ -29,7 +29,7 @@
     const { server, socket } = await connectAndServe();
     const text = textOf(socket);
     socket.write(REQUEST);
-    await closeServer(server);
+    await closeServer(server, () => server.closeIdleConnections());
     server.closeAllConnections();
     assert.match(await text, /200 OK/);
 });
@@ -39,7 +39,7 @@
     const pending = connect(port, "127.0.0.1");
     pending.write(REQUEST);
     const text = textOf(pending);
-    await closeServer(server);
+    await closeServer(server, () => server.closeIdleConnections());
     server.closeAllConnections();
     assert.match(await text, /200 OK/);
     socket.destroy();
@@ -50,7 +50,7 @@
     const pending = Array.from({ length: 20 }, () => connect(port, "127.0.0.1"));
     pending.forEach(each => each.write(REQUEST));
     const texts = pending.map(textOf);
-    await closeServer(server);
+    await closeServer(server, () => server.closeIdleConnections());
     server.closeAllConnections();
     const unserved = (await Promise.all(texts)).filter(text => !text.includes("200 OK"));
     assert.deepEqual(unserved, []);
@@ -59,7 +59,7 @@
 
 test("close: connections are refused afterwards", async () => {
     const { server, port } = await connectAndServe();
-    await closeServer(server);
+    await closeServer(server, () => server.closeIdleConnections());
     const socket = connect(port, "127.0.0.1");
     const [err] = await once(socket, "error") as [NodeJS.ErrnoException];
     assert.equal(err.code, "ECONNREFUSED");
--- a/src/ingress/closeserver.ts
+++ b/src/ingress/closeserver.ts
@@ -39,13 +39,14 @@
  * before are still served, and the caller of this function must wait for them.
  *
  * After a stall, timers run before the sockets are read. A server that is closed at that moment resets every pending
- * connection, and treats a connection with an unread request as idle.
+ * connection, and treats a connection with an unread request as idle. `closeIdle` closes the idle connections. Node's own
+ * method would also close those whose last response is complete but not yet written.
  */
-export async function closeServer(server: Server): Promise<void> {
+export async function closeServer(server: Server, closeIdle: () => void): Promise<void> {
     await acceptPending(server);
     // The `close` of http.Server would also close idle connections at once.
     NetServer.prototype.close.call(server);
     await sleep(FIRST_REQUEST_WAIT_MS);
     await afterPoll();
-    server.closeIdleConnections();
+    closeIdle();
 }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -115,7 +115,7 @@
 
     /** Stops accepting connections, closes idle ones, and resolves when no new request can arrive. */
     close(): Promise<void> {
-        return closeServer(this.#server);
+        return closeServer(this.#server, () => this.#connections.closeIdle());
     }
 
     /** Closes all remaining connections, also those with a request in flight. */
@@ -145,7 +145,7 @@
             callerResponse.sendProblem("internal", { outcome: "unknown", detail: "internal" });
         }
         finally {
-            this.#countEnd(res, callerResponse);
+            this.#countEnd(res);
         }
     }
 
@@ -156,13 +156,13 @@
         return this.#isDestroyed ? "cut" : "unanswered";
     }
 
-    /** A response that is held is in flight until it was sent. */
-    #countEnd(res: ServerResponse, { isHeld }: CallerResponse): void {
-        if (isHeld && !res.destroyed) {
-            res.once("close", () => this.#inFlight -= 1);
+    /** A response is in flight until all of it was written to the socket, or its caller has left. */
+    #countEnd(res: ServerResponse): void {
+        if (res.destroyed) {
+            this.#inFlight -= 1;
         }
         else {
-            this.#inFlight -= 1;
+            res.once("close", () => this.#inFlight -= 1);
         }
     }
 
