A response to a peer counts as in flight until it was written to the socket

A gate counted a request as done when its response was handed to the socket, and the stop destroys the connections of peers when the count is 0 and the grace for revocations has passed. A large response over a slow link between halls or regions is then broken off; its caller, at another daemon, gets none or a part.

Change: a session with unsent bytes counts as in flight.

Measured: `peer server: a response is in flight until a peer that reads slowly has been sent all of it` fails on the code before (0 in flight with most of 16 MB unsent) and passes now.

--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -65,6 +65,11 @@
         return this.#serving !== undefined;
     }
 
+    /** True while a part of what was written to the peer is buffered in the process. */
+    get hasUnsent(): boolean {
+        return !this.socket.destroyed && this.socket.writableLength > 0;
+    }
+
     /** Handles bytes received from the socket. */
     read(chunk: Buffer): void {
         try {
@@ -85,7 +90,7 @@
 
     /** Closes a connection without traffic if it is idle, or if the peer does not read what was written to it. */
     closeIfStalled(): void {
-        if (this.socket.writableLength > 0) {
+        if (this.hasUnsent) {
             this.destroy();
         }
         this.closeIfIdle();
--- a/src/peer/peerserver.test.ts
+++ b/src/peer/peerserver.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
@@ -14,6 +15,8 @@
 
 const KEY = "a-key-for-tests-only";
 const PORT = 7100;
+/** More than the system buffers of a loopback connection take from a process whose peer does not read. */
+const RESPONSE_BYTES = 16 * 1024 * 1024;
 
 /** Blocks this process, so that it reads nothing, as on a host whose processor is overloaded. */
 const stall = (ms: number): void => {
@@ -39,13 +42,10 @@
     });
 `;
 
-test("peer server: a first request that is read after its caller has left reaches the gate cancelled", async () => {
-    const served: GateCall[] = [];
-    const serve = async (call: GateCall): Promise<object> => {
-        served.push(call);
-        return { status: 200, headers: {}, body: undefined, metadata: LinkEnds.metadata };
-    };
-    const server = new PeerServer({
+type Serve = (call: GateCall) => Promise<object>;
+
+const createPeerServer = (serve: Serve): PeerServer =>
+    new PeerServer({
         key: KEY,
         clock: () => performance.now(),
         identity: { responseMetadata: () => LinkEnds.metadata } as never,
@@ -57,6 +57,13 @@
         isStale: () => false,
         onSender: () => {},
     });
+
+test("peer server: a first request that is read after its caller has left reaches the gate cancelled", async () => {
+    const served: GateCall[] = [];
+    const server = createPeerServer(async call => {
+        served.push(call);
+        return { status: 200, headers: {}, body: undefined, metadata: LinkEnds.metadata };
+    });
     const { run, lock } = await takeRunNumber();
     const host = `127.${run}.3.1`;
     await server.listen(`${host}:${PORT}`);
@@ -77,3 +84,28 @@
     lock.close();
     assert.deepEqual(served.map(({ cancel }) => cancel.aborted), [false, true]);
 });
+
+// Guards against a stop that takes a peer's response for sent while the process still buffers a part of it.
+test("peer server: a response is in flight until a peer that reads slowly has been sent all of it", async () => {
+    const body = Buffer.alloc(RESPONSE_BYTES);
+    const server = createPeerServer(async () => ({ status: 200, headers: {}, body, metadata: LinkEnds.metadata }));
+    const { run, lock } = await takeRunNumber();
+    const host = `127.${run}.3.1`;
+    await server.listen(`${host}:${PORT}`);
+    const peer = connect(PORT, host);
+    peer.pause();
+    peer.write(request());
+    await wait(200);
+    assert.equal(server.inFlight, 1);
+    let receivedBytes = 0;
+    peer.on("data", (chunk: Buffer) => receivedBytes += chunk.length);
+    peer.resume();
+    while (server.inFlight > 0) {
+        await wait(10);
+    }
+    const closed = server.close();
+    server.destroy();
+    await Promise.all([closed, once(peer, "close")]);
+    lock.close();
+    assert.ok(receivedBytes > RESPONSE_BYTES, `${receivedBytes} bytes`);
+});
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -95,9 +95,9 @@
         return listen(this.#server, address);
     }
 
-    /** Number of requests and calls whose responses are incomplete. */
+    /** Number of requests and calls whose responses are incomplete, or not yet written to their sockets. */
     get inFlight(): number {
-        return this.#openCalls + [...this.#sessions].filter(session => session.busy).length;
+        return this.#openCalls + [...this.#sessions].filter(session => session.busy || session.hasUnsent).length;
     }
 
     /** Makes each later response the last one on its connection. */
