--- a/src/ingress/closeserver.ts
+++ b/src/ingress/closeserver.ts
@@ -1,7 +1,7 @@
 /** Closes an HTTP server without dropping connections and requests that have arrived but were not read yet. */
 import type { Server } from "node:http";
 import { Server as NetServer } from "node:net";
-import { setImmediate as nextCheck } from "node:timers/promises";
+import { afterPoll } from "../time/afterpoll.js";
 import { sleep } from "../time/sleep.js";
 
 /** Bounds the accepting of connections that keep arriving; far more than are pending after a stall. */
@@ -9,12 +9,6 @@
 /** Long enough for a caller whose connection was just accepted to send its request. */
 const FIRST_REQUEST_WAIT_MS = 50;
 
-/** Resolves right after all sockets were polled. Two immediates are needed, since the first may run before the poll. */
-const afterPoll = async (): Promise<void> => {
-    await nextCheck();
-    await nextCheck();
-};
-
 /**
  * Resolves when no connection is pending. Only one is accepted in each event-loop iteration. After a stall of 340 ms,
  * eight were pending, and closing the listener reset all but two of them.
