A reload signal during a start does not end the daemon

Cause: SIGHUP ends a process that has no listener for it. The daemon added its listener once its program was loaded and its settings were read, in the deployed form some 0.2 s after the start: a change of the settings in that time ended it, and its start began anew.

Change: the launcher listens before it compiles the program; the settings are read after that, so nothing has to be reloaded.

Measured: `start: a reload signal before the settings are read does not end the process` fails on the code before (the process ends) and passes now. Before the launcher runs, while Node itself starts, the signal still ends the process.

--- a/build/launcher.cjs
+++ b/build/launcher.cjs
@@ -13,6 +13,9 @@
 const BUNDLE = join(__dirname, "winglockd.bundle.cjs");
 const CACHE = join(__dirname, "winglockd.cache");
 
+// Without a listener, the signal would end the process. The settings are read later, and the daemon adds its listener.
+process.on("SIGHUP", () => {});
+
 const readCache = () => {
     try {
         return readFileSync(CACHE);
--- a/test/start.test.ts
+++ b/test/start.test.ts
@@ -21,7 +21,19 @@
     return (JSON.parse(readyLine) as { codeCache: string; }).codeCache;
 };
 
-test("start: a code cache is used with the same flags, and rejected with others", async () => {
+/** Loaded before the launcher: sends the signal to the process when the launcher begins to compile the bundle. */
+const SIGNAL_WHILE_STARTING = `
+    const vm = require("node:vm");
+    vm.Script = class extends vm.Script {
+        constructor(...args) {
+            process.kill(process.pid, "SIGHUP");
+            super(...args);
+        }
+    };
+`;
+
+/** Runs the body with a folder that holds the daemon's program and the settings of one host. */
+const withStartFolder = async (body: (folder: string) => Promise<void>): Promise<void> => {
     const { run, lock } = await takeRunNumber();
     const folder = mkdtempSync(join(tmpdir(), "winglock-start-"));
     try {
@@ -38,6 +50,16 @@
             stop: { lingerMs: 1, limitMs: 100 },
         };
         writeFileSync(join(folder, "settings.json"), JSON.stringify(settings));
+        await body(folder);
+    }
+    finally {
+        rmSync(folder, { recursive: true, force: true });
+        lock.close();
+    }
+};
+
+test("start: a code cache is used with the same flags, and rejected with others", async () => {
+    await withStartFolder(async folder => {
         const flags = ["--max-semi-space-size=4"];
         assert.equal(await startAndStop(folder, flags, { WINGLOCK_WRITE_CODE_CACHE: "1" }), "none");
         assert.ok(existsSync(join(folder, "winglockd.cache")));
@@ -45,11 +67,15 @@
         assert.equal(await startAndStop(folder, ["--max-semi-space-size=8"]), "rejected");
         writeFileSync(join(folder, "winglockd.cache"), "no cache at all");
         assert.equal(await startAndStop(folder, flags), "rejected");
-    }
-    finally {
-        rmSync(folder, { recursive: true, force: true });
-        lock.close();
-    }
+    });
+});
+
+// Guards against a daemon that ends because its settings change while it starts.
+test("start: a reload signal before the settings are read does not end the process", async () => {
+    await withStartFolder(async folder => {
+        writeFileSync(join(folder, "signal.cjs"), SIGNAL_WHILE_STARTING);
+        assert.equal(await startAndStop(folder, ["--require", join(folder, "signal.cjs")]), "none");
+    });
 });
 
 test("start: the platform's build creates a code cache with the deployed settings and flags", () => {
