Closing the peers' listener ends connections on which nothing has arrived

Seen in a soak of stops on a busy machine: daemons that had answered everything and were still there at the end of the grace time, when they were killed.

Cause: the stop waits until the peers' listener has closed, and destroyed only the connections of HTTP and those of the framed protocol. One on which no byte has arrived belongs to neither. A peer that is short of processor time sends its first bytes late, so the stop waited for it, up to 10 s.

Change: the listener keeps a set of all its connections and destroys these.

Measured: `peer server: closing also ends connections on which nothing has arrived` fails on the code before (still open after 5 s) and passes now.

--- a/src/peer/peerserver.test.ts
+++ b/src/peer/peerserver.test.ts
@@ -109,3 +109,19 @@
     lock.close();
     assert.ok(receivedBytes > RESPONSE_BYTES, `${receivedBytes} bytes`);
 });
+
+// Guards against a stop that lasts until it is killed, since a connection on which nothing has arrived stays open.
+test("peer server: closing also ends connections on which nothing has arrived", { timeout: 5000 }, async () => {
+    const server = createPeerServer(async () => ({}));
+    const { run, lock } = await takeRunNumber();
+    const host = `127.${run}.3.1`;
+    await server.listen(`${host}:${PORT}`);
+    const silent = connect(PORT, host);
+    silent.on("error", () => {});
+    await once(silent, "connect");
+    await wait(50);
+    const closed = server.close();
+    server.destroy();
+    await Promise.all([closed, once(silent, "close")]);
+    lock.close();
+});
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -69,6 +69,8 @@
 export class PeerServer {
     readonly #server: Server;
     readonly #key: Buffer;
+    /** All connections, also those whose protocol is not known yet. */
+    readonly #sockets = new Set<Socket>();
     readonly #sessions = new Set<LinkSession>();
     readonly #bodies = new ResponseBodies();
     #openCalls = 0;
@@ -83,6 +85,8 @@
         this.#server.removeAllListeners("connection");
         this.#server.on("connection", (socket: Socket) => {
             this.deps.onSocket?.(socket, socket.remoteAddress);
+            this.#sockets.add(socket);
+            socket.on("close", () => this.#sockets.delete(socket));
             detectProtocol(
                 socket,
                 () => serveHttp.call(this.#server, socket),
@@ -118,8 +122,7 @@
 
     /** Closes all connections at once. */
     destroy(): void {
-        this.#server.closeAllConnections();
-        this.#sessions.forEach(session => session.destroy());
+        this.#sockets.forEach(socket => socket.destroy());
     }
 
     #openSession(socket: Socket, firstBytes: Buffer): void {
