--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -85,7 +85,7 @@
         this.#server.keepAliveTimeout = callerLimits.keepAliveMs ?? this.limits.keepAliveMs;
     }
 
-    /** The number of requests that are being handled. */
+    /** The number of requests whose responses are not yet written to their sockets. */
     get inFlight(): number {
         return this.#inFlight;
     }
--- a/test/stopsoak.ts
+++ b/test/stopsoak.ts
@@ -5,7 +5,7 @@
 import { platformConfiguration } from "./platformconfiguration.js";
 import type { PlatformMesh } from "./platformmesh.js";
 
-/** The grace time of the daemons, in seconds, and the lives of requests and of pauses, in milliseconds. */
+/** The time from SIGTERM until a daemon is killed. */
 const GRACE_S = 6;
 const TIME_LIMIT_MS = 1500;
 const SEND_EVERY_MS = 80;
