A refusal proves something only of the request that it names

Cause: the client of an upstream asked the dialect whether a response proves "not run" before it looked at the response's request id. A surplus refusal that arrived in the place of the next response on its connection counted as proof for that next request, which its upstream ran. The connection then went back to the pool, out of step. Surplus successes were told apart, refusals and 421 were not. A surplus 421 also closed the gate, since it counted as the response of another upstream at the address.

Change: the id is checked before anything is taken from a response. A response that isn't the request's own proves nothing and reports nothing (load, limit, leaving, a sign that an older request was lost), whatever its status, and its connection is closed. In winglock's own header fields, a refusal counts only with an echo of the request's id; before, one without an id counted. A response without an id that proves nothing is still accepted.

Why it works: on a connection without pipelining, the id is what tells a late response from the one that is due. A refusal of an earlier attempt with the same id on the same connection is another fault, and is not covered by this change.

Tests: "upstream client: a refusal with the id of the request before / no id / two ids proves and reports nothing, and ends its connection" fail before (foreign proof accepted) and pass now.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -66,7 +66,10 @@
 
     /** Returns for how many milliseconds the upstream stays cold by its health endpoint, or undefined if not stated. */
     abstract coldMs(headers: HttpHeaders): number | undefined;
-    /** Returns why the upstream has provably not run the request, or undefined if it may have run it. */
+    /**
+     * Returns why the upstream has provably not run the request to which it responds, or undefined if it may have run
+     * it. Proves nothing unless `isOwnResponse` is true.
+     */
     abstract notRunReason(status: number, headers: HttpHeaders): "shed" | "leaving" | "misdirected" | undefined;
     /** Returns true if the response is the upstream's own response to the request with this id. */
     abstract isOwnResponse(status: number, headers: HttpHeaders, id: string): boolean;
--- a/src/dialect/owndialect.ts
+++ b/src/dialect/owndialect.ts
@@ -35,10 +35,10 @@
         return this.isLeaving(headers) ? "leaving" : "shed";
     }
 
-    /** Accepts a response without an id, since an upstream need not return it. */
-    isOwnResponse(_status: number, headers: HttpHeaders, id: string): boolean {
+    /** Accepts a response without an id, since an upstream need not return it, unless it would prove something. */
+    isOwnResponse(status: number, headers: HttpHeaders, id: string): boolean {
         const echo = headers[headerName.requestId];
-        return echo === undefined || echo === id;
+        return echo === id || (echo === undefined && this.notRunReason(status, headers) === undefined);
     }
 
     /** Returns no id: the context field links a call to its request instead. */
--- /dev/null
+++ b/src/gate/upstreamclient.test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { text } from "node:stream/consumers";
+import { test, type TestContext } from "node:test";
+import { setTimeout } from "node:timers/promises";
+import type { Upstream } from "../config/upstream.js";
+import { OwnDialect } from "../dialect/owndialect.js";
+import type { GateCall } from "../hop/gatecall.js";
+import type { HttpHeaders } from "../http/httpheaders.js";
+import { UpstreamClient } from "./upstreamclient.js";
+import { UpstreamError } from "./upstreamerror.js";
+
+const LOCAL_IP = "127.0.0.1";
+const REQUEST_ID = "winglock-request-id";
+
+const served = (id: string): string =>
+    `HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\nwinglock-limit: 100\r\ncontent-length: ${id.length}\r\n\r\n${id}`;
+
+const refused = (ids: readonly string[]): string => {
+    const idFields = ids.map(id => `${REQUEST_ID}: ${id}\r\n`).join("");
+    return `HTTP/1.1 503 Service Unavailable\r\nwinglock-outcome: not-run\r\n${idFields}content-length: 0\r\n\r\n`;
+};
+
+/** Writes what the upstream sends when a request arrives. */
+type Respond = (socket: Socket, id: string) => void;
+
+type TestClient = {
+    readonly client: UpstreamClient;
+    /** Headers of the responses that the client has accepted. */
+    readonly accepted: HttpHeaders[];
+    /** The number of connections that the upstream has accepted. */
+    readonly connectionCount: () => number;
+    readonly send: (id: string) => Promise<string>;
+};
+
+const startClient = async (t: TestContext, respond: Respond): Promise<TestClient> => {
+    let connections = 0;
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        connections += 1;
+        sockets.add(socket);
+        socket.on("error", () => {
+            // The client destroys connections.
+        });
+        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())![1]!));
+    });
+    await new Promise<void>(resolve => server.listen(0, LOCAL_IP, resolve));
+    const { port } = server.address() as AddressInfo;
+    const accepted: HttpHeaders[] = [];
+    const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
+    const client = new UpstreamClient(upstream, {
+        localIp: LOCAL_IP,
+        dialect: new OwnDialect(),
+        onResponse: headers => accepted.push(headers),
+        clock: () => performance.now(),
+        onUnresponsive: () => {},
+    });
+    t.after(async () => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+        await client.close();
+    });
+    const send = async (id: string): Promise<string> => {
+        const call = { method: "POST", path: "/fees", body: undefined } as GateCall;
+        const { body } = await client.send(call, { [REQUEST_ID]: id }, {
+            cancel: undefined,
+            onConnected: () => {},
+            checkWrite: () => undefined,
+        });
+        return await text(body);
+    };
+    return { client, accepted, connectionCount: () => connections, send };
+};
+
+const isUpstreamError = (reason: string) => (err: unknown): boolean =>
+    err instanceof UpstreamError && err.reason === reason;
+
+const otherIds: Readonly<Record<string, readonly string[]>> = {
+    "the id of the request before": ["a"],
+    "no id": [],
+    "two ids": ["b", "a"],
+};
+
+for (const [name, ids] of Object.entries(otherIds)) {
+    // Guards against a request that ran twice, or ran though it was answered 503: a surplus refusal arrived in the place
+    // of the response to the next request on the connection.
+    test(`upstream client: a refusal with ${name} proves and reports nothing, and ends its connection`, async t => {
+        const { accepted, connectionCount, send } = await startClient(t, (socket, id) => {
+            socket.write(id === "b" ? refused(ids) + served("b") : served(id));
+        });
+        assert.equal(await send("a"), "a");
+        await assert.rejects(send("b"), isUpstreamError("foreign-answer"));
+        assert.equal(accepted.length, 1, "the client has accepted the response to `a` only");
+        assert.equal(await send("c"), "c");
+        assert.equal(connectionCount(), 2);
+    });
+}
+
+test("upstream client: a refusal with the request's id proves that it has not run, and its connection is reused", async t => {
+    const { connectionCount, send } = await startClient(t, (socket, id) => {
+        socket.write(id === "a" ? refused(["a"]) : served(id));
+    });
+    await assert.rejects(send("a"), isUpstreamError("shed"));
+    await setTimeout(20);
+    assert.equal(await send("b"), "b");
+    assert.equal(connectionCount(), 1);
+});
+
+test("upstream client: a surplus response that arrives while no request is outstanding ends its connection", async t => {
+    const { accepted, connectionCount, send } = await startClient(t, (socket, id) => {
+        socket.write(served(id) + (id === "a" ? refused(["a"]) : ""));
+    });
+    assert.equal(await send("a"), "a");
+    assert.equal(await send("b"), "b");
+    assert.equal(accepted.length, 2);
+    assert.equal(connectionCount(), 2);
+});
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -29,7 +29,7 @@
     /** Local address from which connections are opened. */
     readonly localIp: string;
     readonly dialect: Dialect;
-    /** Called with the headers of each response that the upstream itself has sent, whatever its status. */
+    /** Called with the headers of each response that the upstream itself has sent to its request, whatever its status. */
     readonly onResponse: (
         headers: HttpHeaders,
         exchange: { readonly sentAt: number; readonly isHealth: boolean; },
@@ -50,30 +50,30 @@
 
     constructor(readonly upstream: Upstream, private readonly options: ClientOptions) {}
 
-    /** Sends a request; throws an UpstreamError if it fails, or if the response belongs to another request. */
+    /**
+     * Sends a request; throws an UpstreamError if it fails, or if the response belongs to another request. Such a
+     * response proves and reports nothing, whatever its status.
+     */
     async send(call: GateCall, headers: HttpHeaders, options: SendOptions): Promise<UpstreamResponse> {
-        const { dialect } = this.options;
+        const { clock, dialect, onResponse } = this.options;
+        const id = String(headers[dialect.requestId]);
         const connection = this.#acquire();
-        const sentAt = this.options.clock();
-        const response = await this.#request(connection, call, headers, options, sentAt);
+        const sentAt = clock();
+        const response = await this.#request(connection, call, headers, options);
+        if (!dialect.isOwnResponse(response.status, response.headers, id)) {
+            this.#discard(connection);
+            response.body.destroy();
+            throw new UpstreamError("foreign-answer");
+        }
+        this.#lastRespondedSentAt = Math.max(this.#lastRespondedSentAt, sentAt);
         const reason = dialect.notRunReason(response.status, response.headers);
-        const isOwnResponse = dialect.isOwnResponse(
-            response.status,
-            response.headers,
-            String(headers[dialect.requestId]),
-        );
-        if (isOwnResponse && reason !== "misdirected") {
-            this.options.onResponse(response.headers, { sentAt, isHealth: false });
+        if (reason !== "misdirected") {
+            onResponse(response.headers, { sentAt, isHealth: false });
         }
         if (reason !== undefined) {
             response.body.resume();
             throw new UpstreamError(reason);
         }
-        if (!isOwnResponse) {
-            response.body.destroy();
-            this.#discard(connection);
-            throw new UpstreamError("foreign-answer");
-        }
         return response;
     }
 
@@ -147,7 +147,7 @@
     }
 
     /**
-     * Destroys a connection. After a surplus response each later request on it would get the response of the one
+     * Destroys a connection. After a surplus response, each later request on it could get the response of the one
      * before.
      */
     #discard(connection: UpstreamConnection): void {
@@ -160,7 +160,6 @@
         call: GateCall,
         headers: HttpHeaders,
         { cancel, ...events }: SendOptions,
-        sentAt: number,
     ): Promise<UpstreamResponse> {
         try {
             const response = await connection.request({
@@ -170,7 +169,6 @@
                 body: call.body,
                 signal: cancel,
             }, events);
-            this.#lastRespondedSentAt = Math.max(this.#lastRespondedSentAt, sentAt);
             const body = ignoreBodyErrors(connection.checkedBody(response));
             body.once("close", () => this.#release(connection));
             return { status: response.statusCode, headers: response.headers, body };
--- a/standin/upstreamstandin.ts
+++ b/standin/upstreamstandin.ts
@@ -1,5 +1,5 @@
 /** Stands in for an upstream that uses winglock's own header fields. */
-import { type IncomingMessage, request, type ServerResponse } from "node:http";
+import { type IncomingMessage, type OutgoingHttpHeaders, request, type ServerResponse } from "node:http";
 import { sampleServiceTime } from "./sampleservicetime.js";
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
@@ -103,7 +103,7 @@
         req.resume();
         this.#print("A", req);
         this.#printLimitedArrival(req);
-        if (this.#refuseIfConfigured(res)) {
+        if (this.#refuseIfConfigured(req, res)) {
             return;
         }
         this.#inFlight += 1;
@@ -127,18 +127,22 @@
         }
     }
 
-    #refuseIfConfigured(res: ServerResponse): boolean {
+    #refuseIfConfigured(req: IncomingMessage, res: ServerResponse): boolean {
         if (this.control.leaving) {
-            res.writeHead(503, { "winglock-outcome": "not-run", "winglock-leaving": "1" }).end();
+            this.#refuse(req, res, { "winglock-outcome": "not-run", "winglock-leaving": "1" });
             return true;
         }
         if (this.control.shed !== "no" && this.random() < this.control.shedShare) {
-            res.writeHead(503, this.control.shed === "said" ? { "winglock-outcome": "not-run" } : {}).end();
+            this.#refuse(req, res, this.control.shed === "said" ? { "winglock-outcome": "not-run" } : {});
             return true;
         }
         return false;
     }
 
+    #refuse(req: IncomingMessage, res: ServerResponse, fields: OutgoingHttpHeaders): void {
+        res.writeHead(503, { ...fields, "winglock-request-id": req.headers["winglock-request-id"] }).end();
+    }
+
     #printRun(req: IncomingMessage): void {
         this.#print("R", req);
     }
