A connection to an upstream carries each request id only once

What callers saw: a request that an upstream refuses may return to it, after another one has refused it too, with the same id, since callers give the ids on the users' platform. If the upstream had sent the refusal twice, the second copy arrived in the place of the response to the second try, with the right id. The try ran, and its caller got 503 ("not run").

Cause: the id tells a late response of another request from the one that is due, but not that of an earlier attempt of the same request on the same connection.

Change: a connection remembers the ids of the requests that were written to it until no attempt with them can follow (`CarriedIds`; bounded by the request rate times the time limit). A request is sent on a connection that has not carried its id; if all idle ones have, one of them is replaced, so that there are no more connections than before.

Why it works: a response belongs to a request that was written to its connection before. If the id was not, no response with it can be there but the request's own, whatever its status.

--- a/src/gate/upstreamclient.test.ts
+++ b/src/gate/upstreamclient.test.ts
@@ -22,7 +22,7 @@
 };
 
 /** Writes what the upstream sends when a request arrives. */
-type Respond = (socket: Socket, id: string) => void;
+type Respond = (socket: Socket, id: string, connection: number) => void;
 
 type TestClient = {
     readonly client: UpstreamClient;
@@ -37,12 +37,12 @@
     let connections = 0;
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
-        connections += 1;
+        const connection = ++connections;
         sockets.add(socket);
         socket.on("error", () => {
             // The client destroys connections.
         });
-        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())![1]!));
+        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())![1]!, connection));
     });
     await new Promise<void>(resolve => server.listen(0, LOCAL_IP, resolve));
     const { port } = server.address() as AddressInfo;
@@ -66,6 +66,7 @@
             cancel: undefined,
             onConnected: () => {},
             checkWrite: () => undefined,
+            deadline: Infinity,
         });
         return await text(body);
     };
@@ -106,6 +107,30 @@
     assert.equal(connectionCount(), 1);
 });
 
+// Guards against a request that ran though it was answered 503: a surplus refusal of its first attempt arrived in the
+// place of the response to its second one on the same connection, with the same id.
+test("upstream client: a request that returns after its refusal is sent over another connection", async t => {
+    const refusedOn = new Set<number>();
+    const { connectionCount, send } = await startClient(t, (socket, id, connection) => {
+        if (id !== "a" || connectionCount() > 1) {
+            socket.write(served(id));
+        }
+        else if (refusedOn.has(connection)) {
+            socket.write(refused(["a"]) + served("a"));
+        }
+        else {
+            refusedOn.add(connection);
+            socket.write(refused(["a"]));
+        }
+    });
+    await assert.rejects(send("a"), isUpstreamError("shed"));
+    await setTimeout(20);
+    assert.equal(await send("a"), "a");
+    assert.equal(connectionCount(), 2);
+    assert.equal(await send("b"), "b");
+    assert.equal(connectionCount(), 2, "the new connection has replaced the old one");
+});
+
 test("upstream client: a surplus response that arrives while no request is outstanding ends its connection", async t => {
     const { accepted, connectionCount, send } = await startClient(t, (socket, id) => {
         socket.write(served(id) + (id === "a" ? refused(["a"]) : ""));
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -22,6 +22,8 @@
     readonly onConnected: () => void;
     /** Called immediately before the request is written; it fails with the returned error instead, if there is one. */
     readonly checkWrite: () => UpstreamError | undefined;
+    /** Time after which no attempt with the request's id is sent. */
+    readonly deadline: number;
 };
 
 /** Settings and callbacks of the client. */
@@ -57,9 +59,9 @@
     async send(call: GateCall, headers: HttpHeaders, options: SendOptions): Promise<UpstreamResponse> {
         const { clock, dialect, onResponse } = this.options;
         const id = String(headers[dialect.requestId]);
-        const connection = this.#acquire();
+        const connection = this.#acquire(id);
         const sentAt = clock();
-        const response = await this.#request(connection, call, headers, options);
+        const response = await this.#request(connection, call, headers, { ...options, id });
         if (!dialect.isOwnResponse(response.status, response.headers, id)) {
             this.#discard(connection);
             response.body.destroy();
@@ -130,10 +132,18 @@
         await Promise.all([...this.#connections].map(connection => connection.close()));
     }
 
-    #acquire(): UpstreamConnection {
-        const idle = this.#idle.pop();
-        if (idle !== undefined) {
-            return idle;
+    /**
+     * Returns a connection that has not carried a request with this id: a surplus response to that one, which may still
+     * arrive, would be taken for the response to this one. Replaces an idle connection if all of them have.
+     */
+    #acquire(id?: string): UpstreamConnection {
+        const index = this.#idle.findLastIndex(idle => id === undefined || !idle.hasCarried(id));
+        if (index !== -1) {
+            return this.#idle.splice(index, 1)[0]!;
+        }
+        const replaced = this.#idle.shift();
+        if (replaced !== undefined) {
+            this.#discard(replaced);
         }
         const connection = new UpstreamConnection(this.upstream.address, this.options.localIp);
         this.#connections.add(connection);
@@ -159,8 +169,15 @@
         connection: UpstreamConnection,
         call: GateCall,
         headers: HttpHeaders,
-        { cancel, ...events }: SendOptions,
+        { cancel, onConnected, checkWrite, deadline, id }: SendOptions & { readonly id: string; },
     ): Promise<UpstreamResponse> {
+        const recordWrite = (): UpstreamError | undefined => {
+            const err = checkWrite();
+            if (err === undefined) {
+                connection.recordCarried(id, deadline, this.options.clock());
+            }
+            return err;
+        };
         try {
             const response = await connection.request({
                 method: call.method as "GET",
@@ -168,7 +185,7 @@
                 headers,
                 body: call.body,
                 signal: cancel,
-            }, events);
+            }, { onConnected, checkWrite: recordWrite });
             const body = ignoreBodyErrors(connection.checkedBody(response));
             body.once("close", () => this.#release(connection));
             return { status: response.statusCode, headers: response.headers, body };
--- a/src/gate/upstreamconnection.ts
+++ b/src/gate/upstreamconnection.ts
@@ -2,6 +2,7 @@
 import { Transform, type TransformCallback } from "node:stream";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import type { Address } from "../ids/address.js";
+import { CarriedIds } from "./carriedids.js";
 import { isFramed } from "./isframed.js";
 import { WriteCheckHandler } from "./writecheckhandler.js";
 
@@ -28,6 +29,7 @@
     /** The client, with the check before each write. */
     readonly #checkedClient: Dispatcher;
     #wasReset = false;
+    #carriedIds = new CarriedIds();
     #events: RequestEvents = { checkWrite: () => undefined };
 
     constructor(address: Address, localIp: string) {
@@ -44,6 +46,7 @@
                 connect(options, (...result) => {
                     const [, socket] = result;
                     this.#wasReset = false;
+                    this.#carriedIds = new CarriedIds();
                     socket?.once("error", () => this.#wasReset = true);
                     this.#events.onConnected?.();
                     callback(...result);
@@ -54,6 +57,16 @@
         );
     }
 
+    /** True if a request with this id was written to the current connection, or to the last one if it has ended. */
+    hasCarried(id: string): boolean {
+        return this.#carriedIds.has(id);
+    }
+
+    /** Records that a request was written; no attempt with its id is sent after `deadline`. */
+    recordCarried(id: string, deadline: number, now: number): void {
+        this.#carriedIds.add(id, deadline, now);
+    }
+
     /** Sends a request; undici may write it later, after it has connected. The previous request must have ended. */
     async request(options: Dispatcher.RequestOptions, events: RequestEvents): Promise<Dispatcher.ResponseData> {
         this.#events = events;
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -136,6 +136,7 @@
                 cancel: this.#cancel,
                 onConnected: () => request.connectedAt = deps.clock(),
                 checkWrite: () => this.#checkWrite(),
+                deadline: request.ledgerDeadline,
             });
             this.#hasResponseHead = true;
             deps.crashDetector.recordResponse(this.#startedAt);
--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -15,6 +15,14 @@
     leaving: boolean;
     /** URL that each run calls before it responds, with the id of the run and a suffix; empty for none. */
     callUrl: string;
+    /** Share of the requests that are refused with 503 and the field that states that they did not run. */
+    shedShare: number;
+    /** Share of the responses that are sent a second time, right before the next response on the connection. */
+    surplusShare: number;
+    /** Status of the surplus responses; 0 for that of the response before. */
+    surplusStatus: number;
+    /** Whether a surplus response carries the id of its request. */
+    surplusHasId: boolean;
     /** Whether responses to health checks also state the limit and leaving. */
     saysOnHealth: boolean;
 };
--- a/standin/instancestandin.ts
+++ b/standin/instancestandin.ts
@@ -1,9 +1,11 @@
 /** Stands in for an instance on the users' platform: announces itself to its daemon, and serves requests. */
-import { type IncomingMessage, request, type ServerResponse } from "node:http";
+import { type IncomingMessage, type OutgoingHttpHeaders, request, type ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import type { InstanceControl } from "./instancecontrol.js";
+import { seededRandom } from "./seededrandom.js";
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
+import { SurplusResponses } from "./surplusresponses.js";
 
 /** Changes of these only have no effect on the announcements. */
 const UNANNOUNCED: readonly string[] = ["workMs", "pace"];
@@ -37,6 +39,8 @@
     #coldEndsAt = 0;
     #hasStatedLimit = false;
     readonly #incarnation = Date.now();
+    readonly #surplus = new SurplusResponses();
+    readonly #random: () => number;
 
     constructor(private readonly options: InstanceOptions) {
         super({
@@ -50,7 +54,12 @@
             leaving: false,
             callUrl: "",
             saysOnHealth: false,
+            shedShare: 0,
+            surplusShare: 0,
+            surplusStatus: 0,
+            surplusHasId: true,
         });
+        this.#random = seededRandom(Buffer.from(options.id).reduce((seed, byte) => 31 * seed + byte, 0));
         setInterval(() => void this.#announce(), options.announceEveryMs);
     }
 
@@ -68,6 +77,7 @@
         res.setHeader("server-load", `${this.#running},0,${this.options.slots},${this.control.pace}`);
         res.setHeader("instance-id", this.options.id);
         this.#printArrival(req);
+        this.#surplus.send(req.socket);
         if (req.url === "/health") {
             if (this.control.saysOnHealth) {
                 this.#setStateHeaders(res);
@@ -81,9 +91,33 @@
         if (expected !== undefined && expected !== this.options.id) {
             return sendJson(res, 421, {});
         }
+        if (this.#hasChance(this.control.shedShare)) {
+            return this.#respond(req, res, 503, { "not-executed": "1" });
+        }
         await this.#runRequest(req, res);
     }
 
+    #hasChance(share: number): boolean {
+        return share > 0 && this.#random() < share;
+    }
+
+    /** Responds with the request's id, and keeps a copy as a surplus response if that is configured. */
+    #respond(
+        req: IncomingMessage,
+        res: ServerResponse,
+        status: number,
+        headers: OutgoingHttpHeaders = {},
+        body = "",
+    ): void {
+        const { surplusShare, surplusStatus, surplusHasId } = this.control;
+        const idField = { "attempt-id": req.headers["attempt-id"] };
+        if (this.#hasChance(surplusShare)) {
+            const fields = { ...res.getHeaders(), ...headers, ...surplusHasId && idField };
+            this.#surplus.keep(req.socket, { status: surplusStatus || status, headers: fields, body });
+        }
+        res.writeHead(status, { ...headers, ...idField }).end(body);
+    }
+
     #printArrival(req: IncomingMessage): void {
         const arrival = `${performance.now()} ${String(req.headers["attempt-id"] ?? "health")}`;
         if (this.control.limit !== "") {
@@ -127,7 +161,9 @@
         const callStatus = await this.#call(id);
         this.#running -= 1;
         this.#setStateHeaders(res);
-        res.setHeader("attempt-id", this.control.fault === "foreign" ? "another" : id);
+        if (this.control.fault !== "none") {
+            res.setHeader("attempt-id", this.control.fault === "foreign" ? "another" : id);
+        }
         res.setHeader("server-signature", `of-${this.options.id}`);
         const { host, tenant: team, "caller-service": caller, "x-api-key": key } = req.headers;
         const body = JSON.stringify({ id, host, caller, team, hasKey: key !== undefined, url: req.url, callStatus });
@@ -147,9 +183,11 @@
             case "unframed-end":
                 req.socket.end(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-signature: s\r\n\r\n{"id":`);
                 return;
-            case "none":
             case "foreign":
                 res.writeHead(200, { "content-type": "application/json" }).end(body);
+                return;
+            case "none":
+                return this.#respond(req, res, 200, { "content-type": "application/json" }, body);
         }
     }
 
