A health probe accepts no response to a request

A probe shares the connections of the requests. A surplus response to a request that arrived in the probe's place was taken for the response to the probe, also if it named the upstream: its load, limit and cold time were reported as new, and the connection went back to the pool, where the probe's own late response was then taken for that of the next request. That one ended as `unknown` (502), or, on an upstream that doesn't echo ids, with another response.

A response that carries a request id, or the name of another upstream, is not the response to a probe: nothing is taken from it, the connection is closed, and the probe fails with `foreign-answer`. Those who probe treat that as inconclusive already: the crash detector probes again, the others log it. A surplus response to an earlier probe arrives together with the present one or before it, and then ends the connection as bytes that belong to no request.

Test: "upstream client: a probe accepts no response to a request, and ends its connection" fails before.

--- a/src/dialect/dialect.ts
+++ b/src/dialect/dialect.ts
@@ -3,6 +3,7 @@
  * values.
  */
 import type { HttpHeaders } from "../http/httpheaders.js";
+import type { UpstreamName } from "../ids/upstreamname.js";
 import type { StatedLimit } from "../policy/rate/statedlimit.js";
 import { readLimit } from "./readlimit.js";
 import { readLoad } from "./readload.js";
@@ -64,6 +65,15 @@
         return typeof name === "string" ? name : undefined;
     }
 
+    /**
+     * Returns true if the response can be that of this upstream to a health probe. A probe carries no id, so a response
+     * with one belongs to a request.
+     */
+    isHealthResponse(headers: HttpHeaders, upstream: UpstreamName): boolean {
+        const name = this.upstreamName(headers);
+        return headers[this.requestId] === undefined && (name === undefined || name === upstream);
+    }
+
     /** Returns for how many milliseconds the upstream stays cold by its health endpoint, or undefined if not stated. */
     abstract coldMs(headers: HttpHeaders): number | undefined;
     /**
--- a/src/gate/upstreamclient.test.ts
+++ b/src/gate/upstreamclient.test.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
-import { setTimeout } from "node:timers/promises";
+import { setTimeout as wait } from "node:timers/promises";
 import type { Upstream } from "../config/upstream.js";
 import { OwnDialect } from "../dialect/owndialect.js";
 import type { GateCall } from "../hop/gatecall.js";
@@ -12,6 +12,9 @@
 
 const LOCAL_IP = "127.0.0.1";
 const REQUEST_ID = "winglock-request-id";
+const PROBE_TIMEOUT_MS = 1000;
+/** Time after a response by which its connection can be reused. */
+const RELEASE_MS = 20;
 
 const served = (id: string): string =>
     `HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\nwinglock-limit: 100\r\ncontent-length: ${id.length}\r\n\r\n${id}`;
@@ -21,8 +24,10 @@
     return `HTTP/1.1 503 Service Unavailable\r\nwinglock-outcome: not-run\r\n${idFields}content-length: 0\r\n\r\n`;
 };
 
-/** Writes what the upstream sends when a request arrives. */
-type Respond = (socket: Socket, id: string, connection: number) => void;
+const healthy = "HTTP/1.1 200 OK\r\nwinglock-upstream: fees-1\r\ncontent-length: 0\r\n\r\n";
+
+/** Writes what the upstream sends when a request arrives; `id` is undefined for a health probe. */
+type Respond = (socket: Socket, id: string | undefined, connection: number) => void;
 
 type TestClient = {
     readonly client: UpstreamClient;
@@ -42,7 +47,7 @@
         socket.on("error", () => {
             // The client destroys connections.
         });
-        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())![1]!, connection));
+        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())?.[1], connection));
     });
     await new Promise<void>(resolve => server.listen(0, LOCAL_IP, resolve));
     const { port } = server.address() as AddressInfo;
@@ -87,7 +92,7 @@
     // of the response to the next request on the connection.
     test(`upstream client: a refusal with ${name} proves and reports nothing, and ends its connection`, async t => {
         const { accepted, connectionCount, send } = await startClient(t, (socket, id) => {
-            socket.write(id === "b" ? refused(ids) + served("b") : served(id));
+            socket.write(id === "b" ? refused(ids) + served("b") : served(id!));
         });
         assert.equal(await send("a"), "a");
         await assert.rejects(send("b"), isUpstreamError("foreign-answer"));
@@ -99,10 +104,10 @@
 
 test("upstream client: a refusal with the request's id proves that it has not run, and its connection is reused", async t => {
     const { connectionCount, send } = await startClient(t, (socket, id) => {
-        socket.write(id === "a" ? refused(["a"]) : served(id));
+        socket.write(id === "a" ? refused(["a"]) : served(id!));
     });
     await assert.rejects(send("a"), isUpstreamError("shed"));
-    await setTimeout(20);
+    await wait(RELEASE_MS);
     assert.equal(await send("b"), "b");
     assert.equal(connectionCount(), 1);
 });
@@ -113,7 +118,7 @@
     const refusedOn = new Set<number>();
     const { connectionCount, send } = await startClient(t, (socket, id, connection) => {
         if (id !== "a" || connectionCount() > 1) {
-            socket.write(served(id));
+            socket.write(served(id!));
         }
         else if (refusedOn.has(connection)) {
             socket.write(refused(["a"]) + served("a"));
@@ -124,16 +129,38 @@
         }
     });
     await assert.rejects(send("a"), isUpstreamError("shed"));
-    await setTimeout(20);
+    await wait(RELEASE_MS);
     assert.equal(await send("a"), "a");
     assert.equal(connectionCount(), 2);
     assert.equal(await send("b"), "b");
     assert.equal(connectionCount(), 2, "the new connection has replaced the old one");
 });
 
+// Guards against load and limits taken from a surplus response, and against a connection that stays out of step.
+test("upstream client: a probe accepts no response to a request, and ends its connection", async t => {
+    const { client, accepted, connectionCount, send } = await startClient(t, (socket, id) => {
+        socket.write(id === undefined ? served("a") : served(id));
+    });
+    assert.equal(await send("a"), "a");
+    await assert.rejects(client.probeHealth("/health", PROBE_TIMEOUT_MS), isUpstreamError("foreign-answer"));
+    assert.equal(accepted.length, 1);
+    assert.equal(await send("b"), "b");
+    assert.equal(connectionCount(), 2);
+});
+
+test("upstream client: a probe accepts the response that the upstream sends to it", async t => {
+    const { client, accepted, connectionCount, send } = await startClient(t, (socket, id) => {
+        socket.write(id === undefined ? healthy : served(id));
+    });
+    assert.equal((await client.probeHealth("/health", PROBE_TIMEOUT_MS)).status, 200);
+    assert.equal(accepted.length, 1);
+    assert.equal(await send("a"), "a");
+    assert.equal(connectionCount(), 1);
+});
+
 test("upstream client: a surplus response that arrives while no request is outstanding ends its connection", async t => {
     const { accepted, connectionCount, send } = await startClient(t, (socket, id) => {
-        socket.write(served(id) + (id === "a" ? refused(["a"]) : ""));
+        socket.write(served(id!) + (id === "a" ? refused(["a"]) : ""));
     });
     assert.equal(await send("a"), "a");
     assert.equal(await send("b"), "b");
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -79,7 +79,10 @@
         return response;
     }
 
-    /** Sends a request to the upstream's health endpoint; throws the connection's error. */
+    /**
+     * Sends a request to the upstream's health endpoint; throws the connection's error, or an UpstreamError if the
+     * response is not the upstream's response to a probe.
+     */
     async probeHealth(
         path: string,
         timeoutMs: number,
@@ -99,10 +102,11 @@
                         : new Error(`the probe was not sent: its timeout of ${timeoutMs} ms has passed`),
             });
             await body.dump();
-            const name = dialect.upstreamName(headers);
-            if (name === undefined || name === this.upstream.name) {
-                onResponse(headers, { sentAt, isHealth: true });
+            if (!dialect.isHealthResponse(headers, this.upstream.name)) {
+                this.#discard(connection);
+                throw new UpstreamError("foreign-answer");
             }
+            onResponse(headers, { sentAt, isHealth: true });
             return { status: statusCode, headers };
         }
         finally {
