--- a/standin/upstreamcontrol.ts
+++ b/standin/upstreamcontrol.ts
@@ -25,6 +25,8 @@
     answerFault: ResponseFault;
     /** Share of the responses that get the fault. */
     faultShare: number;
+    /** Share of the refusals that are sent a second time, right before the next response on the connection. */
+    surplusShare: number;
     /** Mean pause between slow periods, in milliseconds; 0 for none. */
     noiseEveryMs: number;
     /** Ingress of the local daemon and path that `/chain` calls, as IP:PORT/PATH; empty for none. */
--- a/standin/upstreamstandin.ts
+++ b/standin/upstreamstandin.ts
@@ -4,6 +4,7 @@
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
 import { streamEvents } from "./streamevents.js";
+import { SurplusResponses } from "./surplusresponses.js";
 import type { UpstreamControl } from "./upstreamcontrol.js";
 import { writeResponse } from "./writeresponse.js";
 
@@ -21,6 +22,7 @@
  */
 export class UpstreamStandin extends StandinServer<UpstreamControl> {
     readonly #queue: Job[] = [];
+    readonly #surplus = new SurplusResponses();
     #isNoisy = false;
     #running = 0;
     #served = 0;
@@ -42,6 +44,7 @@
             limitPerSecond: 0,
             answerFault: "none",
             faultShare: 1,
+            surplusShare: 0,
             noiseEveryMs: 0,
             next: "",
         });
@@ -101,6 +104,7 @@
     async #serveRequest(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
         const path = url.pathname;
         req.resume();
+        this.#surplus.send(req.socket);
         this.#print("A", req);
         this.#printLimitedArrival(req);
         if (this.#refuseIfConfigured(req, res)) {
@@ -140,7 +144,11 @@
     }
 
     #refuse(req: IncomingMessage, res: ServerResponse, fields: OutgoingHttpHeaders): void {
-        res.writeHead(503, { ...fields, "winglock-request-id": req.headers["winglock-request-id"] }).end();
+        const headers = { ...fields, "winglock-request-id": req.headers["winglock-request-id"] };
+        if (this.random() < this.control.surplusShare) {
+            this.#surplus.keep(req.socket, { status: 503, headers, body: "" });
+        }
+        res.writeHead(503, headers).end();
     }
 
     #printRun(req: IncomingMessage): void {
