--- a/test/stopsoak.ts
+++ b/test/stopsoak.ts
@@ -4,6 +4,7 @@
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
 import type { PlatformMesh } from "./platformmesh.js";
+import { schedulerTimes } from "./schedulertimes.js";
 
 /** The time from SIGTERM until a daemon is killed. */
 const GRACE_S = 6;
@@ -15,6 +16,7 @@
 const MAX_PAUSE_MS = 1500;
 const INGRESS_PORT = 7104;
 const DISTURBANCE_STREAMS = 3;
+const SAMPLE_EVERY_MS = 100;
 
 /**
  * How a request ended for its caller: with a status, with a closed connection and no complete response, with a refused
@@ -40,6 +42,8 @@
     readonly refusedThoughRun: readonly string[];
     /** Exit codes other than 0, and stops that outlasted the grace time. */
     readonly badExits: readonly string[];
+    /** For each of these, how long the daemon ran and waited for a processor in each tenth of a second of its stop. */
+    readonly badExitTimes: readonly string[];
     /** Log lines of stops that cut off a request, left bytes unsent, or don't account for each accepted request. */
     readonly badStops: readonly string[];
 };
@@ -58,6 +62,7 @@
     readonly #agent = new Agent({ keepAlive: true });
     readonly #ended: Ended[] = [];
     readonly #badExits: string[] = [];
+    readonly #badExitTimes: string[] = [];
     readonly #stopping = new Set<string>();
     #stops = 0;
     #revision = 1;
@@ -96,6 +101,7 @@
             ranTwice: idsOf(({ isOnce }, runs) => isOnce && runs > 1),
             refusedThoughRun: idsOf(({ isOnce, end }, runs) => isOnce && end === 503 && runs > 0),
             badExits: this.#badExits,
+            badExitTimes: this.#badExitTimes,
             badStops: this.mesh.log.filter(line => line.includes("The daemon has stopped.") && !isCleanStop(line)),
         };
     }
@@ -166,15 +172,22 @@
         this.#stops += 1;
         const daemon = this.mesh.daemons.get(name)!;
         const startedAt = performance.now();
+        const samples: string[] = [];
+        const sampler = setInterval(() => {
+            const { ranMs, waitedMs } = schedulerTimes(daemon.pid) ?? {};
+            samples.push(`${Math.round(performance.now() - startedAt)} ms: ran ${ranMs}, waited ${waitedMs}`);
+        }, SAMPLE_EVERY_MS);
         const ended = daemon.end("SIGTERM", GRACE_S * 1000);
         for (let signals = Math.floor(4 * random()); signals > 0 && daemon.running; signals--) {
             await pause(MAX_PAUSE_MS * random());
             daemon.signal(random() < 0.5 ? "SIGTERM" : "SIGHUP");
         }
         const code = await ended;
+        clearInterval(sampler);
         const tookMs = Math.round(performance.now() - startedAt);
         if (code !== 0) {
             this.#badExits.push(`${name}: ${code} after ${tookMs} ms`);
+            this.#badExitTimes.push(`${name}: ${samples.join("; ")}`);
         }
         await this.mesh.startDaemon(name).ready();
         this.#stopping.delete(name);
--- a/test/stopsoakmain.ts
+++ b/test/stopsoakmain.ts
@@ -1,7 +1,9 @@
 /**
- * Runs a soak of planned work: `node dist/test/stopsoakmain.js --seed S --seconds N --hosts H`, with H hosts for each of
- * two services. Prints the counts as JSON, and exits with 1 if a guarantee was broken.
+ * Runs a soak of planned work: `node dist/test/stopsoakmain.js --seed S --seconds N --hosts H [--log FILE]`, with H hosts for
+ * each of two services. Prints the counts as JSON; if a guarantee was broken, writes the daemons' logs to FILE and exits
+ * with 1.
  */
+import { writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { PlatformMesh } from "./platformmesh.js";
 import { StopSoak } from "./stopsoak.js";
@@ -14,6 +16,7 @@
         seed: { type: "string", default: "1" },
         seconds: { type: "string", default: "30" },
         hosts: { type: "string", default: "3" },
+        log: { type: "string", default: "" },
     },
 });
 const seed = Number(flags.seed);
@@ -31,6 +34,9 @@
         const isNamed = (line: string): boolean =>
             /The daemon (has stopped|is stopping)/.test(line) || ids.some(id => line.includes(`"${id}"`));
         mesh.log.filter(isNamed).forEach(line => console.error(line));
+        if (flags.log !== "") {
+            writeFileSync(flags.log, mesh.log.join("\n"));
+        }
     }
 }
 finally {
