--- a/test/stopsoak.ts
+++ b/test/stopsoak.ts
@@ -4,7 +4,7 @@
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
 import type { PlatformMesh } from "./platformmesh.js";
-import { schedulerTimes } from "./schedulertimes.js";
+import { SchedulerSamples } from "./schedulersamples.js";
 
 /** The time from SIGTERM until a daemon is killed. */
 const GRACE_S = 6;
@@ -16,7 +16,6 @@
 const MAX_PAUSE_MS = 1500;
 const INGRESS_PORT = 7104;
 const DISTURBANCE_STREAMS = 3;
-const SAMPLE_EVERY_MS = 100;
 
 /**
  * How a request ended for its caller: with a status, with a closed connection and no complete response, with a refused
@@ -42,7 +41,7 @@
     readonly refusedThoughRun: readonly string[];
     /** Exit codes other than 0, and stops that outlasted the grace time. */
     readonly badExits: readonly string[];
-    /** For each of these, how long the daemon ran and waited for a processor in each tenth of a second of its stop. */
+    /** For each of these, how long the daemon had run and waited for a processor, during its stop. */
     readonly badExitTimes: readonly string[];
     /** Log lines of stops that cut off a request, left bytes unsent, or don't account for each accepted request. */
     readonly badStops: readonly string[];
@@ -172,22 +171,18 @@
         this.#stops += 1;
         const daemon = this.mesh.daemons.get(name)!;
         const startedAt = performance.now();
-        const samples: string[] = [];
-        const sampler = setInterval(() => {
-            const { ranMs, waitedMs } = schedulerTimes(daemon.pid) ?? {};
-            samples.push(`${Math.round(performance.now() - startedAt)} ms: ran ${ranMs}, waited ${waitedMs}`);
-        }, SAMPLE_EVERY_MS);
+        const samples = new SchedulerSamples(daemon.pid);
         const ended = daemon.end("SIGTERM", GRACE_S * 1000);
         for (let signals = Math.floor(4 * random()); signals > 0 && daemon.running; signals--) {
             await pause(MAX_PAUSE_MS * random());
             daemon.signal(random() < 0.5 ? "SIGTERM" : "SIGHUP");
         }
         const code = await ended;
-        clearInterval(sampler);
+        const times = samples.stop();
         const tookMs = Math.round(performance.now() - startedAt);
         if (code !== 0) {
             this.#badExits.push(`${name}: ${code} after ${tookMs} ms`);
-            this.#badExitTimes.push(`${name}: ${samples.join("; ")}`);
+            this.#badExitTimes.push(`${name}: ${times}`);
         }
         await this.mesh.startDaemon(name).ready();
         this.#stopping.delete(name);
