--- a/demo/faultkinds.ts
+++ b/demo/faultkinds.ts
@@ -108,6 +108,11 @@
     makeUpstreamFault("upstreamSlow", { slowdown: 10 }, { slowdown: 1 }),
     makeUpstreamFault("upstreamFailing", { failing: 0.8 }, { failing: 0 }),
     makeUpstreamFault("upstreamSheds", { shed: "said" }, { shed: "no" }),
+    makeUpstreamFault("refusalsDoubled", { shed: "said", shedShare: 0.5, surplusShare: 0.5 }, {
+        shed: "no",
+        shedShare: 1,
+        surplusShare: 0,
+    }),
     makeUpstreamFault("upstreamLimited", { limitPerSecond: 3 }, { limitPerSecond: 0 }),
     makeFaultKind("upstreamLimitedLong", async (mesh, random) => {
         const { upstream } = pickHost(mesh, random);
