Tests: crowds of clients that exceed the limits

A crowd keeps its connections open to one of two daemons, which run with the flags of deploy/system.toml. What must hold: both daemons run, their peak memory is below that of the smallest host (250 MiB), their descriptors below the limit, and ordinary requests over new connections are answered. No times and no shares.

--- a/demo/child.ts
+++ b/demo/child.ts
@@ -3,8 +3,21 @@
 import { once } from "node:events";
 import { createInterface } from "node:readline";
 
-/** `nodeFlags` are command-line flags of Node, such as the heap size. `env` extends the environment of this process. */
-type ChildOptions = { readonly env?: NodeJS.ProcessEnv; readonly nodeFlags?: readonly string[]; };
+/**
+ * `nodeFlags` are command-line flags of Node, such as the heap size. `env` extends the environment of this process.
+ * `maxDescriptors` limits the open descriptors of the process.
+ */
+type ChildOptions = {
+    readonly env?: NodeJS.ProcessEnv;
+    readonly nodeFlags?: readonly string[];
+    readonly maxDescriptors?: number;
+};
+
+/** Returns the program and its arguments; the shell only sets the limit before it becomes the program. */
+const withDescriptorLimit = (command: readonly string[], maxDescriptors: number | undefined): readonly string[] =>
+    maxDescriptors === undefined
+        ? command
+        : ["/bin/sh", "-c", `ulimit -n ${maxDescriptors} && exec "$0" "$@"`, ...command];
 
 /** Matches the line with which a stand-in or the log of a daemon reports that the process is ready. */
 const READY = /^ready$|"ready":\s*true/;
@@ -19,7 +32,9 @@
     readonly #ready: Promise<void>;
 
     constructor(script: string, args: readonly string[], onLine: (line: string) => void, options: ChildOptions = {}) {
-        this.#process = spawn(process.execPath, [...options.nodeFlags ?? [], script, ...args], {
+        const command = [process.execPath, ...options.nodeFlags ?? [], script, ...args];
+        const [program, ...programArgs] = withDescriptorLimit(command, options.maxDescriptors);
+        this.#process = spawn(program!, programArgs, {
             stdio: ["ignore", "pipe", "pipe"],
             env: { ...process.env, ...options.env },
         });
--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -23,6 +23,10 @@
     surplusStatus: number;
     /** Whether a surplus response carries the id of its request. */
     surplusHasId: boolean;
+    /** Bytes of padding in the body of a successful response. */
+    padBytes: number;
+    /** Size of the chunks in which the body of a successful response is sent; 0 for a body with a length. */
+    chunkBytes: number;
     /** Whether responses to health checks also state the limit and leaving. */
     saysOnHealth: boolean;
 };
--- a/standin/instancestandin.ts
+++ b/standin/instancestandin.ts
@@ -3,6 +3,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { InstanceControl } from "./instancecontrol.js";
 import { seededRandom } from "./seededrandom.js";
+import { sendChunked } from "./sendchunked.js";
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
 import { SurplusResponses } from "./surplusresponses.js";
@@ -58,6 +59,8 @@
             surplusShare: 0,
             surplusStatus: 0,
             surplusHasId: true,
+            padBytes: 0,
+            chunkBytes: 0,
         });
         this.#random = seededRandom(Buffer.from(options.id).reduce((seed, byte) => 31 * seed + byte, 0));
         setInterval(() => void this.#announce(), options.announceEveryMs);
@@ -166,7 +169,10 @@
         }
         res.setHeader("server-signature", `of-${this.options.id}`);
         const { host, tenant: team, "caller-service": caller, "x-api-key": key } = req.headers;
-        const body = JSON.stringify({ id, host, caller, team, hasKey: key !== undefined, url: req.url, callStatus });
+        const { padBytes, chunkBytes } = this.control;
+        const pad = padBytes === 0 ? undefined : "p".repeat(padBytes);
+        const hasKey = key !== undefined;
+        const body = JSON.stringify({ id, host, caller, team, hasKey, url: req.url, callStatus, pad });
         switch (this.control.fault) {
             case "lost":
                 req.socket.resetAndDestroy();
@@ -187,6 +193,9 @@
                 res.writeHead(200, { "content-type": "application/json" }).end(body);
                 return;
             case "none":
+                if (chunkBytes > 0) {
+                    return sendChunked(res, { "attempt-id": id }, body, chunkBytes);
+                }
                 return this.#respond(req, res, 200, { "content-type": "application/json" }, body);
         }
     }
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -16,6 +16,7 @@
 import type { PlatformResponse } from "./platformresponse.js";
 
 const scriptPath = (path: string): string => new URL(`../${path}`, import.meta.url).pathname;
+const DAEMON_SCRIPT = scriptPath("platform/bin/winglockd.cjs");
 const HALLS = ["a", "b", "c"];
 
 type Host = { readonly name: string; readonly ip: string; readonly service: string; readonly hall: string; };
@@ -87,10 +88,11 @@
 
     /** Starts a host's daemon; `overrides` replaces fields of its settings. */
     startDaemon(name: string, overrides: object = {}): Child {
-        const { script = scriptPath("platform/bin/winglockd.cjs"), nodeFlags, settings } = this.options;
+        const { script = DAEMON_SCRIPT, nodeFlags, maxDescriptors, settings } = this.options;
         const child = new Child(script, [], line => this.log.push(line), {
             env: { WINGLOCK_BOOT: this.#settings(this.host(name), { ...settings, ...overrides }) },
             nodeFlags,
+            maxDescriptors,
         });
         this.daemons.set(name, child);
         return child;
