A body takes the memory of its bytes, however small its chunks are

Callers saw: a daemon that ended with `Reached heap limit`, and with it every connection, while three clients sent 260,000 chunks of one byte each, or 30 clients 60,000. Cause: `bufferBody` kept each chunk as an object until the end of the body, some 350 bytes for one byte, and BodyMemory counts bytes. Now the bytes are copied into one buffer that doubles (`ByteCollector`); a body that arrives in one chunk is not copied. The same function buffers responses of upstreams and bodies from peers, so these are covered, too.

Trailing objects that wait in a stream's queue while nobody reads are not covered by this.

--- a/src/http/bufferbody.ts
+++ b/src/http/bufferbody.ts
@@ -1,21 +1,21 @@
 /** Reads a body into memory, up to a size limit. */
 import { Readable } from "node:stream";
+import { ByteCollector } from "./bytecollector.js";
 import { ignoreBodyErrors } from "./ignorebodyerrors.js";
 
-/** The whole body, or the first chunks of a body that exceeds the limit; its stream is paused after them. */
-type Collected = { readonly isComplete: boolean; readonly chunks: Buffer[]; readonly size: number; };
+/** The whole body, or the first bytes of a body that exceeds the limit; its stream is paused after them. */
+type Collected = { readonly isComplete: boolean; readonly bytes: Buffer; };
 
 /** Reads the body to its end, or until it exceeds `maxBytes`; rejects if it breaks off before that. */
 export function bufferBody(body: Buffer | Readable, maxBytes: number): Promise<Collected> {
     if (!(body instanceof Readable)) {
-        return Promise.resolve({ isComplete: true, chunks: [body], size: body.length });
+        return Promise.resolve({ isComplete: true, bytes: body });
     }
     if (body.destroyed) {
         return Promise.reject(body.errored ?? new Error("the body's stream closed before it was read"));
     }
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const collector = new ByteCollector();
         const removeListeners = (): void => {
             body.removeListener("data", onData);
             body.removeListener("end", onEnd);
@@ -23,17 +23,16 @@
             body.removeListener("close", onClose);
         };
         const onData = (chunk: Buffer): void => {
-            chunks.push(chunk);
-            size += chunk.length;
-            if (size > maxBytes) {
+            collector.add(chunk);
+            if (collector.size > maxBytes) {
                 removeListeners();
                 body.pause();
-                resolve({ isComplete: false, chunks, size });
+                resolve({ isComplete: false, bytes: collector.bytes });
             }
         };
         const onEnd = (): void => {
             removeListeners();
-            resolve({ isComplete: true, chunks, size });
+            resolve({ isComplete: true, bytes: collector.bytes });
         };
         const onError = (err: Error): void => {
             removeListeners();
--- a/src/ingress/deliver.ts
+++ b/src/ingress/deliver.ts
@@ -109,14 +109,14 @@
         }
         return;
     }
-    const { isComplete, chunks, size } = await bufferBody(response.body, isBodiless ? Infinity : bufferBytes);
+    const { isComplete, bytes } = await bufferBody(response.body, isBodiless ? Infinity : bufferBytes);
     if (res.destroyed) {
         destroyBody(response.body);
         return;
     }
     if (!isComplete) {
         if (await beginStream(res, response, turn)) {
-            chunks.forEach(chunk => res.write(chunk));
+            res.write(bytes);
             await streamBody(res, response.body);
         }
         return;
@@ -127,8 +127,7 @@
         endByClosing(res, turn);
     }
     else if (!isBodiless) {
-        headers["content-length"] = String(size);
+        headers["content-length"] = String(bytes.length);
     }
-    const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-    sendWhole(res, { status: response.status, headers, body }, turn);
+    sendWhole(res, { status: response.status, headers, body: bytes }, turn);
 }
--- a/src/ingress/readbody.ts
+++ b/src/ingress/readbody.ts
@@ -17,13 +17,10 @@
 const hasBody = (req: IncomingMessage): boolean =>
     req.headers["transfer-encoding"] !== undefined || Number(req.headers["content-length"] ?? 0) > 0;
 
-const streamBody = (req: IncomingMessage, firstChunks: Buffer[], maxBytes: number): RequestBody => {
+const streamBody = (req: IncomingMessage, firstBytes: Buffer, maxBytes: number): RequestBody => {
     const stream = new PassThrough();
-    let size = 0;
-    firstChunks.forEach(chunk => {
-        size += chunk.length;
-        stream.write(chunk);
-    });
+    let size = firstBytes.length;
+    stream.write(firstBytes);
     req.on("data", (chunk: Buffer) => {
         size += chunk.length;
         if (size > maxBytes) {
@@ -55,8 +52,8 @@
     if (Number(req.headers["content-length"] ?? 0) > limits.maxBytes) {
         throw new BodyError(true);
     }
-    const { isComplete, chunks } = await collectBody(req, limits.keepBytes);
-    return isComplete ? { content: Buffer.concat(chunks), kept: true } : streamBody(req, chunks, limits.maxBytes);
+    const { isComplete, bytes } = await collectBody(req, limits.keepBytes);
+    return isComplete ? { content: bytes, kept: true } : streamBody(req, bytes, limits.maxBytes);
 }
 
 const collectBody = async (req: IncomingMessage, keepBytes: number): ReturnType<typeof bufferBody> => {
--- a/src/link/buffershortbody.ts
+++ b/src/link/buffershortbody.ts
@@ -7,9 +7,9 @@
 
 const BROKEN_MESSAGE = "response body broke off before it was complete";
 
-const streamWithBuffered = (body: Readable, buffered: readonly Buffer[]): Readable => {
+const streamWithBuffered = (body: Readable, buffered: Buffer): Readable => {
     const out = new PassThrough();
-    buffered.forEach(chunk => out.write(chunk));
+    out.write(buffered);
     out.on("error", () => {
         // The stream's reader has its own listener; this one keeps an error without a reader from ending the process.
     });
@@ -28,11 +28,8 @@
 /** Resolves with the whole body if it is short, with a stream of it if it is long, or with `broken` if it broke off. */
 export async function bufferShortBody(body: Readable): Promise<Buffer | Readable | "broken"> {
     try {
-        const { isComplete, chunks } = await bufferBody(body, MAX_BUFFERED_BYTES);
-        if (!isComplete) {
-            return streamWithBuffered(body, chunks);
-        }
-        return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+        const { isComplete, bytes } = await bufferBody(body, MAX_BUFFERED_BYTES);
+        return isComplete ? bytes : streamWithBuffered(body, bytes);
     }
     catch {
         // The peer receives a `broken` frame, and logs the failure with the request's id.
--- a/src/link/link.test.ts
+++ b/src/link/link.test.ts
@@ -16,7 +16,7 @@
 type Serve = Parameters<typeof LinkEnds.between>[0];
 
 const textOf = async (body: Buffer | Readable | undefined): Promise<string> =>
-    Buffer.concat((await bufferBody(body ?? Buffer.alloc(0), Infinity)).chunks).toString();
+    (await bufferBody(body ?? Buffer.alloc(0), Infinity)).bytes.toString();
 
 const echo: Serve = async ({ method, path, headers, body }) => ({
     metadata,
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -181,11 +181,11 @@
         if (size === undefined) {
             return stream;
         }
-        const { isComplete, chunks, size: receivedSize } = await bufferBody(stream, size);
-        if (!isComplete || receivedSize !== size) {
+        const { isComplete, bytes } = await bufferBody(stream, size);
+        if (!isComplete || bytes.length !== size) {
             throw new LinkError("broken-body");
         }
-        return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+        return bytes;
     }
 
     #openBody(): Readable {
--- a/src/link/unresponsivelink.test.ts
+++ b/src/link/unresponsivelink.test.ts
@@ -89,11 +89,11 @@
         const { body } = await (await pool.acquire()).send(call({ head: { ...call().head, answer: "streamed" } }));
         await wait(1500);
         assert.deepEqual(unresponsive, []);
-        assert.equal((await bufferBody(body as Readable, Infinity)).size, 4_000_000);
+        assert.equal((await bufferBody(body as Readable, Infinity)).bytes.length, 4_000_000);
     });
     const unread: Serve = async ({ body }) => {
         await wait(1500);
-        return { ...response, body: Buffer.from(String((await bufferBody(body as Readable, Infinity)).size)) };
+        return { ...response, body: Buffer.from(String((await bufferBody(body as Readable, Infinity)).bytes.length)) };
     };
     await between(unread, async ({ pool, unresponsive }) => {
         assert.equal(await send(pool, Readable.from([Buffer.from("x")])), 200);
@@ -108,7 +108,7 @@
         pausedBody.write("one");
         const { body } = await (await pool.acquire()).send(call({ head: { ...call().head, answer: "streamed" } }));
         setTimeout(() => pausedBody.end("two"), 1500);
-        assert.equal(String(Buffer.concat((await bufferBody(body as Readable, Infinity)).chunks)), "onetwo");
+        assert.equal(String((await bufferBody(body as Readable, Infinity)).bytes), "onetwo");
         assert.deepEqual(unresponsive, []);
     });
 });
