--- a/test/withcrowd.ts
+++ b/test/withcrowd.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { request } from "node:http";
+import type { TestContext } from "node:test";
 import { CrowdClient } from "./crowdclient.js";
 import { eventually } from "./eventually.js";
 import { platformConfiguration } from "./platformconfiguration.js";
@@ -54,9 +55,10 @@
 
 /**
  * Checks the daemons while the clients of the crowd are still connected: both run, within the memory of their host, and
- * an ordinary request is answered, also one with a chunked body.
+ * an ordinary request is answered, also one with a chunked body. Reports what each daemon has used.
  */
 export async function withCrowd(
+    t: TestContext,
     { crowd, maxDescriptors = DESCRIPTORS, ordinaryCallers = 1, settings, prepare, check }: CrowdTest,
 ): Promise<void> {
     const options = {
@@ -85,6 +87,7 @@
             for (const [name, daemon] of mesh.daemons) {
                 assert.ok(daemon.running, `${name} runs`);
                 const { peakBytes, descriptors } = readProcess(daemon.pid);
+                t.diagnostic(`${name}: peak ${Math.round(peakBytes / MIB)} MiB, ${descriptors} descriptors`);
                 assert.ok(peakBytes < MEMORY_BYTES, `${name} has used ${Math.round(peakBytes / MIB)} MiB`);
                 assert.ok(descriptors <= maxDescriptors, `${name} has ${descriptors} descriptors`);
             }
