The rest of a body is discarded within limits once its request has been answered

Callers saw: nothing; the daemon read the body of a refused request without an end, as long as its caller went on sending, and kept the connection. Cause: Node discards what is left of a body after the response, and drainBody before it, without a limit in time or bytes. And a response that closes the connection closed it while the caller was still sending, so that the system's reset could discard the response.

Now an answered request's body is read for limits.discardTimeoutMs (5 s) and six times the limit on bodies at most; then the connection is closed, counted and logged (`discard-limit`). A connection that is to be closed stays open on the read side for as long. A refused body is discarded as it arrives: unread chunks were kept as objects until the response's turn.

Settings of the ingress, dependencies of connections and the limits in force have files of their own now.

--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -27,6 +27,7 @@
     headersTimeoutMs: Ms.default(10_000),
     requestTimeoutMs: Ms.default(60_000),
     keepAliveMs: Ms.default(15_000),
+    discardTimeoutMs: Ms.default(5000),
     requestsPerConnection: z.int().min(1).max(1024).default(8),
     ledgerEntries: z.int().min(1).max(1_000_000).default(50_000),
 });
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -7,32 +7,20 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../time/clock.js";
+import { BodyDiscard } from "./bodydiscard.js";
+import type { ConnectionDependencies } from "./connectiondependencies.js";
 import { connectionProblem } from "./connectionproblem.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
+import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
 
 /** Requests that are parsed beyond the accepted ones before reading stops for good. */
 const MAX_PARSED_AHEAD = 256;
 
-/** A request that was parsed and not accepted; `arrivedAt` is in milliseconds on the daemon's clock. */
-type ParsedRequest = {
-    readonly req: IncomingMessage;
-    readonly res: ServerResponse;
-    readonly arrivedAt: number;
-};
-
-/** Dependencies that the listener provides. */
-type ConnectionDependencies = {
-    readonly clock: Clock;
-    /** The most requests that are accepted and not answered. */
-    readonly maxAccepted: number;
+/** Dependencies of one connection. */
+type Dependencies = ConnectionDependencies & {
     /** True during a planned stop. */
     readonly isStopping: () => boolean;
-    /** Serves an accepted request. */
-    readonly serve: (request: ParsedRequest, connection: CallerConnection) => void;
-    /** Called for each request that was parsed and will not be accepted. */
-    readonly onDropped: () => void;
 };
 
 /** The state of one connection, from its acceptance to its end. */
@@ -44,14 +32,17 @@
     #isSealed = false;
     #isHalfClosed = false;
     readonly #reading: ReadPause;
+    readonly #discard: BodyDiscard;
     #droppedCount = 0;
     /** The bytes that had been read when the last response was sent; undefined before the first response. */
     #bytesReadAtAnswer: number | undefined;
     /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
     #problem: string | undefined;
 
-    constructor(private readonly socket: Socket, private readonly deps: ConnectionDependencies) {
+    constructor(private readonly socket: Socket, private readonly deps: Dependencies) {
         this.#reading = new ReadPause(socket);
+        this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
+        this.#discard.lingerOnClose(() => this.#accepted[0]);
         this.#probe = new DisconnectProbe(socket, () => this.#accepted[0]?.headersSent === false);
         socket.on("end", () => this.#handleEnd());
         socket.on("close", () => this.#handleClose());
@@ -172,6 +163,7 @@
             return;
         }
         this.#bytesReadAtAnswer = this.socket.bytesRead;
+        this.#discard.startIfIncomplete(res);
         this.#acceptWaiting();
         this.#sendProblemIfDue();
         if (this.#isSealed && this.#accepted.length === 0) {
@@ -229,6 +221,7 @@
     #handleClose(): void {
         this.#probe.stop();
         this.#reading.end();
+        this.#discard.stop();
         this.#isSealed = true;
         this.#waiting.length = 0;
         for (const res of this.#accepted.splice(0)) {
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -1,22 +1,8 @@
 /** Keeps the state of every caller's connection of a server, and passes the server's events to it. */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "../time/clock.js";
 import { CallerConnection } from "./callerconnection.js";
-
-type Serve = (
-    request: { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number; },
-    connection: CallerConnection,
-) => void;
-
-/** Dependencies of the connections; `maxAccepted` bounds the accepted, unanswered requests of each. */
-type ConnectionsDependencies = {
-    readonly clock: Clock;
-    readonly maxAccepted: number;
-    readonly serve: Serve;
-    /** Called for each request that was parsed and will not be accepted. */
-    readonly onDropped: () => void;
-};
+import type { ConnectionDependencies } from "./connectiondependencies.js";
 
 /** Errors of the parser begin so; all others are errors of the socket. */
 const PARSER_ERROR_PREFIX = "HPE_";
@@ -27,7 +13,7 @@
     readonly #connections = new Map<Socket, CallerConnection>();
     #isStopping = false;
 
-    constructor(server: Server, deps: ConnectionsDependencies) {
+    constructor(server: Server, deps: ConnectionDependencies) {
         const connectionDeps = { ...deps, isStopping: () => this.#isStopping };
         // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
         Object.assign(server, { httpAllowHalfOpen: true });
--- a/src/ingress/ingress.test.ts
+++ b/src/ingress/ingress.test.ts
@@ -16,6 +16,7 @@
     headersTimeoutMs: 5000,
     requestTimeoutMs: 5000,
     keepAliveMs: 5000,
+    discardTimeoutMs: 5000,
     requestsPerConnection: 8,
 };
 const POLL_INTERVAL_MS = 10;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -6,10 +6,9 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { CallerLimits } from "../config/callerlimits.js";
+import { drainBody } from "../http/drainbody.js";
 import { httpStatus } from "../http/httpstatus.js";
-import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
-import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import type { StopSchedule } from "../policy/stop/stopschedule.js";
 import { listen } from "../time/listen.js";
 import type { CallerConnection } from "./callerconnection.js";
@@ -17,12 +16,15 @@
 import { CallerResponse } from "./callerresponse.js";
 import { checkHead } from "./checkhead.js";
 import { closeServer } from "./closeserver.js";
+import { EffectiveLimits } from "./effectivelimits.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { IngressLimits } from "./ingresslimits.js";
+import { LimitClosures } from "./limitclosures.js";
+import type { ListenerDependencies } from "./listenerdependencies.js";
 import { outgoingHeaders } from "./outgoingheaders.js";
+import type { ParsedRequest } from "./parsedrequest.js";
 import type { Plan } from "./plan.js";
 import { PlannedStop } from "./plannedstop.js";
-import type { Planner } from "./planner.js";
 import { readCallerBody } from "./readcallerbody.js";
 import { RequestHandler } from "./requesthandler.js";
 import { RequestLog } from "./requestlog.js";
@@ -32,18 +34,6 @@
 
 const logger = log("ingress");
 
-/** A request that its connection has accepted; `arrivedAt` is in milliseconds on the daemon's clock. */
-type AcceptedRequest = { readonly req: IncomingMessage; readonly res: ServerResponse; readonly arrivedAt: number; };
-
-/** Dependencies of the listener besides those of the request handlers. */
-type ListenerDependencies = {
-    readonly planner: Planner;
-    /** The service on this host, sent to upstreams as the caller's service; undefined if there is none. */
-    readonly callerService: ServiceName | undefined;
-    /** Bounds the bytes of the bodies that are held. */
-    readonly bodyMemory: BodyMemory;
-};
-
 /** A request that was planned and not refused. */
 type PlannedRequest = { readonly id: string; readonly path: string; readonly plan: Plan; readonly log: RequestLog; };
 
@@ -51,17 +41,20 @@
 export class Ingress {
     readonly #server: Server;
     readonly #connections: CallerConnections;
-    #callerLimits: CallerLimits = {};
+    /** The connections that were closed because of a limit. */
+    readonly closures = new LimitClosures();
+    readonly #limits: EffectiveLimits;
     #inFlight = 0;
     /** Undefined until a planned stop begins. */
     #stop: PlannedStop | undefined;
     #isDestroyed = false;
 
     constructor(
-        private readonly limits: IngressLimits,
+        limits: IngressLimits,
         private readonly listenerParts: ListenerDependencies,
         private readonly deps: IngressDependencies,
     ) {
+        this.#limits = new EffectiveLimits(limits);
         this.#server = createServer({
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headersTimeoutMs,
@@ -75,14 +68,16 @@
             maxAccepted: limits.requestsPerConnection,
             serve: (request, connection) => void this.#handle(request, connection),
             onDropped: () => this.#stop?.counts.recordDropped(),
+            discardLimits: () => this.#limits.discard,
+            onLimit: (reason, socket) => this.closures.record(reason, socket),
         });
     }
 
     /** Applies the operators' limits on callers; the daemon's own limits apply where the operators set none. */
     applyCallerLimits(callerLimits: CallerLimits): void {
-        this.#callerLimits = callerLimits;
-        this.#server.headersTimeout = callerLimits.headersTimeoutMs ?? this.limits.headersTimeoutMs;
-        this.#server.keepAliveTimeout = callerLimits.keepAliveMs ?? this.limits.keepAliveMs;
+        this.#limits.apply(callerLimits);
+        this.#server.headersTimeout = this.#limits.headersTimeoutMs;
+        this.#server.keepAliveTimeout = this.#limits.keepAliveMs;
     }
 
     /** The number of requests whose responses are not yet written to their sockets. */
@@ -125,7 +120,7 @@
         this.#server.closeAllConnections();
     }
 
-    async #handle({ req, res, arrivedAt }: AcceptedRequest, connection: CallerConnection): Promise<void> {
+    async #handle({ req, res, arrivedAt }: ParsedRequest, connection: CallerConnection): Promise<void> {
         const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
         this.#inFlight += 1;
         this.#stop?.counts.recordAccepted();
@@ -134,6 +129,8 @@
             const refusal = await this.#serve(req, res, callerResponse, arrivedAt);
             if (refusal !== undefined) {
                 const { problem, detail, retryAfterMs } = refusal;
+                // Chunks that are not read are kept as objects of their own.
+                drainBody(req);
                 callerResponse.sendProblem(problem, { outcome: "not-run", detail, retryAfterMs });
             }
         }
@@ -173,7 +170,7 @@
         callerResponse: CallerResponse,
         startedAt: number,
     ): Promise<RequestRefusal | undefined> {
-        const head = checkHead(req, this.#callerLimits.headerBytes ?? this.limits.headerBytes);
+        const head = checkHead(req, this.#limits.headerBytes);
         if (head.type === "refusal") {
             return head;
         }
@@ -204,10 +201,8 @@
         res: ServerResponse,
         callerResponse: CallerResponse,
     ): Promise<RequestRefusal | undefined> {
-        const { keepBytes, bodyBytes } = this.limits;
-        const maxBytes = this.#callerLimits.bodyBytes ?? bodyBytes;
         const held = await readCallerBody(req, {
-            limits: { keepBytes, maxBytes },
+            limits: this.#limits.body,
             memory: this.listenerParts.bodyMemory,
             response: callerResponse,
             log: requestLog,
--- a/src/ingress/ingresslimits.ts
+++ b/src/ingress/ingresslimits.ts
@@ -9,6 +9,8 @@
     readonly headersTimeoutMs: number;
     readonly requestTimeoutMs: number;
     readonly keepAliveMs: number;
+    /** How long the rest of a body is read after its request has been answered. */
+    readonly discardTimeoutMs: number;
     /** The most requests of a connection that are accepted and not answered. */
     readonly requestsPerConnection: number;
 };
--- /dev/null
+++ b/src/ingress/parsedrequest.ts
@@ -0,0 +1,9 @@
+/** Defines a request that Node's HTTP server has parsed. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** The body may still be arriving. `arrivedAt` is in milliseconds on the daemon's clock. */
+export type ParsedRequest = {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly arrivedAt: number;
+};
--- a/test/withconnection.ts
+++ b/test/withconnection.ts
@@ -6,6 +6,9 @@
 import { CallerConnections } from "../src/ingress/callerconnections.js";
 import { ResponseTurn } from "../src/ingress/responseturn.js";
 
+const DISCARD_BYTES = 100_000;
+const DISCARD_TIMEOUT_MS = 300;
+
 /** A request that the server has accepted, in the order of acceptance. */
 type Accepted = {
     readonly path: string;
@@ -33,6 +36,8 @@
         clock: () => performance.now(),
         maxAccepted,
         onDropped: () => {},
+        discardLimits: () => ({ maxBytes: DISCARD_BYTES, timeoutMs: DISCARD_TIMEOUT_MS }),
+        onLimit: () => {},
         serve: ({ req, res }, connection) => {
             let size = 0;
             req.on("data", (chunk: Buffer) => size += chunk.length);
