Chunked bodies above the limit are refused with 413

Callers saw: 200 for a chunked body of 100,000 bytes where the operators' limit is 65,536, and 502 or 503 for a longer one. Cause: a body without a length was compared with limits.keepBytes while it was collected, and with the limit on bodies only once it was streamed, which is when an upstream already has a part of it. Now it is collected up to the smaller of the two; nothing of a refused body reaches an upstream.

Where the limit on bodies is above limits.keepBytes, a body that exceeds it while it is streamed still ends as before.

--- a/src/ingress/readbody.ts
+++ b/src/ingress/readbody.ts
@@ -52,7 +52,10 @@
     if (Number(req.headers["content-length"] ?? 0) > limits.maxBytes) {
         throw new BodyError(true);
     }
-    const { isComplete, bytes } = await collectBody(req, limits.keepBytes);
+    const { isComplete, bytes } = await collectBody(req, Math.min(limits.keepBytes, limits.maxBytes));
+    if (bytes.length > limits.maxBytes) {
+        throw new BodyError(true);
+    }
     return isComplete ? { content: bytes, kept: true } : streamBody(req, bytes, limits.maxBytes);
 }
 
