Unfinished bodies give their memory up

Callers saw: 503 (`body-memory`) for every request with a chunked body on a host, for as long as 128 clients kept a body unfinished, ten bytes each. Cause: a body without a length reserved limits.keepBytes whatever had arrived, one with a length all of it; and nothing ended a body that did not go on but Node's requestTimeout, since the timer of the deadline began only when the body was complete.

Now (src/ingress/callerbody.ts, src/policy/admission/bodymemory.ts): - A body without a length reserves what has arrived. One with a length still reserves all of it, so that many uploads at once are refused early and do not take the memory from each other. - If the memory does not suffice, bodies that have been unfinished for half a second or longer are given up, those that began first before others: that strikes a body that stopped and one that trickles in alike. They are refused with 503, not run, and their connections closed. - A body that is unfinished at the request's deadline is refused with 408 (`body-timeout`), not run.

Callers inside the limits: their bodies arrive within their deadlines, and are given up only when the memory is used up and they have taken half a second.

--- a/src/http/bytecollector.ts
+++ b/src/http/bytecollector.ts
@@ -16,11 +16,19 @@
     /** False while the buffer is the first chunk. */
     #isOwn = false;
 
+    /** `expectedBytes` is the length of the body if it is known. */
+    constructor(private readonly expectedBytes = 0) {}
+
     /** The number of bytes collected. */
     get size(): number {
         return this.#size;
     }
 
+    /** The number of bytes that the buffer takes. */
+    get capacity(): number {
+        return this.#buffer.length;
+    }
+
     /** Returns the collected bytes; no more may be added afterwards. */
     get bytes(): Buffer {
         return this.#buffer.subarray(0, this.#size);
@@ -41,7 +49,9 @@
     }
 
     #grow(minCapacity: number): void {
-        const capacity = Math.max(MIN_CAPACITY_BYTES, minCapacity, 2 * this.#buffer.length);
+        const capacity = minCapacity <= this.expectedBytes
+            ? this.expectedBytes
+            : Math.max(MIN_CAPACITY_BYTES, minCapacity, 2 * this.#buffer.length);
         const grown = Buffer.allocUnsafeSlow(capacity);
         this.#buffer.copy(grown, 0, 0, this.#size);
         this.#buffer = grown;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -202,10 +202,12 @@
         callerResponse: CallerResponse,
     ): Promise<RequestRefusal | undefined> {
         const held = await readCallerBody(req, {
+            clock: this.deps.clock,
             limits: this.#limits.body,
             memory: this.listenerParts.bodyMemory,
             response: callerResponse,
             log: requestLog,
+            deadline: plan.deadline,
         });
         if (held === undefined || "type" in held) {
             return held;
--- a/src/ingress/outgoingrequest.ts
+++ b/src/ingress/outgoingrequest.ts
@@ -1,6 +1,6 @@
 /** A request as each of its attempts sends it. */
+import type { Readable } from "node:stream";
 import type { HttpHeaders } from "../http/httpheaders.js";
-import type { readBody } from "./readbody.js";
 
 /** Excludes the header fields that apply to the caller's connection only. */
 export type OutgoingRequest = {
@@ -9,5 +9,6 @@
     readonly method: string;
     readonly headers: HttpHeaders;
     readonly path: string;
-    readonly body: Awaited<ReturnType<typeof readBody>>;
+    /** `kept` is false for a body that is streamed; such a request can be sent only once. */
+    readonly body: { readonly content: Buffer | Readable | undefined; readonly kept: boolean; };
 };
--- a/src/ingress/problems.ts
+++ b/src/ingress/problems.ts
@@ -25,6 +25,10 @@
         status: httpStatus.serviceUnavailable,
         title: "The daemon holds as many request bodies as its memory allows.",
     },
+    "body-timeout": {
+        status: httpStatus.requestTimeout,
+        title: "The request's body was not complete before its deadline.",
+    },
     "bad-request": { status: httpStatus.badRequest, title: "The request can't be read." },
     "internal": { status: httpStatus.internalServerError, title: "Winglock has failed." },
     "no-upstream": { status: httpStatus.serviceUnavailable, title: "No upstream of the service takes work now." },
--- a/src/ingress/readcallerbody.ts
+++ b/src/ingress/readcallerbody.ts
@@ -4,11 +4,13 @@
 import { isUnread } from "../http/isunread.js";
 import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
-import { BodyError } from "./bodyerror.js";
+import type { Clock } from "../time/clock.js";
+import type { BodyLimits } from "./bodylimits.js";
+import { CallerBody } from "./callerbody.js";
 import type { CallerResponse } from "./callerresponse.js";
-import { expectedBodyBytes } from "./expectedbodybytes.js";
+import type { CollectedBody } from "./collectedbody.js";
+import { hasBody } from "./hasbody.js";
 import type { OutgoingRequest } from "./outgoingrequest.js";
-import { readBody } from "./readbody.js";
 import type { RequestLog } from "./requestlog.js";
 import type { RequestRefusal } from "./requestrefusal.js";
 
@@ -17,49 +19,72 @@
 
 /** The request that the body belongs to, and its limits. */
 type BodyContext = {
-    readonly limits: Parameters<typeof readBody>[1];
+    readonly clock: Clock;
+    readonly limits: BodyLimits;
     readonly memory: BodyMemory;
     readonly response: CallerResponse;
     readonly log: RequestLog;
+    /** A body that is unfinished at this time, in milliseconds on the clock, is refused. */
+    readonly deadline: number;
 };
 
-/** Used for requests without a body, for which nothing is reserved. */
-const NO_RESERVATION = { resize: (): void => {}, release: (): void => {} };
+type FailedType = Exclude<CollectedBody["type"], "whole" | "long" | "incomplete">;
+
+const NO_BODY: HeldBody = { body: { content: undefined, kept: true }, release: () => {} };
 
 /** Reads what no attempt has read: a caller may read the response only after it has sent the whole body. */
-const discardBody = ({ content }: HeldBody["body"], { release }: Pick<HeldBody, "release">): void => {
-    release();
+const discardBody = ({ content }: HeldBody["body"], collected: CallerBody): void => {
+    collected.release();
     if (isUnread(content)) {
         drainBody(content);
     }
 };
 
+/** The caller of an unfinished body can't send another request on its connection. */
+const refuse = (type: FailedType, body: CallerBody, context: BodyContext): RequestRefusal => {
+    const { limits, memory, response, log } = context;
+    switch (type) {
+        case "too-large":
+            response.closeConnectionAfter();
+            return { type: "refusal", problem: "body-too-large", detail: `at most ${limits.maxBytes} bytes` };
+        case "timeout":
+            log.bodyUnfinished("deadline", body.receivedBytes);
+            response.closeConnectionAfter();
+            return { type: "refusal", problem: "body-timeout", detail: `${body.receivedBytes} bytes were received` };
+        case "evicted":
+            log.bodyUnfinished("evicted", body.receivedBytes);
+            response.closeConnectionAfter();
+            break;
+        case "no-memory":
+            log.noBodyMemory(body.receivedBytes, memory.heldBytes);
+    }
+    const detail = `${body.receivedBytes} bytes were received`;
+    return { type: "refusal", problem: "body-memory", detail, retryAfterMs: bodyMemoryRetryAfterMs };
+};
+
 /** Returns the body, the refusal to send, or undefined if the body is incomplete since its caller has left. */
 export async function readCallerBody(
     req: IncomingMessage,
-    { limits, memory, response, log }: BodyContext,
+    context: BodyContext,
 ): Promise<HeldBody | RequestRefusal | undefined> {
-    const bytes = expectedBodyBytes(req, limits.keepBytes);
-    const reservation = bytes === 0 ? NO_RESERVATION : memory.reserve(bytes);
-    if (reservation === undefined) {
-        log.noBodyMemory(bytes, memory.heldBytes);
-        const detail = `${bytes} bytes`;
-        return { type: "refusal", problem: "body-memory", detail, retryAfterMs: bodyMemoryRetryAfterMs };
+    if (!hasBody(req)) {
+        return NO_BODY;
     }
-    try {
-        const body = await readBody(req, limits);
-        if (Buffer.isBuffer(body.content)) {
-            reservation.resize(body.content.length);
+    const callerBody = new CallerBody(req, context);
+    const collected = await callerBody.collect(context.deadline);
+    switch (collected.type) {
+        case "whole": {
+            const body = { content: collected.bytes, kept: true };
+            return { body, release: () => discardBody(body, callerBody) };
         }
-        return { body, release: () => discardBody(body, reservation) };
-    }
-    catch (err) {
-        reservation.release();
-        if (err instanceof BodyError && err.tooLarge) {
-            response.closeConnectionAfter();
-            return { type: "refusal", problem: "body-too-large", detail: `at most ${limits.maxBytes} bytes` };
+        case "long": {
+            const body = { content: collected.stream, kept: false };
+            return { body, release: () => discardBody(body, callerBody) };
         }
-        response.destroy();
-        return undefined;
+        case "incomplete":
+            context.response.destroy();
+            return undefined;
+        default:
+            return refuse(collected.type, callerBody, context);
     }
 }
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -49,6 +49,11 @@
         logger.failure(this.id, "Refused a request: there is no memory for its body.", { bytes, heldBytes });
     }
 
+    /** `why`: its deadline has passed, or other bodies needed the memory. */
+    bodyUnfinished(why: "deadline" | "evicted", receivedBytes: number): void {
+        logger.failure(this.id, "Refused a request: its body is unfinished.", { why, receivedBytes });
+    }
+
     attemptSent(target: UpstreamView, { id, choices, remainingMs, arrival }: SentAttempt, now: number): void {
         const { upstream, sameHall, sameRegion, region, roundTripMs, outstanding, report, reportedAt } = target;
         logger.decision(this.id, "The request is sent to an upstream.", {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -3,6 +3,7 @@
 import type { Priority } from "../config/priority.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
+import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import type { Arrival } from "../policy/retry/arrival.js";
 import { ConfigurationMetrics } from "./configurationmetrics.js";
 import type { ConnectionKind } from "./connectionkind.js";
@@ -160,8 +161,8 @@
         );
     }
 
-    /** Adds gauges for the bytes of the bodies that are held, and for the requests refused since the start. */
-    showBodyMemory(memory: { readonly heldBytes: number; readonly refusedCount: number; }): void {
+    /** Adds gauges for the bytes of the bodies that are held, and for those refused or given up since the start. */
+    showBodyMemory(memory: Pick<BodyMemory, "heldBytes" | "refusedCount" | "evictedCount">): void {
         this.#show(
             "winglock_body_memory_bytes",
             "Bytes of request bodies that are held or may be received.",
@@ -172,6 +173,11 @@
             "Requests refused since the start because there was no memory for their bodies.",
             () => memory.refusedCount,
         );
+        this.#show(
+            "winglock_body_memory_evicted",
+            "Unfinished bodies given up since the start because others needed the memory.",
+            () => memory.evictedCount,
+        );
     }
 
     /** Records the end of a caller's request. The team's label is `tenant`, the name that dashboards use for teams. */
--- a/src/policy/retry/problemtype.ts
+++ b/src/policy/retry/problemtype.ts
@@ -12,6 +12,7 @@
     | "head-too-large"
     | "body-too-large"
     | "body-memory"
+    | "body-timeout"
     | "bad-request"
     | "internal"
     | "no-upstream"
