--- a/src/ingress/callerbody.test.ts
+++ b/src/ingress/callerbody.test.ts
@@ -130,6 +130,25 @@
     assert.equal(bench.memory.heldBytes, 0);
 });
 
+// Guards against thousands of chunks that wait in a stream's queue while nobody reads it.
+test("caller body: a stream that nobody reads pauses its caller's socket, and reads on when it is read", async () => {
+    const bench = createBench();
+    const req = createRequest();
+    const body = collect(req, bench);
+    req.write(Buffer.alloc(KEEP_BYTES + 1));
+    const collected = await body.collect(1000);
+    assert.ok(collected.type === "long");
+    for (let index = 0; index < 10; index++) {
+        req.write(Buffer.alloc(9000));
+        await setImmediate();
+    }
+    assert.ok(req.socket.isPaused());
+    assert.ok(collected.stream.readableLength <= KEEP_BYTES + 1);
+    req.end();
+    assert.equal((await buffer(collected.stream)).length, KEEP_BYTES + 1 + 90_000);
+    assert.ok(!req.socket.isPaused());
+});
+
 test("caller body: a stream fails if the body exceeds the limit or its caller leaves", async () => {
     for (const fail of [(req: Caller) => req.write(Buffer.alloc(MAX_BYTES)), (req: Caller) => req.destroy()]) {
         const bench = createBench();
--- a/test/limits.crowd.test.ts
+++ b/test/limits.crowd.test.ts
@@ -33,6 +33,15 @@
     await withCrowd(t, { crowd: { count: 600, payload: () => payload } });
 });
 
+test("crowd: streamed bodies in chunks of one byte that wait for an upstream end no daemon", async t => {
+    const payload = [chunkedPost(), chunks(60_000)];
+    await withCrowd(t, {
+        crowd: { count: 200, payload: () => payload },
+        settings: { keepBytes: 4096 },
+        prepare: mesh => mesh.controlInstance("fees-1", { workMs: 500 }),
+    });
+});
+
 // Guards against ordinary bodies being refused while bodies of which nothing more arrives keep the memory reserved.
 test("crowd: bodies that stop after ten bytes take the memory from no ordinary one", async t => {
     const payload = [chunkedPost(), chunks(1, 10)];
