The requests that are parsed and not answered are bounded over all connections

Callers saw: a daemon that ended with `Reached heap limit` while 500 clients sent 1,000 small requests each, or 200 clients 30,000. Cause: the bound on requests counted those of one connection, and stopped the reading after 256; but one socket read holds some thousand small requests, Node makes its objects for each of them, and keeps them until they are answered or the connection is closed.

Now (limits.requestMemoryBytes, 24 MiB): - Each parsed request counts with 6 KiB and twice its head until it is answered. If the sum exceeds the bound, the connection with the most of it is closed (`HeldMemory`, `request-memory`): counted, logged. - What is parsed in one turn of the event loop is bounded, too (`ReadShare`): the objects of a connection that was closed are freed only after the turn, and with the first part alone the daemon still ended (500 clients, heap limit after 3 s). Above 4 MiB no other connection is read before the next turn. - A connection whose answered request has an unfinished body is closed on a timeout of Node's, without a second response.

A client inside the limits has several requests on a connection; the default holds some 4,000 over all connections.

--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -28,6 +28,7 @@
     requestTimeoutMs: Ms.default(60_000),
     keepAliveMs: Ms.default(15_000),
     discardTimeoutMs: Ms.default(5000),
+    requestMemoryBytes: z.int().min(MIB).max(1024 * MIB).default(24 * MIB),
     requestsPerConnection: z.int().min(1).max(1024).default(8),
     ledgerEntries: z.int().min(1).max(1_000_000).default(50_000),
 });
--- a/src/ingress/bodydiscard.ts
+++ b/src/ingress/bodydiscard.ts
@@ -21,6 +21,11 @@
         private readonly onLimit: () => void,
     ) {}
 
+    /** True while the rest of a body is discarded. */
+    get isActive(): boolean {
+        return this.#timer !== undefined;
+    }
+
     /**
      * Makes `destroySoon`, which Node calls too, close the connection only after the rest of a body was discarded.
      * `current` returns the response that was sent last.
@@ -32,7 +37,7 @@
             if (res?.writableEnded === true) {
                 this.startIfIncomplete(res);
             }
-            if (this.#timer !== undefined) {
+            if (this.isActive) {
                 socket.end();
                 return;
             }
@@ -42,7 +47,7 @@
 
     /** Reads the rest of the body of an answered request; closes the connection if that exceeds a limit. */
     startIfIncomplete({ req }: ServerResponse): void {
-        if (!req.complete && this.#timer === undefined) {
+        if (!req.complete && !this.isActive) {
             this.#start(req);
         }
     }
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -7,80 +7,110 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { AcceptedRequests } from "./acceptedrequests.js";
 import { BodyDiscard } from "./bodydiscard.js";
+import type { ClosureReason } from "./closurereason.js";
 import type { ConnectionDependencies } from "./connectiondependencies.js";
 import { connectionProblem } from "./connectionproblem.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
 import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
-
-/** Requests that are parsed beyond the accepted ones before reading stops for good. */
-const MAX_PARSED_AHEAD = 256;
+import { requestBytes } from "./requestbytes.js";
+import { WaitingRequests } from "./waitingrequests.js";
 
 /** Dependencies of one connection. */
 type Dependencies = ConnectionDependencies & {
     /** True during a planned stop. */
     readonly isStopping: () => boolean;
+    /** Called with the memory of each request that was parsed. */
+    readonly onParsed: (bytes: number) => void;
 };
 
 /** The state of one connection, from its acceptance to its end. */
 export class CallerConnection {
-    readonly #accepted: ServerResponse[] = [];
-    readonly #waiting: ParsedRequest[] = [];
+    readonly #accepted = new AcceptedRequests();
+    readonly #waiting: WaitingRequests;
     readonly #probe: DisconnectProbe;
     /** True once no further request may be accepted; those that are parsed are dropped. */
     #isSealed = false;
     #isHalfClosed = false;
-    readonly #reading: ReadPause;
+    readonly #turnPause: ReadPause;
     readonly #discard: BodyDiscard;
-    #droppedCount = 0;
     /** The bytes that had been read when the last response was sent; undefined before the first response. */
     #bytesReadAtAnswer: number | undefined;
     /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
     #problem: string | undefined;
 
     constructor(private readonly socket: Socket, private readonly deps: Dependencies) {
-        this.#reading = new ReadPause(socket);
+        this.#waiting = new WaitingRequests(socket, deps.onDropped);
+        this.#turnPause = new ReadPause(socket);
         this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
-        this.#discard.lingerOnClose(() => this.#accepted[0]);
-        this.#probe = new DisconnectProbe(socket, () => this.#accepted[0]?.headersSent === false);
+        this.#discard.lingerOnClose(() => this.#accepted.first?.res);
+        this.#probe = new DisconnectProbe(socket, () => this.#accepted.first?.res.headersSent === false);
         socket.on("end", () => this.#handleEnd());
         socket.on("close", () => this.#handleClose());
     }
 
     /** The number of requests that wait behind another one on this connection, whether accepted or not. */
     get waitingCount(): number {
-        return Math.max(0, this.#accepted.length - 1) + this.#waiting.length;
+        return Math.max(0, this.#accepted.count - 1) + this.#waiting.count;
     }
 
     /** Returns the number of requests that wait behind the given accepted one. */
     behind(res: ServerResponse): number {
-        const index = this.#accepted.indexOf(res);
-        return index < 0 ? 0 : this.#accepted.length - 1 - index + this.#waiting.length;
+        const acceptedCount = this.#accepted.behind(res);
+        return acceptedCount === undefined ? 0 : acceptedCount + this.#waiting.count;
     }
 
     /** Returns true if no request behind this one has been accepted. */
     isLast(res: ServerResponse): boolean {
-        return this.#accepted.at(-1) === res;
+        return this.#accepted.last?.res === res;
     }
 
     /** Accepts a request that was parsed, keeps it until it can be accepted, or drops it. */
     offer(req: IncomingMessage, res: ServerResponse): void {
+        if (this.socket.destroyed) {
+            return;
+        }
+        const request = { req, res, arrivedAt: this.deps.clock(), bytes: requestBytes(req) };
+        this.deps.requestMemory.add(this, request.bytes);
+        this.deps.requestMemory.excess()?.closeForLimit("request-memory");
+        this.deps.onParsed(request.bytes);
         if (this.#isSealed) {
-            this.#drop(1);
+            this.#waiting.dropNext();
         }
-        else if (this.#waiting.length === 0 && this.#accepted.length < this.deps.maxAccepted) {
-            this.#accept({ req, res, arrivedAt: this.deps.clock() });
-            return;
+        else if (this.#waiting.count === 0 && this.#accepted.count < this.deps.maxAccepted) {
+            this.#accept(request);
         }
         else {
-            this.#waiting.push({ req, res, arrivedAt: this.deps.clock() });
+            this.#waiting.add(request);
         }
-        this.#pauseIfNeeded();
+    }
+
+    /** Stops reading until `resumeReading` is called. */
+    pauseReading(): void {
+        this.#turnPause.pause(false);
+    }
+
+    resumeReading(): void {
+        this.#turnPause.resume();
+    }
+
+    /** Closes the connection at once: what it holds exceeds a limit. */
+    closeForLimit(reason: ClosureReason): void {
+        this.deps.onLimit(reason, this.socket);
+        this.#isSealed = true;
+        this.deps.requestMemory.remove(this);
+        this.socket.destroy();
     }
 
     /** Ends the connection with an error response as soon as the requests before it are answered. */
     fail(errorCode: string | undefined): void {
+        if (this.#discard.isActive) {
+            // The request has its response; another one would belong to none.
+            this.socket.destroy();
+            return;
+        }
         if (this.#isSealed || this.#problem !== undefined) {
             return;
         }
@@ -93,14 +123,14 @@
      * that the connection stays open; then, and on an idle connection, one more request is served, which closes it.
      */
     startClosing(): void {
-        if (this.#accepted.at(-1)?.headersSent === false) {
+        if (this.#accepted.last?.res.headersSent === false) {
             this.#seal();
         }
     }
 
     /** Closes the connection if its responses were sent and nothing was received since. */
     closeIfIdle(): void {
-        if (this.#accepted.length === 0 && this.socket.bytesRead === this.#bytesReadAtAnswer) {
+        if (this.#accepted.count + this.#waiting.count === 0 && this.socket.bytesRead === this.#bytesReadAtAnswer) {
             this.socket.destroySoon();
         }
     }
@@ -117,7 +147,7 @@
         if (!this.isLast(res)) {
             return;
         }
-        const isEnding = this.#isSealed || this.#isHalfClosed && this.#waiting.length === 0;
+        const isEnding = this.#isSealed || this.#isHalfClosed && this.#waiting.count === 0;
         if (isEnding && this.#problem === undefined) {
             res.shouldKeepAlive = false;
         }
@@ -128,7 +158,7 @@
 
     #accept(request: ParsedRequest): void {
         const { res } = request;
-        this.#accepted.push(res);
+        this.#accepted.add(request);
         res.on("close", () => this.#handleAnswered(res));
         if (!res.shouldKeepAlive || this.deps.isStopping()) {
             this.#seal();
@@ -141,54 +171,40 @@
             return;
         }
         this.#isSealed = true;
-        this.#drop(this.#waiting.length);
-        this.#waiting.length = 0;
-        // Unread data would make the system reset the connection when it is closed, and discard the last response.
-        this.#reading.resume();
-    }
-
-    #drop(count: number): void {
-        this.#droppedCount += count;
-        for (let dropped = 0; dropped < count; dropped++) {
-            this.deps.onDropped();
-        }
+        this.#waiting.dropAll();
     }
 
     #handleAnswered(res: ServerResponse): void {
-        const index = this.#accepted.indexOf(res);
-        if (index >= 0) {
-            this.#accepted.splice(index, 1);
-        }
+        const request = this.#accepted.remove(res);
         if (this.socket.destroyed) {
             return;
         }
+        this.deps.requestMemory.add(this, -(request?.bytes ?? 0));
         this.#bytesReadAtAnswer = this.socket.bytesRead;
         this.#discard.startIfIncomplete(res);
         this.#acceptWaiting();
         this.#sendProblemIfDue();
-        if (this.#isSealed && this.#accepted.length === 0) {
+        if (this.#isSealed && this.#accepted.count === 0) {
             this.socket.destroySoon();
         }
     }
 
     #acceptWaiting(): void {
-        while (!this.#isSealed && this.#waiting.length > 0 && this.#accepted.length < this.deps.maxAccepted) {
-            this.#accept(this.#waiting.shift()!);
-        }
-        if (this.#waiting.length === 0) {
-            this.#reading.resume();
+        while (!this.#isSealed && this.#waiting.count > 0 && this.#accepted.count < this.deps.maxAccepted) {
+            this.#accept(this.#waiting.take());
         }
+        this.#waiting.readIfEmpty();
     }
 
     /** The request whose body could not be parsed is the last accepted one, and gets the response to the error. */
     #sendProblemIfDue(): void {
-        const [first] = this.#accepted;
-        const isDue = first === undefined || this.#accepted.length === 1 && !first.req.complete;
-        if (this.#problem === undefined || this.#waiting.length > 0 || !isDue) {
+        const { first } = this.#accepted;
+        const isDue = first === undefined || this.#accepted.count === 1 && !first.req.complete;
+        if (this.#problem === undefined || this.#waiting.count > 0 || !isDue) {
             return;
         }
         this.#isSealed = true;
-        if (first?.headersSent === true) {
+        if (first?.res.headersSent === true) {
             this.socket.destroy();
             return;
         }
@@ -196,19 +212,11 @@
         this.socket.destroySoon();
     }
 
-    #pauseIfNeeded(): void {
-        const aheadCount = this.#waiting.length + this.#droppedCount;
-        if (this.#reading.isPaused || this.#isSealed && aheadCount < MAX_PARSED_AHEAD) {
-            return;
-        }
-        this.#reading.pause(aheadCount < MAX_PARSED_AHEAD);
-    }
-
     /** A caller that has ended its side may still read, unless it has left, which a probe finds out. */
     #handleEnd(): void {
         this.#isHalfClosed = true;
-        const [first] = this.#accepted;
-        if (first?.headersSent === true && !first.writableEnded) {
+        const { first } = this.#accepted;
+        if (first?.res.headersSent === true && !first.res.writableEnded) {
             // A stream can't be probed; a caller that leaves during one is far more usual than one that half-closes.
             this.socket.destroy();
         }
@@ -220,11 +228,11 @@
     /** Node emits `close` only for the first response; the others are cancelled here. */
     #handleClose(): void {
         this.#probe.stop();
-        this.#reading.end();
         this.#discard.stop();
         this.#isSealed = true;
-        this.#waiting.length = 0;
-        for (const res of this.#accepted.splice(0)) {
+        this.#waiting.end();
+        this.deps.requestMemory.remove(this);
+        for (const { res } of this.#accepted.removeAll()) {
             if (res.socket === null) {
                 res.destroy();
                 res.emit("close");
--- a/src/ingress/callerconnections.test.ts
+++ b/src/ingress/callerconnections.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
 import { connectionBench } from "../../test/connectionbench.js";
+import { withConnection } from "../../test/withconnection.js";
 
 /** The bound on the time from a caller's leaving to the cancellation of its requests. */
 const CANCEL_BOUND_MS = 500;
@@ -123,3 +124,14 @@
         assert.ok(accepted.every(({ isClosed }) => isClosed));
     });
 });
+
+// Guards against a daemon that ran out of memory: one socket read holds hundreds of requests, and each was kept.
+test("connection: requests that take more than the memory for requests close their connection", async () => {
+    await withConnection(MAX_ACCEPTED, async ({ connections, accepted, socket, isEnded }) => {
+        socket.write(get("a").repeat(200));
+        await pause(SETTLE_MS * 2);
+        assert.ok(socket.destroyed || isEnded());
+        assert.ok(accepted.every(({ isClosed }) => isClosed));
+        assert.equal(connections.waitingCount, 0);
+    }, 100 * 6 * 1024);
+});
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { CallerConnection } from "./callerconnection.js";
 import type { ConnectionDependencies } from "./connectiondependencies.js";
+import { ReadShare } from "./readshare.js";
 
 /** Errors of the parser begin so; all others are errors of the socket. */
 const PARSER_ERROR_PREFIX = "HPE_";
@@ -14,7 +15,15 @@
     #isStopping = false;
 
     constructor(server: Server, deps: ConnectionDependencies) {
-        const connectionDeps = { ...deps, isStopping: () => this.#isStopping };
+        const readShare = new ReadShare(
+            () => this.#connections.forEach(connection => connection.pauseReading()),
+            () => this.#connections.forEach(connection => connection.resumeReading()),
+        );
+        const connectionDeps = {
+            ...deps,
+            isStopping: () => this.#isStopping,
+            onParsed: (bytes: number) => readShare.add(bytes),
+        };
         // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
         Object.assign(server, { httpAllowHalfOpen: true });
         server.on("connection", (socket: Socket) => {
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -1,5 +1,6 @@
 /** Defines the dependencies of callers' connections, which the listener provides. */
 import type { Socket } from "node:net";
+import type { HeldMemory } from "../policy/admission/heldmemory.js";
 import type { Clock } from "../time/clock.js";
 import type { CallerConnection } from "./callerconnection.js";
 import type { ClosureReason } from "./closurereason.js";
@@ -17,6 +18,8 @@
     readonly onDropped: () => void;
     /** Limits on the rest of a body whose request has been answered. */
     readonly discardLimits: () => DiscardLimits;
+    /** The memory that parsed requests take until they are answered, by connection. */
+    readonly requestMemory: HeldMemory<CallerConnection>;
     /** Called before a connection is closed because its caller exceeds a limit. */
     readonly onLimit: (reason: ClosureReason, socket: Socket) => void;
 };
--- a/src/ingress/ingress.test.ts
+++ b/src/ingress/ingress.test.ts
@@ -17,6 +17,7 @@
     requestTimeoutMs: 5000,
     keepAliveMs: 5000,
     discardTimeoutMs: 5000,
+    requestMemoryBytes: 1024 * 1024,
     requestsPerConnection: 8,
 };
 const POLL_INTERVAL_MS = 10;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -9,6 +9,7 @@
 import { drainBody } from "../http/drainbody.js";
 import { httpStatus } from "../http/httpstatus.js";
 import { log } from "../log/log.js";
+import { HeldMemory } from "../policy/admission/heldmemory.js";
 import type { StopSchedule } from "../policy/stop/stopschedule.js";
 import { listen } from "../time/listen.js";
 import type { CallerConnection } from "./callerconnection.js";
@@ -41,6 +42,8 @@
 export class Ingress {
     readonly #server: Server;
     readonly #connections: CallerConnections;
+    /** The memory that parsed requests take until they are answered. */
+    readonly requestMemory: HeldMemory<CallerConnection>;
     /** The connections that were closed because of a limit. */
     readonly closures = new LimitClosures();
     readonly #limits: EffectiveLimits;
@@ -55,6 +58,7 @@
         private readonly deps: IngressDependencies,
     ) {
         this.#limits = new EffectiveLimits(limits);
+        this.requestMemory = new HeldMemory(limits.requestMemoryBytes);
         this.#server = createServer({
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headersTimeoutMs,
@@ -68,6 +72,7 @@
             maxAccepted: limits.requestsPerConnection,
             serve: (request, connection) => void this.#handle(request, connection),
             onDropped: () => this.#stop?.counts.recordDropped(),
+            requestMemory: this.requestMemory,
             discardLimits: () => this.#limits.discard,
             onLimit: (reason, socket) => this.closures.record(reason, socket),
         });
--- a/src/ingress/ingresslimits.ts
+++ b/src/ingress/ingresslimits.ts
@@ -11,6 +11,8 @@
     readonly keepAliveMs: number;
     /** How long the rest of a body is read after its request has been answered. */
     readonly discardTimeoutMs: number;
+    /** Bounds the memory of the requests that were parsed and not answered, over all connections. */
+    readonly requestMemoryBytes: number;
     /** The most requests of a connection that are accepted and not answered. */
     readonly requestsPerConnection: number;
 };
--- a/src/ingress/limitclosures.ts
+++ b/src/ingress/limitclosures.ts
@@ -7,6 +7,8 @@
 
 const MESSAGES: Readonly<Record<ClosureReason, string>> = {
     "discard-limit": "Closed a caller's connection: the rest of a refused or answered body exceeds the limit.",
+    "request-memory":
+        "Closed a caller's connection: unanswered requests take too much memory, and it had the most of them.",
 };
 const REASONS = Object.keys(MESSAGES) as ClosureReason[];
 
--- /dev/null
+++ b/test/connectiondefaults.ts
@@ -0,0 +1,18 @@
+/** Dependencies of callers' connections for tests. */
+import type { ConnectionDependencies } from "../src/ingress/connectiondependencies.js";
+import { HeldMemory } from "../src/policy/admission/heldmemory.js";
+
+const DISCARD_BYTES = 100_000;
+const DISCARD_TIMEOUT_MS = 300;
+
+/** Returns all dependencies but the one that serves requests. */
+export function connectionDefaults(maxAccepted: number): Omit<ConnectionDependencies, "serve"> {
+    return {
+        clock: () => performance.now(),
+        maxAccepted,
+        onDropped: () => {},
+        requestMemory: new HeldMemory(Infinity),
+        discardLimits: () => ({ maxBytes: DISCARD_BYTES, timeoutMs: DISCARD_TIMEOUT_MS }),
+        onLimit: () => {},
+    };
+}
--- a/test/withconnection.ts
+++ b/test/withconnection.ts
@@ -5,9 +5,8 @@
 import type { CallerConnection } from "../src/ingress/callerconnection.js";
 import { CallerConnections } from "../src/ingress/callerconnections.js";
 import { ResponseTurn } from "../src/ingress/responseturn.js";
-
-const DISCARD_BYTES = 100_000;
-const DISCARD_TIMEOUT_MS = 300;
+import { HeldMemory } from "../src/policy/admission/heldmemory.js";
+import { connectionDefaults } from "./connectiondefaults.js";
 
 /** A request that the server has accepted, in the order of acceptance. */
 type Accepted = {
@@ -29,15 +28,16 @@
 };
 
 /** Runs the body with a server that leaves accepted requests to the test, and one caller. */
-export async function withConnection(maxAccepted: number, body: (bench: Bench) => Promise<void>): Promise<void> {
+export async function withConnection(
+    maxAccepted: number,
+    body: (bench: Bench) => Promise<void>,
+    requestMemoryBytes = Infinity,
+): Promise<void> {
     const accepted: Accepted[] = [];
     const server = createServer({ requireHostHeader: false });
     const connections = new CallerConnections(server, {
-        clock: () => performance.now(),
-        maxAccepted,
-        onDropped: () => {},
-        discardLimits: () => ({ maxBytes: DISCARD_BYTES, timeoutMs: DISCARD_TIMEOUT_MS }),
-        onLimit: () => {},
+        ...connectionDefaults(maxAccepted),
+        requestMemory: new HeldMemory(requestMemoryBytes),
         serve: ({ req, res }, connection) => {
             let size = 0;
             req.on("data", (chunk: Buffer) => size += chunk.length);
