Pipelined requests that are answered at once leave other connections their turn

Callers saw: no answer to an ordinary request for minutes, while 20 to 100 clients had 30,000 requests each on their connections that no rule matches. Cause: a refused request is answered within the turn of the event loop in which it is accepted, and its end accepts the next one; so all that one socket read holds, some thousand requests, were served before any other connection was read.

--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -16,6 +16,7 @@
 import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
 import { requestBytes } from "./requestbytes.js";
+import { TurnShare } from "./turnshare.js";
 import { WaitingRequests } from "./waitingrequests.js";
 
 /** Dependencies of one connection. */
@@ -36,6 +37,7 @@
     #isHalfClosed = false;
     readonly #turnPause: ReadPause;
     readonly #discard: BodyDiscard;
+    readonly #turnShare = new TurnShare(() => this.#acceptWaiting());
     /** The bytes that had been read when the last response was sent; undefined before the first response. */
     #bytesReadAtAnswer: number | undefined;
     /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
@@ -191,6 +193,9 @@
 
     #acceptWaiting(): void {
         while (!this.#isSealed && this.#waiting.count > 0 && this.#accepted.count < this.deps.maxAccepted) {
+            if (!this.#turnShare.take()) {
+                return;
+            }
             this.#accept(this.#waiting.take());
         }
         this.#waiting.readIfEmpty();
@@ -229,6 +234,7 @@
     #handleClose(): void {
         this.#probe.stop();
         this.#discard.stop();
+        this.#turnShare.stop();
         this.#isSealed = true;
         this.#waiting.end();
         this.deps.requestMemory.remove(this);
--- a/src/ingress/callerconnections.test.ts
+++ b/src/ingress/callerconnections.test.ts
@@ -1,8 +1,13 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
-import { setTimeout as pause } from "node:timers/promises";
+import { setImmediate, setTimeout as pause } from "node:timers/promises";
 import { connectionBench } from "../../test/connectionbench.js";
+import { connectionDefaults } from "../../test/connectiondefaults.js";
 import { withConnection } from "../../test/withconnection.js";
+import { CallerConnections } from "./callerconnections.js";
 
 /** The bound on the time from a caller's leaving to the cancellation of its requests. */
 const CANCEL_BOUND_MS = 500;
@@ -135,3 +140,32 @@
         assert.equal(connections.waitingCount, 0);
     }, 100 * 6 * 1024);
 });
+
+// Guards against ordinary callers that are not answered while one connection is served thousands of refused requests.
+test("connection: pipelined requests that are answered at once leave other callers their turn", async () => {
+    const server = createServer();
+    let answeredCount = 0;
+    const connections = new CallerConnections(server, {
+        ...connectionDefaults(MAX_ACCEPTED),
+        serve: ({ res }) => {
+            answeredCount += 1;
+            res.end();
+        },
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const caller = connect((server.address() as AddressInfo).port, "127.0.0.1").on("error", () => {}).resume();
+    caller.write(get("a").repeat(1000));
+    while (connections.waitingCount === 0) {
+        await setImmediate();
+    }
+    const countBefore = answeredCount;
+    await setImmediate();
+    assert.ok(answeredCount - countBefore < 100, `${answeredCount - countBefore} were answered in one turn`);
+    while (answeredCount < 1000) {
+        await setImmediate();
+    }
+    caller.destroy();
+    server.close();
+    server.closeAllConnections();
+});
