Callers' connections leave descriptors free, and silent ones give way to new ones

Callers saw: new connections that are not answered while 500 connections that send nothing, or a part of a head, hold the 300 descriptors of a daemon. Cause: nothing bounded the connections; with the last descriptor gone no caller is accepted, and no connection to an upstream, a peer or the store can be opened either.

Now callers get three quarters of the descriptors (limits.descriptors; deploy/settings.json takes it from the platform, otherwise it is the system's limit). A new connection beyond that closes another one (src/policy/connections/choosetoclose.ts): silent ones first, then idle ones, then those whose body is unfinished or whose response is not read; never a busy one, and the new one itself only if all are busy. Counted by reason (winglock_closed_connections_total), logged.

--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -11,12 +11,16 @@
 import type { ConfigurationGroup } from "./configurationgroup.js";
 import type { DaemonContext } from "./daemoncontext.js";
 import { DaemonPeerService } from "./daemonpeerservice.js";
+import { descriptorLimit } from "./descriptorlimit.js";
 import type { GateGroup } from "./gategroup.js";
 import { Hops } from "./hops.js";
 import { LoadSharing } from "./loadsharing.js";
 import { makePlacement } from "./makeplacement.js";
 import type { MembershipGroup } from "./membershipgroup.js";
 
+/** The rest is for connections to upstreams, peers and the store, for the other listeners, and for files. */
+const CALLERS_DESCRIPTOR_SHARE = 0.75;
+
 /** Owns the ingress for callers, the server for peers, the hops to gates, and load sharing. */
 export class RequestPathGroup {
     readonly upstreamTable: UpstreamTable;
@@ -64,6 +68,8 @@
         this.peerServer = this.#createPeerServer();
         this.ingress = this.#createIngress();
         context.metrics.showBodyMemory(this.#bodyMemory);
+        context.metrics.callers.showClosures(this.ingress.closures.counts);
+        context.metrics.callers.showRequestMemory(() => this.ingress.requestMemory.heldBytes);
         context.metrics.showWaitingRequests(() => this.ingress.waitingCount);
         context.unresponsiveConnections.onDetected(() => this.#hops.closeIdle());
         gates.onChange(() => this.loadSharing.checkGates());
@@ -158,7 +164,13 @@
             contexts: this.gates.callContexts,
             findRule: (target, sample) => rules.find(target, sample),
         });
-        const listenerParts = { planner, callerService: settings.callerService, bodyMemory: this.#bodyMemory };
+        const descriptors = descriptorLimit(settings.limits.descriptors);
+        const listenerParts = {
+            planner,
+            callerService: settings.callerService,
+            bodyMemory: this.#bodyMemory,
+            maxConnections: Math.floor(CALLERS_DESCRIPTOR_SHARE * descriptors),
+        };
         return new Ingress(settings.limits, listenerParts, {
             clock,
             random,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -30,6 +30,7 @@
     discardTimeoutMs: Ms.default(5000),
     requestMemoryBytes: z.int().min(MIB).max(1024 * MIB).default(24 * MIB),
     requestsPerConnection: z.int().min(1).max(1024).default(8),
+    descriptors: z.int().min(64).max(10_000_000).optional(),
     ledgerEntries: z.int().min(1).max(1_000_000).default(50_000),
 });
 
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -7,26 +7,20 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { ConnectionState } from "../policy/connections/connectionstate.js";
 import { AcceptedRequests } from "./acceptedrequests.js";
 import { BodyDiscard } from "./bodydiscard.js";
 import type { ClosureReason } from "./closurereason.js";
-import type { ConnectionDependencies } from "./connectiondependencies.js";
 import { connectionProblem } from "./connectionproblem.js";
+import { connectionStateOf } from "./connectionstateof.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
+import type { OwnConnectionDependencies } from "./ownconnectiondependencies.js";
 import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
 import { requestBytes } from "./requestbytes.js";
 import { TurnShare } from "./turnshare.js";
 import { WaitingRequests } from "./waitingrequests.js";
 
-/** Dependencies of one connection. */
-type Dependencies = ConnectionDependencies & {
-    /** True during a planned stop. */
-    readonly isStopping: () => boolean;
-    /** Called with the memory of each request that was parsed. */
-    readonly onParsed: (bytes: number) => void;
-};
-
 /** The state of one connection, from its acceptance to its end. */
 export class CallerConnection {
     readonly #accepted = new AcceptedRequests();
@@ -35,7 +29,8 @@
     /** True once no further request may be accepted; those that are parsed are dropped. */
     #isSealed = false;
     #isHalfClosed = false;
-    readonly #turnPause: ReadPause;
+    /** Pauses the reading while other connections have their turn. */
+    readonly turnPause: ReadPause;
     readonly #discard: BodyDiscard;
     readonly #turnShare = new TurnShare(() => this.#acceptWaiting());
     /** The bytes that had been read when the last response was sent; undefined before the first response. */
@@ -43,9 +38,13 @@
     /** The response to bytes that could not be parsed; sent once the requests before them are answered. */
     #problem: string | undefined;
 
-    constructor(private readonly socket: Socket, private readonly deps: Dependencies) {
+    /** The time of the last change from or to a connection without requests. */
+    #changedAt: number;
+
+    constructor(private readonly socket: Socket, private readonly deps: OwnConnectionDependencies) {
+        this.#changedAt = deps.clock();
         this.#waiting = new WaitingRequests(socket, deps.onDropped);
-        this.#turnPause = new ReadPause(socket);
+        this.turnPause = new ReadPause(socket);
         this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
         this.#discard.lingerOnClose(() => this.#accepted.first?.res);
         this.#probe = new DisconnectProbe(socket, () => this.#accepted.first?.res.headersSent === false);
@@ -58,6 +57,15 @@
         return Math.max(0, this.#accepted.count - 1) + this.#waiting.count;
     }
 
+    get state(): ConnectionState {
+        return connectionStateOf(this.#accepted.first, this.#bytesReadAtAnswer !== undefined);
+    }
+
+    /** The time since which the connection has had its state, at least; in milliseconds on the daemon's clock. */
+    get since(): number {
+        return this.#accepted.first?.arrivedAt ?? this.#changedAt;
+    }
+
     /** Returns the number of requests that wait behind the given accepted one. */
     behind(res: ServerResponse): number {
         const acceptedCount = this.#accepted.behind(res);
@@ -89,15 +97,6 @@
         }
     }
 
-    /** Stops reading until `resumeReading` is called. */
-    pauseReading(): void {
-        this.#turnPause.pause(false);
-    }
-
-    resumeReading(): void {
-        this.#turnPause.resume();
-    }
-
     /** Closes the connection at once: what it holds exceeds a limit. */
     closeForLimit(reason: ClosureReason): void {
         this.deps.onLimit(reason, this.socket);
@@ -183,6 +182,7 @@
         }
         this.deps.requestMemory.add(this, -(request?.bytes ?? 0));
         this.#bytesReadAtAnswer = this.socket.bytesRead;
+        this.#changedAt = this.deps.clock();
         this.#discard.startIfIncomplete(res);
         this.#acceptWaiting();
         this.#sendProblemIfDue();
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -1,6 +1,7 @@
 /** Keeps the state of every caller's connection of a server, and passes the server's events to it. */
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import { chooseToClose } from "../policy/connections/choosetoclose.js";
 import { CallerConnection } from "./callerconnection.js";
 import type { ConnectionDependencies } from "./connectiondependencies.js";
 import { ReadShare } from "./readshare.js";
@@ -14,10 +15,10 @@
     readonly #connections = new Map<Socket, CallerConnection>();
     #isStopping = false;
 
-    constructor(server: Server, deps: ConnectionDependencies) {
+    constructor(server: Server, private readonly deps: ConnectionDependencies) {
         const readShare = new ReadShare(
-            () => this.#connections.forEach(connection => connection.pauseReading()),
-            () => this.#connections.forEach(connection => connection.resumeReading()),
+            () => this.#connections.forEach(connection => connection.turnPause.pause(false)),
+            () => this.#connections.forEach(connection => connection.turnPause.resume()),
         );
         const connectionDeps = {
             ...deps,
@@ -27,8 +28,10 @@
         // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
         Object.assign(server, { httpAllowHalfOpen: true });
         server.on("connection", (socket: Socket) => {
-            this.#connections.set(socket, new CallerConnection(socket, connectionDeps));
+            const connection = new CallerConnection(socket, connectionDeps);
+            this.#connections.set(socket, connection);
             socket.on("close", () => this.#connections.delete(socket));
+            this.#closeExcess(connection);
         });
         server.on("request", (req, res) => this.#connections.get(req.socket)?.offer(req, res));
         server.on("clientError", (err: NodeJS.ErrnoException, socket) => this.#handleError(err, socket as Socket));
@@ -68,6 +71,14 @@
         }
     }
 
+    /** The newest connection has not had the time to send a request; it is closed only if all others are busy. */
+    #closeExcess(newest: CallerConnection): void {
+        if (this.#connections.size > this.deps.maxConnections) {
+            const others = [...this.#connections.values()].filter(connection => connection !== newest);
+            (chooseToClose(others) ?? newest).closeForLimit("connection-limit");
+        }
+    }
+
     #handleError({ code }: NodeJS.ErrnoException, socket: Socket): void {
         const isOfParser = code?.startsWith(PARSER_ERROR_PREFIX) === true || code === REQUEST_TIMEOUT;
         const connection = this.#connections.get(socket);
--- a/src/ingress/closurereason.ts
+++ b/src/ingress/closurereason.ts
@@ -1,4 +1,4 @@
 /** Why a caller's connection is closed before its requests are answered. */
 
 /** docs/OPERATIONS.md describes each. */
-export type ClosureReason = "discard-limit" | "request-memory";
+export type ClosureReason = "connection-limit" | "discard-limit" | "request-memory";
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -12,6 +12,8 @@
     readonly clock: Clock;
     /** The most requests of a connection that are accepted and not answered. */
     readonly maxAccepted: number;
+    /** The most connections that are open at once. */
+    readonly maxConnections: number;
     /** Serves an accepted request. */
     readonly serve: (request: ParsedRequest, connection: CallerConnection) => void;
     /** Called for each request that was parsed and will not be accepted. */
--- a/src/ingress/ingress.test.ts
+++ b/src/ingress/ingress.test.ts
@@ -36,7 +36,12 @@
     const refusal = { type: "refusal", problem: "no-rule", detail: "x".repeat(RESPONSE_BYTES) };
     const ingress = new Ingress(
         LIMITS,
-        { planner: { plan: () => refusal } as never, callerService: undefined, bodyMemory: new BodyMemory(1024) },
+        {
+            planner: { plan: () => refusal } as never,
+            callerService: undefined,
+            bodyMemory: new BodyMemory(1024),
+            maxConnections: 100,
+        },
         { clock: () => performance.now(), dialect: new OwnDialect(), newRequestId: () => "r" } as never,
     );
     const port = await freePort();
--- a/src/ingress/limitclosures.ts
+++ b/src/ingress/limitclosures.ts
@@ -6,6 +6,8 @@
 const logger = log("ingress");
 
 const MESSAGES: Readonly<Record<ClosureReason, string>> = {
+    "connection-limit":
+        "Closed a caller's connection: there are as many as the descriptors allow, and it had waited for longest.",
     "discard-limit": "Closed a caller's connection: the rest of a refused or answered body exceeds the limit.",
     "request-memory":
         "Closed a caller's connection: unanswered requests take too much memory, and it had the most of them.",
--- a/src/ingress/listenerdependencies.ts
+++ b/src/ingress/listenerdependencies.ts
@@ -8,6 +8,8 @@
     readonly planner: Planner;
     /** The service on this host, sent to upstreams as the caller's service; undefined if there is none. */
     readonly callerService: ServiceName | undefined;
+    /** The most connections of callers that are open at once. */
+    readonly maxConnections: number;
     /** Bounds the bytes of the bodies that are held. */
     readonly bodyMemory: BodyMemory;
 };
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -5,6 +5,7 @@
 import type { TeamName } from "../ids/teamname.js";
 import type { BodyMemory } from "../policy/admission/bodymemory.js";
 import type { Arrival } from "../policy/retry/arrival.js";
+import { CallerMetrics } from "./callermetrics.js";
 import { ConfigurationMetrics } from "./configurationmetrics.js";
 import type { ConnectionKind } from "./connectionkind.js";
 import { latencyBucketsS } from "./latencybuckets.js";
@@ -44,6 +45,7 @@
         registers: [this.registry],
     });
     readonly refusals = new RefusalMetrics(this.registry);
+    readonly callers = new CallerMetrics(this.registry);
     readonly configuration = new ConfigurationMetrics(this.registry);
     readonly #crashes = new Counter({
         name: "winglock_upstream_crashes_total",
