--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -169,7 +169,7 @@
             planner,
             callerService: settings.callerService,
             bodyMemory: this.#bodyMemory,
-            maxConnections: Math.floor(CALLERS_DESCRIPTOR_SHARE * descriptors),
+            maxOpenConnections: Math.floor(CALLERS_DESCRIPTOR_SHARE * descriptors),
         };
         return new Ingress(settings.limits, listenerParts, {
             clock,
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -73,7 +73,7 @@
 
     /** The newest connection has not had the time to send a request; it is closed only if all others are busy. */
     #closeExcess(newest: CallerConnection): void {
-        if (this.#connections.size > this.deps.maxConnections) {
+        if (this.#connections.size > this.deps.maxOpenConnections) {
             const others = [...this.#connections.values()].filter(connection => connection !== newest);
             (chooseToClose(others) ?? newest).closeForLimit("connection-limit");
         }
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -13,7 +13,7 @@
     /** The most requests of a connection that are accepted and not answered. */
     readonly maxAccepted: number;
     /** The most connections that are open at once. */
-    readonly maxConnections: number;
+    readonly maxOpenConnections: number;
     /** Serves an accepted request. */
     readonly serve: (request: ParsedRequest, connection: CallerConnection) => void;
     /** Called for each request that was parsed and will not be accepted. */
--- a/src/ingress/excessconnections.test.ts
+++ b/src/ingress/excessconnections.test.ts
@@ -25,7 +25,7 @@
     const reasons: string[] = [];
     new CallerConnections(server, {
         ...connectionDefaults(1),
-        maxConnections: MAX_CONNECTIONS,
+        maxOpenConnections: MAX_CONNECTIONS,
         serve: ({ req, res }) => req.url === "/wait" ? undefined : res.end(),
         onLimit: reason => reasons.push(reason),
     });
--- a/src/ingress/ingress.test.ts
+++ b/src/ingress/ingress.test.ts
@@ -40,7 +40,7 @@
             planner: { plan: () => refusal } as never,
             callerService: undefined,
             bodyMemory: new BodyMemory(1024),
-            maxConnections: 100,
+            maxOpenConnections: 100,
         },
         { clock: () => performance.now(), dialect: new OwnDialect(), newRequestId: () => "r" } as never,
     );
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -70,7 +70,7 @@
         this.#connections = new CallerConnections(this.#server, {
             clock: deps.clock,
             maxAccepted: limits.requestsPerConnection,
-            maxConnections: listenerParts.maxConnections,
+            maxOpenConnections: listenerParts.maxOpenConnections,
             serve: (request, connection) => void this.#handle(request, connection),
             onDropped: () => this.#stop?.counts.recordDropped(),
             requestMemory: this.requestMemory,
--- a/src/ingress/listenerdependencies.ts
+++ b/src/ingress/listenerdependencies.ts
@@ -9,7 +9,7 @@
     /** The service on this host, sent to upstreams as the caller's service; undefined if there is none. */
     readonly callerService: ServiceName | undefined;
     /** The most connections of callers that are open at once. */
-    readonly maxConnections: number;
+    readonly maxOpenConnections: number;
     /** Bounds the bytes of the bodies that are held. */
     readonly bodyMemory: BodyMemory;
 };
--- a/test/connectiondefaults.ts
+++ b/test/connectiondefaults.ts
@@ -10,7 +10,7 @@
     return {
         clock: () => performance.now(),
         maxAccepted,
-        maxConnections: Infinity,
+        maxOpenConnections: Infinity,
         onDropped: () => {},
         requestMemory: new HeldMemory(Infinity),
         discardLimits: () => ({ maxBytes: DISCARD_BYTES, timeoutMs: DISCARD_TIMEOUT_MS }),
