--- a/src/ingress/callerbody.test.ts
+++ b/src/ingress/callerbody.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
-import { PassThrough } from "node:stream";
+import { PassThrough, type Readable } from "node:stream";
 import { buffer } from "node:stream/consumers";
 import { test } from "node:test";
 import { setImmediate } from "node:timers/promises";
@@ -30,6 +30,18 @@
         memory: bench.memory,
     });
 
+/** Begins a body that is too long to be kept; returns its request and its stream. */
+const startLong = async (
+    bench: Bench,
+): Promise<{ readonly req: Caller & IncomingMessage; readonly stream: Readable; }> => {
+    const req = createRequest();
+    const body = collect(req, bench);
+    req.write(Buffer.alloc(KEEP_BYTES + 1));
+    const collected = await body.collect(1000);
+    assert.ok(collected.type === "long");
+    return { req, stream: collected.stream };
+};
+
 test("caller body: a body in chunks of one byte is collected whole, and takes what its bytes take", async () => {
     const bench = createBench();
     const req = createRequest();
@@ -132,32 +144,22 @@
 
 // Guards against thousands of chunks that wait in a stream's queue while nobody reads it.
 test("caller body: a stream that nobody reads pauses its caller's socket, and reads on when it is read", async () => {
-    const bench = createBench();
-    const req = createRequest();
-    const body = collect(req, bench);
-    req.write(Buffer.alloc(KEEP_BYTES + 1));
-    const collected = await body.collect(1000);
-    assert.ok(collected.type === "long");
+    const { req, stream } = await startLong(createBench());
     for (let index = 0; index < 10; index++) {
         req.write(Buffer.alloc(9000));
         await setImmediate();
     }
     assert.ok(req.socket.isPaused());
-    assert.ok(collected.stream.readableLength <= KEEP_BYTES + 1);
+    assert.ok(stream.readableLength <= KEEP_BYTES + 1);
     req.end();
-    assert.equal((await buffer(collected.stream)).length, KEEP_BYTES + 1 + 90_000);
+    assert.equal((await buffer(stream)).length, KEEP_BYTES + 1 + 90_000);
     assert.ok(!req.socket.isPaused());
 });
 
 test("caller body: a stream fails if the body exceeds the limit or its caller leaves", async () => {
     for (const fail of [(req: Caller) => req.write(Buffer.alloc(MAX_BYTES)), (req: Caller) => req.destroy()]) {
-        const bench = createBench();
-        const req = createRequest();
-        const body = collect(req, bench);
-        req.write(Buffer.alloc(KEEP_BYTES + 1));
-        const collected = await body.collect(1000);
-        assert.ok(collected.type === "long");
-        const read = buffer(collected.stream);
+        const { req, stream } = await startLong(createBench());
+        const read = buffer(stream);
         fail(req);
         await assert.rejects(read, { name: "BodyError" });
     }
