Logs: when a caller's leaving was read, and for how long its request may have been unread

Cause: the hypotheses for work that was done for callers that had left can't be told apart by the logs: they don't say when the end of a connection was read or when it closed, how old a request may have been when it was read, how long it was under way between two daemons, or when its gate learned of the cancellation. Delays of the event loop below 250 ms were not logged. Change: StallMonitor bounds the time for which what is read now may have been unread. The line of a request's end has unreadMs (from 100 ms on), and endReadAfterMs and closedAfterMs if its caller left; the gate's lines have delayMs and cancelledAfterMs. Delays of the event loop are logged from 200 ms on. CallerPresence takes the probe over from CallerConnection. No behaviour changes.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,6 +87,7 @@
         this.#requestPath.loadSharing.start();
         this.#gates.healthCheck.start();
         this.#eventLoopMonitor.start();
+        this.#context.stalls.start();
         logger.change("The daemon is up.", {
             ready: true,
             host: settings.host,
@@ -186,6 +187,7 @@
         this.#configuration.evacuations.stop();
         this.#gates.healthCheck.stop();
         this.#eventLoopMonitor.stop();
+        this.#context.stalls.stop();
         this.#requestPath.quota.stop();
         datagrams.close();
         void environment.store.close();
--- a/src/daemon/eventloopmonitor.ts
+++ b/src/daemon/eventloopmonitor.ts
@@ -6,7 +6,7 @@
 
 const CHECK_INTERVAL_MS = 100;
 /** Shorter delays occur on busy hosts and are only counted in the metric. */
-const MIN_LOGGED_DELAY_MS = 250;
+const MIN_LOGGED_DELAY_MS = 200;
 
 const logger = log("daemon");
 
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -167,6 +167,7 @@
         const descriptors = descriptorLimit(settings.limits.descriptors);
         const listenerParts = {
             planner,
+            stalls: this.context.stalls,
             callerService: settings.callerService,
             bodyMemory: this.#bodyMemory,
             maxOpenConnections: Math.floor(CALLERS_DESCRIPTOR_SHARE * descriptors),
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -184,7 +184,9 @@
 
     /** Serves a request; throws a HopError if it is refused or fails. */
     async serve(call: GateCall): Promise<GateResponse> {
-        const request = new GateRequest(call, this.deps.identity, this.deps.clock(), this.#bodies.keyOf(call));
+        const { clock, identity } = this.deps;
+        const request = new GateRequest(call, identity, clock(), this.#bodies.keyOf(call));
+        call.cancel.onAbort(() => request.cancelledAt = clock());
         try {
             this.#endpoint.signals.recordPeerLimit(call.head.limitPerSecond);
             await this.cold.waitUntilKnown();
--- a/src/gate/gatelog.ts
+++ b/src/gate/gatelog.ts
@@ -18,7 +18,7 @@
             arrival: request.call.head.arrival,
             waitedMs: Math.round(queuedMs),
             tookMs: Math.round(tookMs),
-            ...this.#sendFields(request),
+            ...this.#timeFields(request),
             ...this.#loadFields(report),
         });
     }
@@ -35,7 +35,7 @@
             arrival: request.call.head.arrival,
             arrived: metadata?.arrived ?? false,
             request: request.key,
-            ...this.#sendFields(request),
+            ...this.#timeFields(request),
             ...this.#loadFields(report),
         });
     }
@@ -44,11 +44,20 @@
         return this.dialect.idOf(request.call.headers, request.call.head.id);
     }
 
-    /** Returns the milliseconds from the start of the run until its connection was established and it was written. */
-    #sendFields({ startedAt, connectedAt, writtenAt }: GateRequest): object {
-        const sinceStart = (time: number | undefined): number | undefined =>
-            startedAt === undefined || time === undefined ? undefined : Math.round(time - startedAt);
-        return { connectedAfterMs: sinceStart(connectedAt), writtenAfterMs: sinceStart(writtenAt) };
+    /**
+     * Returns the milliseconds from the start of the run until its connection was established and it was written, from
+     * the sending of the request until it was read, by the sender's estimate of this daemon's clock, and from then until
+     * it was cancelled.
+     */
+    #timeFields({ arrivedAt, startedAt, connectedAt, writtenAt, cancelledAt, call }: GateRequest): object {
+        const between = (from: number | undefined, to: number | undefined): number | undefined =>
+            from === undefined || to === undefined ? undefined : Math.round(to - from);
+        return {
+            connectedAfterMs: between(startedAt, connectedAt),
+            writtenAfterMs: between(startedAt, writtenAt),
+            delayMs: between(call.head.gateTime, arrivedAt),
+            cancelledAfterMs: between(arrivedAt, cancelledAt),
+        };
     }
 
     #loadFields({ running, waiting, limit, serviceMs, pace }: LoadReport): object {
--- a/src/gate/gaterequest.ts
+++ b/src/gate/gaterequest.ts
@@ -31,6 +31,8 @@
     connectedAt: number | undefined;
     /** Time at which the request was written to the upstream; undefined before. */
     writtenAt: number | undefined;
+    /** Time at which it was known that the caller has left or needs no response; undefined before. */
+    cancelledAt: number | undefined;
     #call: GateCall;
     #key: RequestKey | undefined;
     #resolve: () => void = () => {};
--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -10,10 +10,10 @@
 import type { ConnectionState } from "../policy/connections/connectionstate.js";
 import { AcceptedRequests } from "./acceptedrequests.js";
 import { BodyDiscard } from "./bodydiscard.js";
+import { CallerPresence } from "./callerpresence.js";
 import type { ClosureReason } from "./closurereason.js";
 import { connectionProblem } from "./connectionproblem.js";
 import { connectionStateOf } from "./connectionstateof.js";
-import { DisconnectProbe } from "./disconnectprobe.js";
 import type { OwnConnectionDependencies } from "./ownconnectiondependencies.js";
 import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
@@ -25,10 +25,10 @@
 export class CallerConnection {
     readonly #accepted = new AcceptedRequests();
     readonly #waiting: WaitingRequests;
-    readonly #probe: DisconnectProbe;
+    /** Whether the caller is still there. */
+    readonly presence: CallerPresence;
     /** True once no further request may be accepted; those that are parsed are dropped. */
     #isSealed = false;
-    #isHalfClosed = false;
     /** Pauses the reading while other connections have their turn. */
     readonly turnPause: ReadPause;
     readonly #discard: BodyDiscard;
@@ -47,7 +47,8 @@
         this.turnPause = new ReadPause(socket);
         this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
         this.#discard.lingerOnClose(() => this.#accepted.first?.res);
-        this.#probe = new DisconnectProbe(socket, () => this.#accepted.first?.res.headersSent === false);
+        const mayProbe = (): boolean => this.#accepted.first?.res.headersSent === false;
+        this.presence = new CallerPresence(socket, deps.clock, mayProbe);
         socket.on("end", () => this.#handleEnd());
         socket.on("close", () => this.#handleClose());
     }
@@ -82,7 +83,9 @@
         if (this.socket.destroyed) {
             return;
         }
-        const request = { req, res, arrivedAt: this.deps.clock(), bytes: requestBytes(req) };
+        const arrivedAt = this.deps.clock();
+        const maxUnreadMs = this.deps.stalls.maxUnreadMs(arrivedAt);
+        const request = { req, res, arrivedAt, maxUnreadMs, bytes: requestBytes(req) };
         this.deps.requestMemory.add(this, request.bytes);
         this.deps.requestMemory.excess()?.closeForLimit("request-memory");
         this.deps.onParsed(request.bytes);
@@ -148,7 +151,7 @@
         if (!this.isLast(res)) {
             return;
         }
-        const isEnding = this.#isSealed || this.#isHalfClosed && this.#waiting.count === 0;
+        const isEnding = this.#isSealed || this.presence.isHalfClosed && this.#waiting.count === 0;
         if (isEnding && this.#problem === undefined) {
             res.shouldKeepAlive = false;
         }
@@ -219,20 +222,17 @@
 
     /** A caller that has ended its side may still read, unless it has left, which a probe finds out. */
     #handleEnd(): void {
-        this.#isHalfClosed = true;
+        this.presence.recordEnd();
         const { first } = this.#accepted;
         if (first?.res.headersSent === true && !first.res.writableEnded) {
             // A stream can't be probed; a caller that leaves during one is far more usual than one that half-closes.
             this.socket.destroy();
         }
-        else if (first !== undefined) {
-            this.#probe.start();
-        }
     }
 
     /** Node emits `close` only for the first response; the others are cancelled here. */
     #handleClose(): void {
-        this.#probe.stop();
+        this.presence.recordClose();
         this.#discard.stop();
         this.#turnShare.stop();
         this.#isSealed = true;
--- a/src/ingress/callerresponse.ts
+++ b/src/ingress/callerresponse.ts
@@ -4,6 +4,7 @@
 import type { GateResponse } from "../hop/gateresponse.js";
 import type { ProblemType } from "../policy/retry/problemtype.js";
 import type { CallerConnection } from "./callerconnection.js";
+import type { CallerPresence } from "./callerpresence.js";
 import { deliver } from "./deliver.js";
 import type { Plan } from "./plan.js";
 import { ResponseTurn } from "./responseturn.js";
@@ -30,6 +31,11 @@
         return this.res.destroyed && !this.res.writableFinished;
     }
 
+    /** Whether the caller is still there. */
+    get presence(): CallerPresence {
+        return this.connection.presence;
+    }
+
     /** True if a complete response waits for the responses before it on its connection. */
     get isHeld(): boolean {
         return this.#turn.isHeld;
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { HeldMemory } from "../policy/admission/heldmemory.js";
 import type { Clock } from "../time/clock.js";
+import type { StallMonitor } from "../time/stallmonitor.js";
 import type { CallerConnection } from "./callerconnection.js";
 import type { ClosureReason } from "./closurereason.js";
 import type { DiscardLimits } from "./discardlimits.js";
@@ -10,6 +11,7 @@
 /** The dependencies that all connections share. */
 export type ConnectionDependencies = {
     readonly clock: Clock;
+    readonly stalls: StallMonitor;
     /** The most requests of a connection that are accepted and not answered. */
     readonly maxAccepted: number;
     /** The most connections that are open at once. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -4,7 +4,7 @@
  * Owns the HTTP server and enforces the limits on what callers send. planner.ts plans each request; requesthandler.ts
  * serves it.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { CallerLimits } from "../config/callerlimits.js";
 import { drainBody } from "../http/drainbody.js";
 import { httpStatus } from "../http/httpstatus.js";
@@ -69,6 +69,7 @@
         });
         this.#connections = new CallerConnections(this.#server, {
             clock: deps.clock,
+            stalls: listenerParts.stalls,
             maxAccepted: limits.requestsPerConnection,
             maxOpenConnections: listenerParts.maxOpenConnections,
             serve: (request, connection) => void this.#handle(request, connection),
@@ -126,13 +127,14 @@
         this.#server.closeAllConnections();
     }
 
-    async #handle({ req, res, arrivedAt }: ParsedRequest, connection: CallerConnection): Promise<void> {
+    async #handle(request: ParsedRequest, connection: CallerConnection): Promise<void> {
+        const { req, res } = request;
         const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
         this.#inFlight += 1;
         this.#stop?.counts.recordAccepted();
         res.once("close", () => this.#stop?.counts.recordEnd(this.#endOf(res)));
         try {
-            const refusal = await this.#serve(req, res, callerResponse, arrivedAt);
+            const refusal = await this.#serve(request, callerResponse);
             if (refusal !== undefined) {
                 const { problem, detail, retryAfterMs } = refusal;
                 // Chunks that are not read are kept as objects of their own.
@@ -170,12 +172,8 @@
     }
 
     /** Returns the refusal to send, or undefined if the request was passed to a handler or its caller has left. */
-    async #serve(
-        req: IncomingMessage,
-        res: ServerResponse,
-        callerResponse: CallerResponse,
-        startedAt: number,
-    ): Promise<RequestRefusal | undefined> {
+    async #serve(request: ParsedRequest, callerResponse: CallerResponse): Promise<RequestRefusal | undefined> {
+        const { req, arrivedAt: startedAt } = request;
         const head = checkHead(req, this.#limits.headerBytes);
         if (head.type === "refusal") {
             return head;
@@ -194,7 +192,7 @@
         const parent = this.listenerParts.planner.parentOf(req);
         parent?.work.callBegan(startedAt);
         try {
-            return await this.#servePlanned({ id, path, plan, log: requestLog }, req, res, callerResponse);
+            return await this.#servePlanned({ id, path, plan, log: requestLog }, request, callerResponse);
         }
         finally {
             parent?.work.callEnded(this.deps.clock());
@@ -203,10 +201,10 @@
 
     async #servePlanned(
         { id, path, plan, log: requestLog }: PlannedRequest,
-        req: IncomingMessage,
-        res: ServerResponse,
+        request: ParsedRequest,
         callerResponse: CallerResponse,
     ): Promise<RequestRefusal | undefined> {
+        const { req } = request;
         const held = await readCallerBody(req, {
             clock: this.deps.clock,
             limits: this.#limits.body,
@@ -224,13 +222,13 @@
         const outgoing = { id, method: req.method ?? "GET", headers, path, body };
         const handler = new RequestHandler(callerResponse, plan, outgoing, this.deps);
         const outcome = await handler.run().finally(release);
-        this.#recordEnd(req, res, plan, requestLog, { outcome, attempts: handler.attempts });
+        this.#recordEnd(request, callerResponse, plan, requestLog, { outcome, attempts: handler.attempts });
         return undefined;
     }
 
     #recordEnd(
-        req: IncomingMessage,
-        { statusCode, headersSent }: ServerResponse,
+        { req, res: { statusCode, headersSent }, maxUnreadMs }: ParsedRequest,
+        { presence: { endReadAt, closedAt } }: CallerResponse,
         plan: Plan,
         requestLog: RequestLog,
         { outcome: handledAs, attempts }: { readonly outcome: RequestOutcome; readonly attempts: number; },
@@ -244,6 +242,8 @@
         }
         const { priority, team } = plan;
         this.deps.metrics.recordFinishedRequest({ service: plan.service.name, priority, team }, outcome, elapsedMs);
-        requestLog.requestEnded(plan, { outcome, status, revision: this.deps.revision(), attempts, elapsedMs });
+        const revision = this.deps.revision();
+        const times = { elapsedMs, maxUnreadMs, endReadAt, closedAt };
+        requestLog.requestEnded(plan, { outcome, status, revision, attempts, ...times });
     }
 }
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -39,8 +39,16 @@
     readonly revision: number;
     readonly attempts: number;
     readonly elapsedMs: number;
+    /** The longest time for which the request can have been unread when it was read. */
+    readonly maxUnreadMs: number;
+    /** Times on the daemon's clock at which the end of the caller's connection was read, and at which it closed. */
+    readonly endReadAt: number | undefined;
+    readonly closedAt: number | undefined;
 };
 
+/** A shorter time is less than what the intervals of the event loop's monitor can show. */
+const MIN_LOGGED_UNREAD_MS = 100;
+
 /** `id` is the caller's id of the request, or winglock's where callers give none. */
 export class RequestLog {
     constructor(private readonly id: string) {}
@@ -135,7 +143,10 @@
     }
 
     requestEnded({ rule, kind, service, team, priority, startedAt, deadline }: Plan, ended: EndedRequest): void {
-        const { outcome, status, revision, attempts, elapsedMs } = ended;
+        const { outcome, status, revision, attempts, elapsedMs, maxUnreadMs, endReadAt, closedAt } = ended;
+        const hasLeft = outcome === "left";
+        const sinceStart = (time: number | undefined): number | undefined =>
+            !hasLeft || time === undefined ? undefined : Math.round(time - startedAt);
         logger[outcome === "served" ? "decision" : "failure"](this.id, "The request has ended.", {
             outcome,
             status,
@@ -148,6 +159,9 @@
             tries: attempts,
             ms: Math.round(elapsedMs),
             limitMs: Math.round(deadline - startedAt),
+            unreadMs: maxUnreadMs < MIN_LOGGED_UNREAD_MS ? undefined : Math.round(maxUnreadMs),
+            endReadAfterMs: sinceStart(endReadAt),
+            closedAfterMs: sinceStart(closedAt),
         });
     }
 }
--- a/test/connectiondefaults.ts
+++ b/test/connectiondefaults.ts
@@ -1,6 +1,7 @@
 /** Dependencies of callers' connections for tests. */
 import type { ConnectionDependencies } from "../src/ingress/connectiondependencies.js";
 import { HeldMemory } from "../src/policy/admission/heldmemory.js";
+import { StallMonitor } from "../src/time/stallmonitor.js";
 
 const DISCARD_BYTES = 100_000;
 const DISCARD_TIMEOUT_MS = 300;
@@ -9,6 +10,7 @@
 export function connectionDefaults(maxAccepted: number): Omit<ConnectionDependencies, "serve"> {
     return {
         clock: () => performance.now(),
+        stalls: new StallMonitor(() => performance.now()),
         maxAccepted,
         maxOpenConnections: Infinity,
         onDropped: () => {},
