--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -4,6 +4,7 @@
 import { platformConfiguration } from "./platformconfiguration.js";
 import type { PlatformMesh } from "./platformmesh.js";
 import type { PlatformResponse } from "./platformresponse.js";
+import { sendAndAbort } from "./sendandabort.js";
 import { withPlatform } from "./withplatform.js";
 
 const REQUESTS = 200;
@@ -73,9 +74,10 @@
     await withPlatform(async mesh => {
         const pages = mesh.hosts.filter(({ service }) => service === "pages");
         await Promise.all(pages.map(({ name }) => mesh.controlInstance(name, { workMs: 800 })));
+        const { ip } = mesh.host("fees-1");
         const disconnected = Array.from(
             { length: 24 },
-            (_, index) => mesh.sendAndAbort("fees-1", "/pages/1", `gone-${index}`, 100),
+            (_, index) => sendAndAbort({ ip, path: "/pages/1", id: `gone-${index}` }, 100),
         );
         await Promise.all(disconnected);
         await new Promise(resolve => setTimeout(resolve, 500));
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -2,7 +2,7 @@
  * Runs daemons as on the users' platform: real processes, a stand-in for its store and one instance for each daemon.
  */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { request as httpRequest } from "node:http";
+import { type Agent, request as httpRequest } from "node:http";
 import type { Server } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -172,6 +172,7 @@
         id: string,
         timeLimitMs = 1000,
         extraHeaders: Readonly<Record<string, string>> = {},
+        agent?: Agent,
     ): Promise<PlatformResponse> {
         const headers = {
             "host": "site.example",
@@ -182,7 +183,7 @@
         return new Promise(resolve => {
             const finish = (status: number, text: string, responseHeaders: Record<string, unknown> = {}): void =>
                 resolve({ status, text, headers: responseHeaders as PlatformResponse["headers"] });
-            const req = httpRequest(`http://${this.host(name).ip}:7104${path}`, { method, headers }, res => {
+            const req = httpRequest(`http://${this.host(name).ip}:7104${path}`, { method, headers, agent }, res => {
                 let text = "";
                 res.setEncoding("utf8").on("data", chunk => text += chunk);
                 res.on("close", () => finish(res.complete ? res.statusCode! : 0, text, res.headers));
@@ -194,19 +195,6 @@
         });
     }
 
-    /** Sends a request and closes its connection after `afterMs`, as a client that gives up does. */
-    sendAndAbort(name: string, path: string, id: string, afterMs: number): Promise<void> {
-        const headers = { "host": "site.example", "attempt-id": id, "deadline-ms": "1000" };
-        return new Promise(resolve => {
-            const req = httpRequest(`http://${this.host(name).ip}:7104${path}`, { headers, agent: false });
-            req.on("error", () => {
-                // The client itself closes the connection.
-            });
-            req.on("close", resolve).end();
-            setTimeout(() => req.destroy(), afterMs);
-        });
-    }
-
     /** Returns how often the instances ran the request with this id. */
     runsOf(id: string): number {
         return this.instanceLines.filter(line => line === `R ${id}`).length;
