An ingress that did not run passes on no requests of callers that left meanwhile

What callers saw: upstreams ran requests of callers that had left more than half a second before. Cause: an ingress passes a request on in the turn of the event loop in which it reads it. After a time in which the process did not run, the end of the connection lies behind the request in the socket, is read a turn later, and is then probed for 100 ms, since the caller may only have shut down its sending side. A new connection takes one more turn each to be accepted. Change: StallMonitor knows when what is read may have arrived during a stall of 200 ms or more: from its end until four turns have passed in which no connection was accepted (Node accepts one in a turn), at most 511 connections. Meanwhile a request waits, before its body is read and before each attempt (also a retry or a hedge), until what lies behind it has been read; if that is the end of the connection, until the probe has decided. In calm nothing waits. Callers that only shut down their sending side are served.

--- a/src/ingress/attempt.test.ts
+++ b/src/ingress/attempt.test.ts
@@ -32,6 +32,7 @@
         log: new RequestLog("id"),
         requestCancel: new Cancellation(),
         isDeadlinePassed: () => false,
+        presence: { settle: () => undefined },
         claim: () => true,
         deliver: () => Promise.resolve(),
     } as never);
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -16,6 +16,7 @@
 import type { Reason } from "../policy/retry/reason.js";
 import { reasons } from "../policy/retry/reasons.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
+import type { CallerPresence } from "./callerpresence.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { OutgoingRequest } from "./outgoingrequest.js";
 import type { Plan } from "./plan.js";
@@ -37,6 +38,8 @@
     readonly isDeadlinePassed: () => boolean;
     /** Claims the response to the caller for this attempt; returns false if another attempt has claimed it. */
     readonly claim: () => boolean;
+    /** Whether the caller is still there. */
+    readonly presence: CallerPresence;
     /** Sends a response to the caller; rejects only if nothing has been sent yet. */
     readonly deliver: (response: GateResponse) => Promise<void>;
 };
@@ -102,7 +105,8 @@
 
     async #send(): Promise<Result> {
         const { target } = this;
-        const { ingress, plan, outgoing, requestCancel } = this.deps;
+        const { ingress, plan, outgoing, requestCancel, presence } = this.deps;
+        await presence.settle(ingress.clock());
         if (requestCancel.aborted) {
             throw new HopError("not-run", "deadline");
         }
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -28,6 +28,7 @@
         // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
         Object.assign(server, { httpAllowHalfOpen: true });
         server.on("connection", (socket: Socket) => {
+            deps.stalls.recordAccepted(deps.clock());
             const connection = new CallerConnection(socket, connectionDeps);
             this.#connections.set(socket, connection);
             socket.on("close", () => this.#connections.delete(socket));
--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -5,17 +5,27 @@
  */
 import type { Socket } from "node:net";
 import type { Clock } from "../time/clock.js";
+import type { StallMonitor } from "../time/stallmonitor.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
 
+/** What the connection provides. */
+type PresenceDependencies = {
+    readonly clock: Clock;
+    readonly stalls: StallMonitor;
+    /** Returns false while no request waits for a response, and once a response has begun. */
+    readonly mayProbe: () => boolean;
+};
+
 /** Times are in milliseconds on the daemon's clock. */
 export class CallerPresence {
     readonly #probe: DisconnectProbe;
     #endReadAt: number | undefined;
     #closedAt: number | undefined;
+    /** True if the caller may have shut down its sending side during a stall, long before that was read. */
+    #isEndOld = false;
 
-    /** `mayProbe` returns false while no request waits for a response, and once a response has begun. */
-    constructor(socket: Socket, private readonly clock: Clock, mayProbe: () => boolean) {
-        this.#probe = new DisconnectProbe(socket, mayProbe);
+    constructor(socket: Socket, private readonly deps: PresenceDependencies) {
+        this.#probe = new DisconnectProbe(socket, deps.mayProbe);
     }
 
     /** True once the caller has shut down its sending side. */
@@ -33,14 +43,36 @@
         return this.#closedAt;
     }
 
+    /**
+     * Returns a promise that resolves when it is known whether the caller left during a stall of the process: its leaving
+     * has been read, and been told from the end of its sending side. Returns undefined if nothing is in doubt.
+     */
+    settle(now: number): Promise<void> | undefined {
+        const pendingReads = this.deps.stalls.pendingReads(now);
+        return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads);
+    }
+
     /** Begins to probe: a caller that has ended its side may still read. */
     recordEnd(): void {
-        this.#endReadAt = this.clock();
+        const now = this.deps.clock();
+        this.#endReadAt = now;
+        this.#isEndOld = this.deps.stalls.isRecovering(now);
         this.#probe.start();
     }
 
     recordClose(): void {
-        this.#closedAt = this.clock();
+        this.#closedAt = this.deps.clock();
         this.#probe.stop();
     }
+
+    get #isInDoubt(): boolean {
+        return this.#isEndOld && !this.#probe.isDecided;
+    }
+
+    async #waitUntilKnown(pendingReads: Promise<void> | undefined): Promise<void> {
+        await pendingReads;
+        if (this.#isInDoubt) {
+            await this.#probe.decided;
+        }
+    }
 }
--- a/src/ingress/disconnectprobe.ts
+++ b/src/ingress/disconnectprobe.ts
@@ -11,24 +11,43 @@
 const PROBE_TEXT = "HTTP";
 /** The time between two probes, longer than the round trip to any caller whose leaving must be noticed. */
 const PROBE_INTERVAL_MS = 100;
+/** The second character is written after the reset that the first one causes, and fails. */
+const DECISIVE_COUNT = 2;
 
 /** Probes one connection; `start` may be called once, and only while no response has begun on it. */
 export class DisconnectProbe {
     #sent = 0;
     #timer: NodeJS.Timeout | undefined;
+    #isDecided = false;
+    #decide: () => void = () => {};
+    /** Resolves when the caller has left, or is known to read, or when a response has begun. */
+    readonly decided = new Promise<void>(resolve => this.#decide = resolve);
 
     /** `mayProbe` returns false once a response has begun, which ends the probing. */
     constructor(private readonly socket: Socket, private readonly mayProbe: () => boolean) {}
 
+    /** True once `decided` has resolved. */
+    get isDecided(): boolean {
+        return this.#isDecided;
+    }
+
     start(): void {
-        if (this.#sent < PROBE_TEXT.length && !this.socket.destroyed && this.mayProbe()) {
-            this.#sendNext();
-            this.#timer = setTimeout(() => this.start(), PROBE_INTERVAL_MS);
+        if (this.#sent >= PROBE_TEXT.length || this.socket.destroyed || !this.mayProbe()) {
+            this.#end();
+            return;
         }
+        this.#sendNext();
+        this.#timer = setTimeout(() => this.start(), PROBE_INTERVAL_MS);
     }
 
     stop(): void {
         clearTimeout(this.#timer);
+        this.#end();
+    }
+
+    #end(): void {
+        this.#isDecided = true;
+        this.#decide();
     }
 
     #sendNext(): void {
@@ -36,7 +55,14 @@
         if (this.#sent === 0) {
             this.#removeFromNextWrite();
         }
-        Object.getPrototypeOf(socket).write.call(socket, PROBE_TEXT.charAt(this.#sent));
+        const isDecisive = this.#sent + 1 === DECISIVE_COUNT;
+        const onWritten = (err?: Error | null): void => {
+            // A failed write closes the connection, which stops the probe.
+            if (isDecisive && !(err instanceof Error)) {
+                this.#end();
+            }
+        };
+        Object.getPrototypeOf(socket).write.call(socket, PROBE_TEXT.charAt(this.#sent), onWritten);
         this.#sent += 1;
     }
 
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -18,6 +18,7 @@
 import { checkHead } from "./checkhead.js";
 import { closeServer } from "./closeserver.js";
 import { EffectiveLimits } from "./effectivelimits.js";
+import { InFlightRequests } from "./inflightrequests.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { IngressLimits } from "./ingresslimits.js";
 import { LimitClosures } from "./limitclosures.js";
@@ -47,7 +48,7 @@
     /** The connections that were closed because of a limit. */
     readonly closures = new LimitClosures();
     readonly #limits: EffectiveLimits;
-    #inFlight = 0;
+    readonly #inFlight = new InFlightRequests();
     /** Undefined until a planned stop begins. */
     #stop: PlannedStop | undefined;
     #isDestroyed = false;
@@ -89,7 +90,7 @@
 
     /** The number of requests whose responses are not yet written to their sockets. */
     get inFlight(): number {
-        return this.#inFlight;
+        return this.#inFlight.count;
     }
 
     /** The number of requests that wait behind others on their connections. */
@@ -106,7 +107,7 @@
      * connection. On other connections one more request is served, or refused if it could outlast the stop.
      */
     startClosing(schedule: StopSchedule): void {
-        this.#stop = new PlannedStop(schedule, this.#inFlight);
+        this.#stop = new PlannedStop(schedule, this.inFlight);
         this.#connections.startClosing();
     }
 
@@ -130,7 +131,7 @@
     async #handle(request: ParsedRequest, connection: CallerConnection): Promise<void> {
         const { req, res } = request;
         const callerResponse = new CallerResponse(res, connection, this.deps.dialect, req.method === "HEAD");
-        this.#inFlight += 1;
+        this.#inFlight.begin();
         this.#stop?.counts.recordAccepted();
         res.once("close", () => this.#stop?.counts.recordEnd(this.#endOf(res)));
         try {
@@ -150,7 +151,7 @@
             callerResponse.sendProblem("internal", { outcome: "unknown", detail: "internal" });
         }
         finally {
-            this.#countEnd(res);
+            this.#inFlight.end(res);
         }
     }
 
@@ -161,16 +162,6 @@
         return this.#isDestroyed ? "cut" : "unanswered";
     }
 
-    /** A response is in flight until all of it was written to the socket, or its caller has left. */
-    #countEnd(res: ServerResponse): void {
-        if (res.destroyed) {
-            this.#inFlight -= 1;
-        }
-        else {
-            res.once("close", () => this.#inFlight -= 1);
-        }
-    }
-
     /** Returns the refusal to send, or undefined if the request was passed to a handler or its caller has left. */
     async #serve(request: ParsedRequest, callerResponse: CallerResponse): Promise<RequestRefusal | undefined> {
         const { req, arrivedAt: startedAt } = request;
@@ -205,6 +196,11 @@
         callerResponse: CallerResponse,
     ): Promise<RequestRefusal | undefined> {
         const { req } = request;
+        await callerResponse.presence.settle(this.deps.clock());
+        if (callerResponse.hasCallerLeft) {
+            this.#recordEnd(request, callerResponse, plan, requestLog, { outcome: "left", attempts: 0 });
+            return undefined;
+        }
         const held = await readCallerBody(req, {
             clock: this.deps.clock,
             limits: this.#limits.body,
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -176,6 +176,7 @@
             log: this.#log,
             requestCancel: this.#requestCancel,
             isDeadlinePassed: () => this.#isDeadlinePassed,
+            presence: this.response.presence,
             claim: () => this.#claim(attempt),
             deliver: response => this.#deliver(response),
         });
--- a/src/time/stallmonitor.ts
+++ b/src/time/stallmonitor.ts
@@ -3,17 +3,38 @@
  * took long.
  *
  * What arrived meanwhile lies unread in the sockets and in the queues of new connections, and nothing that is read shows
- * when it arrived.
+ * when it arrived. Whoever acts on it waits until everything that may revoke it has been read, too.
  */
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { afterPoll } from "./afterpoll.js";
 import type { Clock } from "./clock.js";
 import { Ticker } from "./ticker.js";
 import { tickMs } from "./tickms.js";
 
-/** Observes the event loop from `start` to `stop`. */
+/** Shorter stalls delay a cancellation by less than the time within which it has to take effect. */
+const MIN_STALL_MS = 200;
+/**
+ * The turns of the event loop in which what arrived during a stall is read. A connection that was waiting to be accepted
+ * takes one turn each for that, for its request and for its end; the present turn may be past its poll.
+ */
+const RECOVERY_TURNS = 4;
+/** The most connections that can have waited to be accepted: the default of Node. One is accepted in a turn. */
+const MAX_QUEUED_CONNECTIONS = 511;
+
+/** The time after a stall in which what arrived during it is read. */
+type Recovery = {
+    /** The last time before the stall at which the event loop ran. */
+    readonly since: number;
+    turnsLeft: number;
+    acceptedCount: number;
+};
+
+/** Observes the event loop from `start` to `stop`; before and after, there is never a stall. */
 export class StallMonitor {
-    readonly #ticker = new Ticker(tickMs, () => this.#ranAt = this.clock());
+    readonly #ticker = new Ticker(tickMs, () => this.#check(this.clock()));
     /** The last time at which the event loop is known to have run; undefined while it is not observed. */
     #ranAt: number | undefined;
+    #recovery: Recovery | undefined;
 
     constructor(private readonly clock: Clock) {}
 
@@ -29,6 +50,61 @@
 
     /** Returns the longest time for which what is read now can have been unread, in milliseconds. */
     maxUnreadMs(now: number): number {
-        return this.#ranAt === undefined ? 0 : now - this.#ranAt;
+        return this.#ranAt === undefined ? 0 : now - (this.#recovery?.since ?? this.#ranAt);
+    }
+
+    /** Returns true if what is read now may have arrived during a stall. */
+    isRecovering(now: number): boolean {
+        // The ticker may run later in the turn than the callbacks of sockets and other timers.
+        if (this.#isOverdue(now)) {
+            this.#check(now);
+        }
+        return this.#recovery !== undefined;
+    }
+
+    /**
+     * Returns a promise that resolves when what lies behind in the sockets that were read up to now has been read; undefined
+     * if none of it can have arrived during a stall.
+     */
+    pendingReads(now: number): Promise<void> | undefined {
+        return this.isRecovering(now) ? afterPoll() : undefined;
+    }
+
+    /** Records that callers' listener has accepted a connection: others may have waited behind it. */
+    recordAccepted(now: number): void {
+        if (this.isRecovering(now) && this.#recovery!.acceptedCount < MAX_QUEUED_CONNECTIONS) {
+            this.#recovery!.acceptedCount += 1;
+            this.#recovery!.turnsLeft = RECOVERY_TURNS;
+        }
+    }
+
+    #isOverdue(now: number): boolean {
+        return this.#ranAt !== undefined && now - this.#ranAt > MIN_STALL_MS;
+    }
+
+    #check(now: number): void {
+        if (this.#isOverdue(now)) {
+            this.#recover(this.#ranAt!);
+        }
+        this.#ranAt = now;
+    }
+
+    /** A stall during the recovery from another one prolongs it. */
+    #recover(since: number): void {
+        if (this.#recovery === undefined) {
+            this.#recovery = { since, turnsLeft: RECOVERY_TURNS, acceptedCount: 0 };
+            void this.#countTurns(this.#recovery);
+        }
+        else {
+            Object.assign(this.#recovery, { turnsLeft: RECOVERY_TURNS, acceptedCount: 0 });
+        }
+    }
+
+    async #countTurns(recovery: Recovery): Promise<void> {
+        while (recovery.turnsLeft > 0) {
+            await nextTurn();
+            recovery.turnsLeft -= 1;
+        }
+        this.#recovery = undefined;
     }
 }
--- a/test/stalled.test.ts
+++ b/test/stalled.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { pause } from "./pause.js";
 import type { PlatformMesh } from "./platformmesh.js";
@@ -11,6 +12,8 @@
 import { withPlatform } from "./withplatform.js";
 
 const CLIENTS = 20;
+/** No more than the upstreams have slots: a probe takes half of the target time of such a request. */
+const HALF_CLOSED_CLIENTS = 4;
 const ROUNDS = 5;
 const LEAVE_AFTER_MS = 15;
 /** The users' bound on the time from a client's leaving to the last run that may begin for it. */
@@ -90,6 +93,34 @@
     await assertNoneRuns({ ...atIngress, method: "POST", path: "/fees/1", stallMs: 2000, isKept: true });
 });
 
+/** Sends a request, shuts down the sending side at once, and resolves with what is received. */
+const sendAndHalfClose = (ip: string, id: string): Promise<string> =>
+    new Promise(resolve => {
+        const fields = `host: site.example\r\nattempt-id: ${id}\r\ndeadline-ms: 1000\r\n`;
+        let text = "";
+        const socket = connect({ host: ip, port: 7104, allowHalfOpen: true });
+        socket.on("data", chunk => text += chunk).on("error", () => {}).on("close", () => resolve(text));
+        socket.on("end", () => socket.destroy());
+        socket.end(`GET /pages/1 HTTP/1.1\r\n${fields}\r\n`);
+    });
+
+// A client that has left and one that has only shut down its sending side look the same until something is sent.
+test("stalled: a caller that shut down its sending side while its daemon was stopped is served", async () => {
+    await withPlatform(async mesh => {
+        const daemon = mesh.daemons.get("fees-1")!;
+        daemon.signal("SIGSTOP");
+        const responses = Array.from(
+            { length: HALF_CLOSED_CLIENTS },
+            (_, index) => sendAndHalfClose(mesh.host("fees-1").ip, `${index}`),
+        );
+        await pause(LEFT_BOUND_MS);
+        daemon.signal("SIGCONT");
+        for (const text of await Promise.all(responses)) {
+            assert.match(text, /^HTTP\/1\.1 200 /);
+        }
+    });
+});
+
 // Guards against work for clients that have left (GONE): a gate ran what it read after it had not run.
 test("stalled: a gate runs no GET whose client left while it was stopped", async () => {
     await assertNoneRuns({ stalled: "pages-2", ingress: "fees-1", method: "GET", path: "/pages/1", stallMs: 800 });
