A gate that did not run starts no requests of callers that left meanwhile

What callers saw: upstreams ran requests of callers that had left more than half a second before. Cause: the cancellation of a request is the end of its connection between the daemons. After a time in which the gate did not run, it lies behind the request in the socket and is read a turn later. The gate waited for that turn only if the sender knew no clock of the gate; it asked for the caller before the queue, and not when a slot was granted, where the response that frees the slot may be read before the cancellation of the request that gets it. Change: requests that arrive during the recovery from a stall, or more than 100 ms after they were sent by the sender's estimate of the gate's clock, wait for one poll of the sockets. A request with a slot waits during the recovery, too (for a caller of the same daemon, until it is known whether it has left), and is refused as caller-left if it was cancelled, also one that may run only once.

--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -125,6 +125,7 @@
         return new PeerServer({
             key: settings.peerKey,
             clock,
+            stalls: context.stalls,
             identity,
             service: new DaemonPeerService({
                 identity,
--- a/src/gate/requestrunner.ts
+++ b/src/gate/requestrunner.ts
@@ -98,10 +98,16 @@
         return retryAfterMs === undefined ? undefined : this.deps.refusals.create("quarantined", { retryAfterMs });
     }
 
+    /** A slot may be granted before the leaving of the caller has been read, which arrived while the process did not run. */
+    async #callerLeftRefusal({ call: { cancel, settleCancel } }: GateRequest): Promise<HopError | undefined> {
+        await settleCancel?.(this.deps.clock());
+        return cancel.aborted ? this.deps.refusals.create("caller-left") : undefined;
+    }
+
     /** Runs a request that has a slot; throws a HopError if it does not get a response. */
     async run(request: GateRequest): Promise<GateResponse> {
         const { clock, checks, queue, refusals } = this.deps;
-        const refusal = this.quarantineRefusal(request);
+        const refusal = await this.#callerLeftRefusal(request) ?? this.quarantineRefusal(request);
         if (refusal !== undefined) {
             queue.releaseUnused(request);
             throw refusal;
--- a/src/hop/gatecall.ts
+++ b/src/hop/gatecall.ts
@@ -15,6 +15,11 @@
     readonly headers: HttpHeaders;
     readonly body: Buffer | Readable | undefined;
     readonly cancel: Cancellation;
+    /**
+     * Returns a promise that resolves when `cancel` reflects all that arrived while the process did not run; undefined if
+     * it does already.
+     */
+    readonly settleCancel?: ((now: number) => Promise<void> | undefined) | undefined;
     /** Asks the sender for the body, which it keeps until then; undefined if `body` is already the whole body. */
     readonly fetchBody?: (() => Promise<Buffer | Readable>) | undefined;
 };
--- a/src/ingress/attempt.ts
+++ b/src/ingress/attempt.ts
@@ -121,6 +121,7 @@
             headers,
             body: body.content,
             cancel: this.#cancel,
+            settleCancel: now => presence.settle(now),
         });
         const now = ingress.clock();
         target.recordResponse(response.metadata, now - sentAt, now);
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -5,7 +5,6 @@
 import { timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { setImmediate } from "node:timers/promises";
 import { headerName } from "../dialect/headername.js";
 import type { Gate } from "../gate/gate.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
@@ -24,8 +23,10 @@
 import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import type { RequestTarget } from "../policy/routing/requesttarget.js";
+import { afterPoll } from "../time/afterpoll.js";
 import type { Clock } from "../time/clock.js";
 import { listen } from "../time/listen.js";
+import type { StallMonitor } from "../time/stallmonitor.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
 import { BodyHold } from "./bodyhold.js";
@@ -36,6 +37,8 @@
 /** The response fields of a refusal, which consists of its metadata only. */
 const REFUSAL = { status: 0, headers: {}, body: undefined };
 const INVALID_CALL = "bad-call";
+/** Requests between data halls take less, unless one of the two daemons does not run. */
+const MAX_USUAL_DELAY_MS = 100;
 /** Longer than a peer keeps an idle connection (link/linkpool.ts). */
 const KEEP_ALIVE_MS = 10_000;
 
@@ -45,6 +48,7 @@
 type PeerServerDependencies = {
     readonly key: string;
     readonly clock: Clock;
+    readonly stalls: StallMonitor;
     readonly identity: GateIdentity;
     readonly service: PeerService;
     readonly gate: (name: UpstreamName) => Gate | undefined;
@@ -175,14 +179,16 @@
     }
 
     /**
-     * Waits until the end of the connection has been read, if it has already arrived. A request without `gateTime` does
-     * not show how long it was delayed. If it was unread in the socket until its caller left, the end of the connection
-     * follows it and is read in the next turn of the event loop, which ends with the second wait.
+     * Waits until the end of the connection has been read, if it may have arrived already. If a request was unread in the
+     * socket until its caller left, the end follows it and is read in the next turn of the event loop. A request without
+     * `gateTime` does not show how long it was delayed.
      */
     async #waitForPendingClose({ gateTime }: RequestMetadata): Promise<void> {
-        if (gateTime === undefined) {
-            await setImmediate();
-            await setImmediate();
+        const { clock, stalls } = this.deps;
+        const now = clock();
+        const mayBeOld = gateTime === undefined || now - gateTime > MAX_USUAL_DELAY_MS;
+        if (mayBeOld || stalls.isRecovering(now)) {
+            await afterPoll();
         }
     }
 
@@ -212,7 +218,9 @@
         if (this.deps.isStale(head, matched, gate.upstream.service)) {
             throw new HopError("not-run", "stale-rule");
         }
-        return await gate.serve({ head, rule: matched?.rule.name, method, path, headers, body, cancel, fetchBody });
+        const settleCancel = (now: number): Promise<void> | undefined => this.deps.stalls.pendingReads(now);
+        const rule = matched?.rule.name;
+        return await gate.serve({ head, rule, method, path, headers, body, cancel, settleCancel, fetchBody });
     }
 
     #refuseInvalid({ remoteAddress }: Socket, err: unknown): ServedResponse {
