A request whose caller has left is not written when its connection is ready

What callers saw: upstreams ran requests of callers that had left, also requests that may run only once. Cause: immediately before a request is written to its upstream, only the deadline was asked for. A request may wait there for a new connection, or a turn of the event loop for an open one, and the process may not run meanwhile. A request that may run only once had nothing that ended that wait when its caller left. Change: WriteCheck asks for the cancellation too, for all requests; what is not written is proven not to have run. In the recovery from a stall the write fails and is made again once it is known whether the caller left. A streamed body can't be sent again: it is written.

--- a/src/gate/upstreamerror.ts
+++ b/src/gate/upstreamerror.ts
@@ -7,7 +7,14 @@
  */
 type UpstreamReason = Extract<
     Reason,
-    "shed" | "leaving" | "misdirected" | "foreign-answer" | "unreachable" | "upstream-broke" | "deadline-or-revoked"
+    | "shed"
+    | "leaving"
+    | "misdirected"
+    | "foreign-answer"
+    | "unreachable"
+    | "upstream-broke"
+    | "deadline-or-revoked"
+    | "caller-left"
 >;
 
 /** Thrown if an attempt yields no response of the upstream to the request itself. */
--- a/src/gate/upstreamrun.test.ts
+++ b/src/gate/upstreamrun.test.ts
@@ -12,6 +12,8 @@
 import { Cancellation } from "../http/cancellation.js";
 import type { RequestId } from "../ids/requestid.js";
 import { Ledger } from "../ledger/ledger.js";
+import type { Reason } from "../policy/retry/reason.js";
+import { afterPoll } from "../time/afterpoll.js";
 import { CallContexts } from "./callcontexts.js";
 import { Gate } from "./gate.js";
 import type { GateDependencies } from "./gatedependencies.js";
@@ -113,9 +115,8 @@
 
 const readBody = async ({ body }: GateResponse): Promise<void> => void await buffer(body as Readable);
 
-const isRefused = (err: unknown): boolean =>
-    err instanceof HopError && err.outcome === "not-run" && err.reason === "deadline-or-revoked"
-    && err.metadata?.arrived === false;
+const isRefusedFor = (reason: Reason) => (err: unknown): boolean =>
+    err instanceof HopError && err.outcome === "not-run" && err.reason === reason && err.metadata?.arrived === false;
 
 for (const connection of ["new", "reused"]) {
     // Guards against a request that starts after its caller got 504: a daemon that had been stopped wrote it when it
@@ -128,7 +129,7 @@
             await readBody(await gate.serve(createCall("before")));
         }
         ledger.onStart = () => time.now = TIME_LIMIT_MS + 1;
-        await assert.rejects(gate.serve(createCall("late")), isRefused);
+        await assert.rejects(gate.serve(createCall("late")), isRefusedFor("deadline-or-revoked"));
         assert.equal(ledger.revoke("late" as RequestId, TIME_LIMIT_MS, time.now), "revoked", "it is proven not to run");
         ledger.onStart = () => {};
         time.now = 1;
@@ -139,6 +140,47 @@
     });
 }
 
+for (const connection of ["new", "reused"]) {
+    // Guards against work for callers that have left (GONE): only the deadline was asked for when a connection was ready.
+    test(`upstream run: a request whose caller leaves before it is written to a ${connection} connection is not sent`, async t => {
+        const { address, received } = await startUpstream(t);
+        const { gate, ledger, time } = createGate(address);
+        t.after(() => gate.shutDown());
+        if (connection === "reused") {
+            await readBody(await gate.serve(createCall("before")));
+        }
+        const call = createCall("left");
+        ledger.onStart = () => call.cancel.abort();
+        await assert.rejects(gate.serve(call), isRefusedFor("caller-left"));
+        assert.equal(ledger.revoke("left" as RequestId, TIME_LIMIT_MS, time.now), "revoked", "it is proven not to run");
+        assert.equal(received.includes("/left"), false);
+    });
+
+    // Guards against the same after a stall of the process, in which the leaving is read after the connection is ready.
+    test(`upstream run: a request waits before it is written to a ${connection} connection while a leaving may be unread`, async t => {
+        const { address, received } = await startUpstream(t);
+        const { gate, ledger } = createGate(address);
+        t.after(() => gate.shutDown());
+        if (connection === "reused") {
+            await readBody(await gate.serve(createCall("before")));
+        }
+        const serve = (id: string, onRead: (call: GateCall) => void): Promise<GateResponse> => {
+            let pendingReads: Promise<void> | undefined;
+            const call = { ...createCall(id), settleCancel: () => pendingReads };
+            ledger.onStart = () => {
+                pendingReads = afterPoll().then(() => {
+                    pendingReads = undefined;
+                    onRead(call);
+                });
+            };
+            return gate.serve(call);
+        };
+        await assert.rejects(serve("left", ({ cancel }) => cancel.abort()), isRefusedFor("caller-left"));
+        await readBody(await serve("stays", () => {}));
+        assert.deepEqual(received.filter(path => path !== "/before"), ["/stays"]);
+    });
+}
+
 // Guards against the same start by a streamed body whose end was received while the daemon was stopped.
 test("upstream run: a streamed body is not sent to its end after the request's deadline", async t => {
     const upstream = await startUpstream(t);
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -20,6 +20,7 @@
 import { isFramed } from "./isframed.js";
 import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
+import { WriteCheck } from "./writecheck.js";
 
 /** Dependencies and callbacks that the gate provides. */
 type RunDependencies = {
@@ -132,12 +133,15 @@
         }
         try {
             const body = endAtDeadline(request.call.body, request.deadline, deps.clock);
-            const response = await deps.client.send({ ...request.call, body }, this.#requestHeaders(), {
-                cancel: this.#cancel,
-                onConnected: () => request.connectedAt = deps.clock(),
-                checkWrite: () => this.#checkWrite(),
-                deadline: request.ledgerDeadline,
-            });
+            const writeCheck = new WriteCheck(request, deps.clock);
+            const response = await writeCheck.run(() =>
+                deps.client.send({ ...request.call, body }, this.#requestHeaders(), {
+                    cancel: this.#cancel,
+                    onConnected: () => request.connectedAt = deps.clock(),
+                    checkWrite: () => writeCheck.check(),
+                    deadline: request.ledgerDeadline,
+                })
+            );
             this.#hasResponseHead = true;
             deps.crashDetector.recordResponse(this.#startedAt);
             const isStreamed = request.call.head.answer === "streamed";
@@ -164,19 +168,6 @@
         }
     }
 
-    /**
-     * Refuses a request whose deadline has passed since its start, as while it waited for its connection. Its caller
-     * has had a response by then. After a pause of the process, sockets are handled before the timer of the deadline.
-     */
-    #checkWrite(): UpstreamError | undefined {
-        const now = this.deps.clock();
-        if (now >= this.request.deadline) {
-            return new UpstreamError("deadline-or-revoked");
-        }
-        this.request.writtenAt = now;
-        return undefined;
-    }
-
     #recordFailure(err: unknown): void {
         const { request: { key }, deps: { crashDetector } } = this;
         const reason = err instanceof UpstreamError ? err.reason : undefined;
