A request waits once for each stall, and stalls begin at 300 ms

What callers saw: none yet; beside a load of 37 to 46 on 8 cores, where stalls are frequent, fewer requests were answered in time. Cause: each request waited for a poll of the sockets at the ingress, before each attempt, at the gate, with its slot and before the write, as long as the recovery from a stall lasted, though what had arrived during that stall had been read at the first wait; at the gate also after each delay of 100 ms. Change: a wait counts for all that follows until the next stall. Stalls and delays count from 300 ms on: what is delayed for less reaches the upstream within half a second of its caller's leaving.

--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -23,6 +23,8 @@
     #closedAt: number | undefined;
     /** True if the caller may have shut down its sending side during a stall, long before that was read. */
     #isEndOld = false;
+    /** The last time at which what had arrived during a stall was waited for. */
+    #settledAt = -Infinity;
 
     constructor(socket: Socket, private readonly deps: PresenceDependencies) {
         this.#probe = new DisconnectProbe(socket, deps.mayProbe);
@@ -48,8 +50,8 @@
      * has been read, and been told from the end of its sending side. Returns undefined if nothing is in doubt.
      */
     settle(now: number): Promise<void> | undefined {
-        const pendingReads = this.deps.stalls.pendingReads(now);
-        return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads);
+        const pendingReads = this.deps.stalls.pendingReads(now, this.#settledAt);
+        return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads, now);
     }
 
     /** Begins to probe: a caller that has ended its side may still read. */
@@ -69,8 +71,9 @@
         return this.#isEndOld && !this.#probe.isDecided;
     }
 
-    async #waitUntilKnown(pendingReads: Promise<void> | undefined): Promise<void> {
+    async #waitUntilKnown(pendingReads: Promise<void> | undefined, now: number): Promise<void> {
         await pendingReads;
+        this.#settledAt = now;
         if (this.#isInDoubt) {
             await this.#probe.decided;
         }
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -8,6 +8,7 @@
 import { headerName } from "../dialect/headername.js";
 import type { Gate } from "../gate/gate.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
+import type { GateCall } from "../hop/gatecall.js";
 import type { GateResponse } from "../hop/gateresponse.js";
 import { HopError } from "../hop/hoperror.js";
 import type { Cancellation } from "../http/cancellation.js";
@@ -37,8 +38,8 @@
 /** The response fields of a refusal, which consists of its metadata only. */
 const REFUSAL = { status: 0, headers: {}, body: undefined };
 const INVALID_CALL = "bad-call";
-/** Requests between data halls take less, unless one of the two daemons does not run. */
-const MAX_USUAL_DELAY_MS = 100;
+/** A request that is delayed for longer has been unread for about as long; see time/stallmonitor.ts. */
+const MAX_FRESH_DELAY_MS = 300;
 /** Longer than a peer keeps an idle connection (link/linkpool.ts). */
 const KEEP_ALIVE_MS = 10_000;
 
@@ -186,7 +187,7 @@
     async #waitForPendingClose({ gateTime }: RequestMetadata): Promise<void> {
         const { clock, stalls } = this.deps;
         const now = clock();
-        const mayBeOld = gateTime === undefined || now - gateTime > MAX_USUAL_DELAY_MS;
+        const mayBeOld = gateTime === undefined || now - gateTime > MAX_FRESH_DELAY_MS;
         if (mayBeOld || stalls.isRecovering(now)) {
             await afterPoll();
         }
@@ -218,11 +219,22 @@
         if (this.deps.isStale(head, matched, gate.upstream.service)) {
             throw new HopError("not-run", "stale-rule");
         }
-        const settleCancel = (now: number): Promise<void> | undefined => this.deps.stalls.pendingReads(now);
+        const settleCancel = this.#createSettleCancel();
         const rule = matched?.rule.name;
         return await gate.serve({ head, rule, method, path, headers, body, cancel, settleCancel, fetchBody });
     }
 
+    /** A cancellation that had arrived when the request is passed on has been read. */
+    #createSettleCancel(): NonNullable<GateCall["settleCancel"]> {
+        const { clock, stalls } = this.deps;
+        let settledAt = clock();
+        return now => {
+            const pendingReads = stalls.pendingReads(now, settledAt);
+            settledAt = now;
+            return pendingReads;
+        };
+    }
+
     #refuseInvalid({ remoteAddress }: Socket, err: unknown): ServedResponse {
         logger.warn("Could not decode a request from a peer; it is refused.", err, { peer: remoteAddress });
         return { metadata: this.#createMetadata({ outcome: "not-run", reason: INVALID_CALL }), ...REFUSAL };
--- a/src/time/stallmonitor.ts
+++ b/src/time/stallmonitor.ts
@@ -11,8 +11,8 @@
 import { Ticker } from "./ticker.js";
 import { tickMs } from "./tickms.js";
 
-/** Shorter stalls delay a cancellation by less than the time within which it has to take effect. */
-const MIN_STALL_MS = 200;
+/** After a shorter stall, a cancellation that arrived during it still takes effect within half a second. */
+const MIN_STALL_MS = 300;
 /**
  * The turns of the event loop in which what arrived during a stall is read. A connection that was waiting to be accepted
  * takes one turn each for that, for its request and for its end; the present turn may be past its poll.
@@ -25,6 +25,8 @@
 type Recovery = {
     /** The last time before the stall at which the event loop ran. */
     readonly since: number;
+    /** The time at which the last stall was detected. */
+    detectedAt: number;
     turnsLeft: number;
     acceptedCount: number;
 };
@@ -64,10 +66,10 @@
 
     /**
      * Returns a promise that resolves when what lies behind in the sockets that were read up to now has been read; undefined
-     * if none of it can have arrived during a stall.
+     * if none of it can have arrived during a stall, or if that was waited for at `waitedAt`, after the last stall.
      */
-    pendingReads(now: number): Promise<void> | undefined {
-        return this.isRecovering(now) ? afterPoll() : undefined;
+    pendingReads(now: number, waitedAt = -Infinity): Promise<void> | undefined {
+        return this.isRecovering(now) && this.#recovery!.detectedAt > waitedAt ? afterPoll() : undefined;
     }
 
     /** Records that callers' listener has accepted a connection: others may have waited behind it. */
@@ -84,19 +86,20 @@
 
     #check(now: number): void {
         if (this.#isOverdue(now)) {
-            this.#recover(this.#ranAt!);
+            this.#recover(this.#ranAt!, now);
         }
         this.#ranAt = now;
     }
 
     /** A stall during the recovery from another one prolongs it. */
-    #recover(since: number): void {
+    #recover(since: number, detectedAt: number): void {
+        const begun = { detectedAt, turnsLeft: RECOVERY_TURNS, acceptedCount: 0 };
         if (this.#recovery === undefined) {
-            this.#recovery = { since, turnsLeft: RECOVERY_TURNS, acceptedCount: 0 };
+            this.#recovery = { since, ...begun };
             void this.#countTurns(this.#recovery);
         }
         else {
-            Object.assign(this.#recovery, { turnsLeft: RECOVERY_TURNS, acceptedCount: 0 });
+            Object.assign(this.#recovery, begun);
         }
     }
 
