Tests: an event loop that is blocked from inside while a caller leaves

The tests with stopped daemons take a stall from outside. Three cases of CallerPresence block the event loop of the test itself: a caller that left is known to have left before its request would be passed on, one that stays is waited for once, and in calm nothing is waited for. withConnection takes any dependency of the connections in place of the one bound.

--- a/src/ingress/callerconnections.test.ts
+++ b/src/ingress/callerconnections.test.ts
@@ -7,6 +7,7 @@
 import { connectionBench } from "../../test/connectionbench.js";
 import { connectionDefaults } from "../../test/connectiondefaults.js";
 import { withConnection } from "../../test/withconnection.js";
+import { HeldMemory } from "../policy/admission/heldmemory.js";
 import { CallerConnections } from "./callerconnections.js";
 
 /** The bound on the time from a caller's leaving to the cancellation of its requests. */
@@ -138,7 +139,7 @@
         assert.ok(socket.destroyed || isEnded());
         assert.ok(accepted.every(({ isClosed }) => isClosed));
         assert.equal(connections.waitingCount, 0);
-    }, 100 * 6 * 1024);
+    }, { requestMemory: new HeldMemory(100 * 6 * 1024) });
 });
 
 // Guards against ordinary callers that are not answered while one connection is served thousands of refused requests.
--- /dev/null
+++ b/src/ingress/callerpresence.test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { connectionBench } from "../../test/connectionbench.js";
+import { pause } from "../../test/pause.js";
+import { withConnection } from "../../test/withconnection.js";
+import { StallMonitor } from "../time/stallmonitor.js";
+
+const STALL_MS = 400;
+/** A caller that has left is known to have by then: the second character of the probe has been sent. */
+const PROBED_MS = 150;
+
+type Bench = Parameters<Parameters<typeof withConnection>[1]>[0];
+
+const { get } = connectionBench;
+const clock = (): number => performance.now();
+
+const stall = (): void => {
+    for (const until = clock() + STALL_MS; clock() < until;) {
+        // Busy loop: no other code of this thread runs.
+    }
+};
+
+/** Runs the body with a connection whose event loop is observed. */
+const withObserved = async (body: (bench: Bench) => Promise<void>): Promise<void> => {
+    const stalls = new StallMonitor(clock);
+    stalls.start();
+    try {
+        await withConnection(1, body, { stalls });
+    }
+    finally {
+        stalls.stop();
+    }
+};
+
+const firstAccepted = async ({ accepted }: Bench): Promise<Bench["accepted"][number]> => {
+    while (accepted.length === 0) {
+        await nextTurn();
+    }
+    return accepted[0]!;
+};
+
+// Guards against work for clients that have left (GONE): what the event loop read after it had been blocked looked fresh.
+test("presence: a caller that left while the event loop was blocked is known to have left", async () => {
+    await withObserved(async bench => {
+        bench.socket.write(get("a"));
+        bench.socket.destroy();
+        stall();
+        const { connection: { presence }, ...request } = await firstAccepted(bench);
+        assert.equal(request.res.destroyed, false, "nothing shows it in the turn in which the request is read");
+        await presence.settle(clock());
+        assert.equal(request.res.destroyed, true);
+        assert.notEqual(presence.endReadAt, undefined);
+    });
+});
+
+test("presence: a caller that stays after the event loop was blocked is waited for once", async () => {
+    await withObserved(async bench => {
+        bench.socket.write(get("a"));
+        stall();
+        const { connection: { presence }, res } = await firstAccepted(bench);
+        const settled = presence.settle(clock());
+        assert.notEqual(settled, undefined);
+        await settled;
+        assert.equal(presence.settle(clock()), undefined);
+        assert.equal(res.destroyed, false);
+    });
+});
+
+test("presence: in calm nothing is waited for, also if the caller has shut down its sending side", async () => {
+    await withObserved(async bench => {
+        bench.socket.end(get("a"));
+        const { connection: { presence }, res } = await firstAccepted(bench);
+        assert.equal(presence.settle(clock()), undefined);
+        await pause(PROBED_MS);
+        assert.equal(presence.isHalfClosed, true);
+        assert.equal(presence.settle(clock()), undefined);
+        assert.equal(res.destroyed, false);
+    });
+});
--- a/test/withconnection.ts
+++ b/test/withconnection.ts
@@ -4,8 +4,8 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import type { CallerConnection } from "../src/ingress/callerconnection.js";
 import { CallerConnections } from "../src/ingress/callerconnections.js";
+import type { ConnectionDependencies } from "../src/ingress/connectiondependencies.js";
 import { ResponseTurn } from "../src/ingress/responseturn.js";
-import { HeldMemory } from "../src/policy/admission/heldmemory.js";
 import { connectionDefaults } from "./connectiondefaults.js";
 
 /** A request that the server has accepted, in the order of acceptance. */
@@ -31,13 +31,13 @@
 export async function withConnection(
     maxAccepted: number,
     body: (bench: Bench) => Promise<void>,
-    requestMemoryBytes = Infinity,
+    overrides: Partial<ConnectionDependencies> = {},
 ): Promise<void> {
     const accepted: Accepted[] = [];
     const server = createServer({ requireHostHeader: false });
     const connections = new CallerConnections(server, {
         ...connectionDefaults(maxAccepted),
-        requestMemory: new HeldMemory(requestMemoryBytes),
+        ...overrides,
         serve: ({ req, res }, connection) => {
             let size = 0;
             req.on("data", (chunk: Buffer) => size += chunk.length);
