--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -27,6 +27,8 @@
     readonly instances = new Map<string, Child>();
     /** Lines that the instances have printed, such as `R ID` for each request that they began to run. */
     readonly instanceLines: string[] = [];
+    /** The time at which each request first began to run at an instance, by its id. */
+    readonly runStartedAt = new Map<string, number>();
     /** Lines that the daemons have logged. */
     readonly log: string[] = [];
     readonly #folder = mkdtempSync(join(tmpdir(), "winglock-"));
@@ -111,11 +113,19 @@
             crashPath,
             ...announceEveryMs ? [String(announceEveryMs)] : [],
         ];
-        const child = new Child(scriptPath("standin/instancemain.js"), args, line => this.instanceLines.push(line));
+        const child = new Child(scriptPath("standin/instancemain.js"), args, line => this.#recordInstanceLine(line));
         this.instances.set(name, child);
         return child;
     }
 
+    #recordInstanceLine(line: string): void {
+        this.instanceLines.push(line);
+        const id = /^R (.+)$/.exec(line)?.[1];
+        if (id !== undefined && !this.runStartedAt.has(id)) {
+            this.runStartedAt.set(id, performance.now());
+        }
+    }
+
     /** Writes a configuration to the store as the platform's operators do, over a new connection. */
     configure(configuration: object): Promise<void> {
         return this.putAsOperator("op/config", JSON.stringify(configuration));
