A request waits for its connection to be read by how long it can have been unread, not by the length of a pause

What callers saw: upstreams ran requests over half a second after their callers had left, without a stall of any daemon. Cause: how old a request was when it was read was guessed from the longest pause of the event loop. A stall began at 300 ms in one turn, own work was none, and a series of over a second was overload, in which nothing was waited for. In slices of processor time and in overload no turn is long, but a connection waits one turn for each that was accepted before it, for a second and more, and the end of it is read two polls later. Change: UnreadMonitor and AcceptMonitor replace StallMonitor. They bound the age of what is read by what is known: everything that arrived two polls ago on open connections has been read, and all connections have been accepted before a poll that accepts none. If a request can be older than 100 ms, it waits for one poll of its connection, whatever the reason; the gate does the same.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,7 +87,6 @@
         this.#requestPath.loadSharing.start();
         this.#gates.healthCheck.start();
         this.#eventLoopMonitor.start();
-        this.#context.stalls.start();
         this.#context.unread.start();
         logger.change("The daemon is up.", {
             ready: true,
@@ -188,7 +187,6 @@
         this.#configuration.evacuations.stop();
         this.#gates.healthCheck.stop();
         this.#eventLoopMonitor.stop();
-        this.#context.stalls.stop();
         this.#context.unread.stop();
         this.#requestPath.quota.stop();
         datagrams.close();
--- a/src/daemon/daemoncontext.ts
+++ b/src/daemon/daemoncontext.ts
@@ -12,7 +12,6 @@
 import type { PeerOptions } from "../peer/peeroptions.js";
 import type { RandomSource } from "../policy/randomsource.js";
 import { processClock } from "../time/processclock.js";
-import { StallMonitor } from "../time/stallmonitor.js";
 import { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { Environment } from "./environment.js";
 import type { Settings } from "./settings.js";
@@ -23,7 +22,6 @@
 /** The daemon's identity, clock and source of randomness, and its connections and datagrams to peers. */
 export class DaemonContext {
     readonly clock = processClock;
-    readonly stalls = new StallMonitor(this.clock);
     readonly unread = new UnreadMonitor(this.clock);
     readonly random: RandomSource = () => Math.random();
     readonly incarnation = randomBytes(INCARNATION_BYTES).toString("base64url") as Incarnation;
--- a/src/daemon/requestpathgroup.ts
+++ b/src/daemon/requestpathgroup.ts
@@ -125,7 +125,7 @@
         return new PeerServer({
             key: settings.peerKey,
             clock,
-            stalls: context.stalls,
+            unread: context.unread,
             identity,
             service: new DaemonPeerService({
                 identity,
@@ -168,7 +168,6 @@
         const descriptors = descriptorLimit(settings.limits.descriptors);
         const listenerParts = {
             planner,
-            stalls: this.context.stalls,
             unread: this.context.unread,
             callerService: settings.callerService,
             bodyMemory: this.#bodyMemory,
--- a/src/ingress/callerconnections.ts
+++ b/src/ingress/callerconnections.ts
@@ -28,7 +28,6 @@
         // Otherwise Node ends a connection, with its requests, when the caller has shut down its sending side.
         Object.assign(server, { httpAllowHalfOpen: true });
         server.on("connection", (socket: Socket) => {
-            deps.stalls.recordAccepted(deps.clock());
             deps.accepts.recordAccepted(deps.clock());
             const connection = new CallerConnection(socket, connectionDeps);
             this.#connections.set(socket, connection);
--- a/src/ingress/callerpresence.test.ts
+++ b/src/ingress/callerpresence.test.ts
@@ -4,7 +4,8 @@
 import { connectionBench } from "../../test/connectionbench.js";
 import { pause } from "../../test/pause.js";
 import { withConnection } from "../../test/withconnection.js";
-import { StallMonitor } from "../time/stallmonitor.js";
+import { UnreadMonitor } from "../time/unreadmonitor.js";
+import { AcceptMonitor } from "./acceptmonitor.js";
 
 const STALL_MS = 400;
 /** A caller that has left is known to have by then: the second character of the probe has been sent. */
@@ -19,13 +20,13 @@
 
 /** Runs the body with a connection whose event loop is observed. */
 const withObserved = async (body: (bench: Bench) => Promise<void>): Promise<void> => {
-    const stalls = new StallMonitor(clock);
-    stalls.start();
+    const unread = new UnreadMonitor(clock);
+    unread.start();
     try {
-        await withConnection(1, body, { stalls });
+        await withConnection(1, body, { unread, accepts: new AcceptMonitor(unread) });
     }
     finally {
-        stalls.stop();
+        unread.stop();
     }
 };
 
--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -4,8 +4,9 @@
  * Owns the probe that tells a caller that has left from one that has only shut down its sending side.
  */
 import type { Socket } from "node:net";
+import { afterPoll } from "../time/afterpoll.js";
 import type { Clock } from "../time/clock.js";
-import type { StallMonitor } from "../time/stallmonitor.js";
+import { maxFreshMs } from "../time/maxfreshms.js";
 import type { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { AcceptMonitor } from "./acceptmonitor.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
@@ -13,7 +14,6 @@
 /** What the connection provides. */
 type PresenceDependencies = {
     readonly clock: Clock;
-    readonly stalls: StallMonitor;
     readonly unread: UnreadMonitor;
     readonly accepts: AcceptMonitor;
     /** Returns false while no request waits for a response, and once a response has begun. */
@@ -28,9 +28,9 @@
     readonly #openedAfter: number;
     #endReadAt: number | undefined;
     #closedAt: number | undefined;
-    /** True if the caller may have shut down its sending side during a stall, long before that was read. */
+    /** True if the caller may have shut down its sending side long before that was read. */
     #isEndOld = false;
-    /** The last time at which what had arrived during a stall was waited for. */
+    /** A time for which was waited: all that had arrived on the connection before it has been read. */
     #settledAt = -Infinity;
 
     constructor(socket: Socket, private readonly deps: PresenceDependencies) {
@@ -57,15 +57,15 @@
     /** Returns the longest time for which what is read now can have been unread, in milliseconds. */
     unreadMs(now: number): number {
         const readUpTo = this.deps.unread.readUpTo(now);
-        return now - (readUpTo > this.#acceptedAt ? readUpTo : this.#openedAfter);
+        return now - Math.max(this.#settledAt, readUpTo > this.#acceptedAt ? readUpTo : this.#openedAfter);
     }
 
     /**
-     * Returns a promise that resolves when it is known whether the caller left during a stall of the process: its leaving
-     * has been read, and been told from the end of its sending side. Returns undefined if nothing is in doubt.
+     * Returns a promise that resolves when it is known whether the caller has left long ago: its leaving has been read, and
+     * been told from the end of its sending side. Returns undefined if it can't have.
      */
     settle(now: number): Promise<void> | undefined {
-        const pendingReads = this.deps.stalls.pendingReads(now, this.#settledAt);
+        const pendingReads = this.unreadMs(now) > maxFreshMs ? afterPoll() : undefined;
         return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads, now);
     }
 
@@ -73,7 +73,7 @@
     recordEnd(): void {
         const now = this.deps.clock();
         this.#endReadAt = now;
-        this.#isEndOld = this.deps.stalls.isRecovering(now);
+        this.#isEndOld = this.unreadMs(now) > maxFreshMs;
         this.#probe.start();
     }
 
@@ -87,8 +87,10 @@
     }
 
     async #waitUntilKnown(pendingReads: Promise<void> | undefined, now: number): Promise<void> {
-        await pendingReads;
-        this.#settledAt = now;
+        if (pendingReads !== undefined) {
+            await pendingReads;
+            this.#settledAt = now;
+        }
         if (this.#isInDoubt) {
             await this.#probe.decided;
         }
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -2,7 +2,6 @@
 import type { Socket } from "node:net";
 import type { HeldMemory } from "../policy/admission/heldmemory.js";
 import type { Clock } from "../time/clock.js";
-import type { StallMonitor } from "../time/stallmonitor.js";
 import type { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { AcceptMonitor } from "./acceptmonitor.js";
 import type { CallerConnection } from "./callerconnection.js";
@@ -13,7 +12,6 @@
 /** The dependencies that all connections share. */
 export type ConnectionDependencies = {
     readonly clock: Clock;
-    readonly stalls: StallMonitor;
     readonly unread: UnreadMonitor;
     /** Observes the listener. */
     readonly accepts: AcceptMonitor;
--- a/src/ingress/ingress.test.ts
+++ b/src/ingress/ingress.test.ts
@@ -5,7 +5,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { OwnDialect } from "../dialect/owndialect.js";
 import { BodyMemory } from "../policy/admission/bodymemory.js";
-import { StallMonitor } from "../time/stallmonitor.js";
 import { UnreadMonitor } from "../time/unreadmonitor.js";
 import { Ingress } from "./ingress.js";
 
@@ -40,7 +39,6 @@
         LIMITS,
         {
             planner: { plan: () => refusal } as never,
-            stalls: new StallMonitor(() => performance.now()),
             unread: new UnreadMonitor(() => performance.now()),
             callerService: undefined,
             bodyMemory: new BodyMemory(1024),
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -73,7 +73,6 @@
         });
         this.#connections = new CallerConnections(this.#server, {
             clock: deps.clock,
-            stalls: listenerParts.stalls,
             unread: listenerParts.unread,
             accepts: this.#accepts,
             maxAccepted: limits.requestsPerConnection,
--- a/src/peer/peerserver.test.ts
+++ b/src/peer/peerserver.test.ts
@@ -11,7 +11,7 @@
 import { packCall } from "../link/packcall.js";
 import { writeFrame } from "../link/writeframe.js";
 import { BodyMemory } from "../policy/admission/bodymemory.js";
-import { StallMonitor } from "../time/stallmonitor.js";
+import { UnreadMonitor } from "../time/unreadmonitor.js";
 import { PeerServer } from "./peerserver.js";
 
 const KEY = "a-key-for-tests-only";
@@ -49,7 +49,7 @@
     new PeerServer({
         key: KEY,
         clock: () => performance.now(),
-        stalls: new StallMonitor(() => performance.now()),
+        unread: new UnreadMonitor(() => performance.now()),
         identity: { responseMetadata: () => LinkEnds.metadata } as never,
         service: undefined as never,
         bodyMemory: new BodyMemory(0),
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -27,7 +27,8 @@
 import { afterPoll } from "../time/afterpoll.js";
 import type { Clock } from "../time/clock.js";
 import { listen } from "../time/listen.js";
-import type { StallMonitor } from "../time/stallmonitor.js";
+import { maxFreshMs } from "../time/maxfreshms.js";
+import type { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
 import { BodyHold } from "./bodyhold.js";
@@ -38,8 +39,6 @@
 /** The response fields of a refusal, which consists of its metadata only. */
 const REFUSAL = { status: 0, headers: {}, body: undefined };
 const INVALID_CALL = "bad-call";
-/** A request that is delayed for longer has been unread for about as long; see time/stallmonitor.ts. */
-const MAX_FRESH_DELAY_MS = 300;
 /** Longer than a peer keeps an idle connection (link/linkpool.ts). */
 const KEEP_ALIVE_MS = 10_000;
 
@@ -49,7 +48,7 @@
 type PeerServerDependencies = {
     readonly key: string;
     readonly clock: Clock;
-    readonly stalls: StallMonitor;
+    readonly unread: UnreadMonitor;
     readonly identity: GateIdentity;
     readonly service: PeerService;
     readonly gate: (name: UpstreamName) => Gate | undefined;
@@ -185,10 +184,10 @@
      * `gateTime` does not show how long it was delayed.
      */
     async #waitForPendingClose({ gateTime }: RequestMetadata): Promise<void> {
-        const { clock, stalls } = this.deps;
+        const { clock, unread } = this.deps;
         const now = clock();
-        const mayBeOld = gateTime === undefined || now - gateTime > MAX_FRESH_DELAY_MS;
-        if (mayBeOld || stalls.isRecovering(now)) {
+        const sentAfter = Math.min(gateTime ?? -Infinity, unread.readUpTo(now));
+        if (now - sentAfter > maxFreshMs) {
             await afterPoll();
         }
     }
@@ -226,12 +225,12 @@
 
     /** A cancellation that had arrived when the request is passed on has been read. */
     #createSettleCancel(): NonNullable<GateCall["settleCancel"]> {
-        const { clock, stalls } = this.deps;
-        let settledAt = clock();
+        const { clock, unread } = this.deps;
+        let readUpTo = clock();
         return now => {
-            const pendingReads = stalls.pendingReads(now, settledAt);
-            settledAt = now;
-            return pendingReads;
+            const isOld = now - Math.max(readUpTo, unread.readUpTo(now)) > maxFreshMs;
+            readUpTo = now;
+            return isOld ? afterPoll() : undefined;
         };
     }
 
--- a/src/time/unreadmonitor.ts
+++ b/src/time/unreadmonitor.ts
@@ -5,13 +5,17 @@
  * when it arrived. Whatever had arrived before the event loop last polled the sockets has been read, however long or
  * short the turns were.
  */
+import { setImmediate as nextCheck } from "node:timers/promises";
 import type { Clock } from "./clock.js";
 import { Ticker } from "./ticker.js";
 import { tickMs } from "./tickms.js";
 
+/** A timer runs before the poll of its turn, an immediate after it. */
+const POLLS = 2;
+
 /** Observes the polls from `start` to `stop`; before and after, everything counts as read. */
 export class UnreadMonitor {
-    readonly #ticker = new Ticker(tickMs, () => this.#expectPoll(this.clock()));
+    readonly #ticker = new Ticker(tickMs, () => void this.#expectPolls(this.clock()));
     #readUpTo: number | undefined;
 
     constructor(private readonly clock: Clock) {}
@@ -34,12 +38,13 @@
         return this.#readUpTo ?? now;
     }
 
-    /** An immediate runs after the next poll, a timer before it. */
-    #expectPoll(now: number): void {
-        setImmediate(() => {
-            if (this.#readUpTo !== undefined) {
-                this.#readUpTo = now;
-            }
-        });
+    /** The end of a connection is read one poll after the bytes before it. */
+    async #expectPolls(now: number): Promise<void> {
+        for (let count = 0; count < POLLS; count++) {
+            await nextCheck();
+        }
+        if (this.#readUpTo !== undefined) {
+            this.#readUpTo = now;
+        }
     }
 }
--- a/test/bodybench.ts
+++ b/test/bodybench.ts
@@ -15,7 +15,7 @@
 import { PeerServer } from "../src/peer/peerserver.js";
 import { RemoteHop } from "../src/peer/remotehop.js";
 import { BodyMemory } from "../src/policy/admission/bodymemory.js";
-import { StallMonitor } from "../src/time/stallmonitor.js";
+import { UnreadMonitor } from "../src/time/unreadmonitor.js";
 import { LinkEnds } from "./linkends.js";
 
 const LOCAL_IP = "127.0.0.1";
@@ -101,7 +101,7 @@
         const server = new PeerServer({
             key: KEY,
             clock,
-            stalls: new StallMonitor(() => performance.now()),
+            unread: new UnreadMonitor(() => performance.now()),
             identity,
             service: undefined as never,
             bodyMemory: this.memory,
--- a/test/connectiondefaults.ts
+++ b/test/connectiondefaults.ts
@@ -2,7 +2,6 @@
 import { AcceptMonitor } from "../src/ingress/acceptmonitor.js";
 import type { ConnectionDependencies } from "../src/ingress/connectiondependencies.js";
 import { HeldMemory } from "../src/policy/admission/heldmemory.js";
-import { StallMonitor } from "../src/time/stallmonitor.js";
 import { UnreadMonitor } from "../src/time/unreadmonitor.js";
 
 const DISCARD_BYTES = 100_000;
@@ -15,7 +14,6 @@
         unread,
         accepts: new AcceptMonitor(unread),
         clock: () => performance.now(),
-        stalls: new StallMonitor(() => performance.now()),
         maxAccepted,
         maxOpenConnections: Infinity,
         onDropped: () => {},
