Trial: connections are accepted, and requests read, before any request begins

Idea: while connections wait to be accepted, requests wait too; then they begin in their order, 16 in a turn, so that a queue of connections is never older than its reading.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -22,6 +22,7 @@
 import { InFlightRequests } from "./inflightrequests.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { IngressLimits } from "./ingresslimits.js";
+import { Intake } from "./intake.js";
 import { LimitClosures } from "./limitclosures.js";
 import type { ListenerDependencies } from "./listenerdependencies.js";
 import { outgoingHeaders } from "./outgoingheaders.js";
@@ -44,7 +45,7 @@
 export class Ingress {
     readonly #server: Server;
     readonly #connections: CallerConnections;
-    readonly #accepts: AcceptMonitor;
+    readonly #intake: Intake;
     /** The memory that parsed requests take until they are answered. */
     readonly requestMemory: HeldMemory<CallerConnection>;
     /** The connections that were closed because of a limit. */
@@ -62,7 +63,8 @@
     ) {
         this.#limits = new EffectiveLimits(limits);
         this.requestMemory = new HeldMemory(limits.requestMemoryBytes);
-        this.#accepts = new AcceptMonitor(listenerParts.unread);
+        const accepts = new AcceptMonitor(listenerParts.unread);
+        this.#intake = new Intake(deps.clock, accepts);
         this.#server = createServer({
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headersTimeoutMs,
@@ -74,7 +76,8 @@
         this.#connections = new CallerConnections(this.#server, {
             clock: deps.clock,
             unread: listenerParts.unread,
-            accepts: this.#accepts,
+            accepts,
+            intake: this.#intake,
             maxAccepted: limits.requestsPerConnection,
             maxOpenConnections: listenerParts.maxOpenConnections,
             serve: (request, connection) => void this.#handle(request, connection),
