--- a/src/ingress/callerpresence.test.ts
+++ b/src/ingress/callerpresence.test.ts
@@ -6,7 +6,6 @@
 import { withConnection } from "../../test/withconnection.js";
 import { UnreadMonitor } from "../time/unreadmonitor.js";
 import { AcceptMonitor } from "./acceptmonitor.js";
-import { Intake } from "./intake.js";
 
 const STALL_MS = 400;
 /** A caller that has left is known to have by then: the second character of the probe has been sent. */
@@ -24,8 +23,7 @@
     const unread = new UnreadMonitor(clock);
     unread.start();
     try {
-        const accepts = new AcceptMonitor(unread);
-        await withConnection(1, body, { unread, accepts, intake: new Intake(clock, accepts) });
+        await withConnection(1, body, { unread, accepts: new AcceptMonitor(unread) });
     }
     finally {
         unread.stop();
--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -4,21 +4,18 @@
  * Owns the probe that tells a caller that has left from one that has only shut down its sending side.
  */
 import type { Socket } from "node:net";
-import type { Cancellation } from "../http/cancellation.js";
 import { afterPoll } from "../time/afterpoll.js";
 import type { Clock } from "../time/clock.js";
 import { maxFreshMs } from "../time/maxfreshms.js";
 import type { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { AcceptMonitor } from "./acceptmonitor.js";
 import { DisconnectProbe } from "./disconnectprobe.js";
-import type { Intake } from "./intake.js";
 
 /** What the connection provides. */
 type PresenceDependencies = {
     readonly clock: Clock;
     readonly unread: UnreadMonitor;
     readonly accepts: AcceptMonitor;
-    readonly intake: Intake;
     /** Returns false while no request waits for a response, and once a response has begun. */
     readonly mayProbe: () => boolean;
 };
@@ -63,15 +60,6 @@
         return now - Math.max(this.#settledAt, readUpTo > this.#acceptedAt ? readUpTo : this.#openedAfter);
     }
 
-    /** Resolves when a request of the connection may begin, or when it is cancelled. */
-    async begin(now: number, cancel: Cancellation): Promise<void> {
-        const turn = this.deps.intake.enter(this.unreadMs(now), now, cancel);
-        if (turn !== undefined) {
-            await turn;
-            this.#settledAt = now;
-        }
-    }
-
     /**
      * Returns a promise that resolves when it is known whether the caller has left long ago: its leaving has been read, and
      * been told from the end of its sending side. Returns undefined if it can't have.
--- a/src/ingress/connectiondependencies.ts
+++ b/src/ingress/connectiondependencies.ts
@@ -7,7 +7,6 @@
 import type { CallerConnection } from "./callerconnection.js";
 import type { ClosureReason } from "./closurereason.js";
 import type { DiscardLimits } from "./discardlimits.js";
-import type { Intake } from "./intake.js";
 import type { ParsedRequest } from "./parsedrequest.js";
 
 /** The dependencies that all connections share. */
@@ -16,7 +15,6 @@
     readonly unread: UnreadMonitor;
     /** Observes the listener. */
     readonly accepts: AcceptMonitor;
-    readonly intake: Intake;
     /** The most requests of a connection that are accepted and not answered. */
     readonly maxAccepted: number;
     /** The most connections that are open at once. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -22,7 +22,6 @@
 import { InFlightRequests } from "./inflightrequests.js";
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { IngressLimits } from "./ingresslimits.js";
-import { Intake } from "./intake.js";
 import { LimitClosures } from "./limitclosures.js";
 import type { ListenerDependencies } from "./listenerdependencies.js";
 import { outgoingHeaders } from "./outgoingheaders.js";
@@ -45,7 +44,7 @@
 export class Ingress {
     readonly #server: Server;
     readonly #connections: CallerConnections;
-    readonly #intake: Intake;
+    readonly #accepts: AcceptMonitor;
     /** The memory that parsed requests take until they are answered. */
     readonly requestMemory: HeldMemory<CallerConnection>;
     /** The connections that were closed because of a limit. */
@@ -63,8 +62,7 @@
     ) {
         this.#limits = new EffectiveLimits(limits);
         this.requestMemory = new HeldMemory(limits.requestMemoryBytes);
-        const accepts = new AcceptMonitor(listenerParts.unread);
-        this.#intake = new Intake(deps.clock, accepts);
+        this.#accepts = new AcceptMonitor(listenerParts.unread);
         this.#server = createServer({
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headersTimeoutMs,
@@ -76,8 +74,7 @@
         this.#connections = new CallerConnections(this.#server, {
             clock: deps.clock,
             unread: listenerParts.unread,
-            accepts,
-            intake: this.#intake,
+            accepts: this.#accepts,
             maxAccepted: limits.requestsPerConnection,
             maxOpenConnections: listenerParts.maxOpenConnections,
             serve: (request, connection) => void this.#handle(request, connection),
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -98,13 +98,6 @@
     }
 
     async #runAttempts(): Promise<RequestOutcome> {
-        await this.response.presence.begin(this.deps.clock(), this.#requestCancel);
-        if (this.response.hasCallerLeft) {
-            return "left";
-        }
-        if (this.#requestCancel.aborted) {
-            return await this.#respondUnserved({ outcome: "not-run", reason: "deadline" });
-        }
         let last: UnservedResult | undefined = this.#quarantine.refusal() ?? await this.#quota.refusal();
         if (last !== undefined) {
             return await this.#respondUnserved(last);
--- a/test/connectiondefaults.ts
+++ b/test/connectiondefaults.ts
@@ -1,7 +1,6 @@
 /** Dependencies of callers' connections for tests. */
 import { AcceptMonitor } from "../src/ingress/acceptmonitor.js";
 import type { ConnectionDependencies } from "../src/ingress/connectiondependencies.js";
-import { Intake } from "../src/ingress/intake.js";
 import { HeldMemory } from "../src/policy/admission/heldmemory.js";
 import { UnreadMonitor } from "../src/time/unreadmonitor.js";
 
@@ -11,11 +10,9 @@
 /** Returns all dependencies but the one that serves requests. */
 export function connectionDefaults(maxAccepted: number): Omit<ConnectionDependencies, "serve"> {
     const unread = new UnreadMonitor(() => performance.now());
-    const accepts = new AcceptMonitor(unread);
     return {
         unread,
-        accepts,
-        intake: new Intake(() => performance.now(), accepts),
+        accepts: new AcceptMonitor(unread),
         clock: () => performance.now(),
         maxAccepted,
         maxOpenConnections: Infinity,
