Calls of a run that has been cancelled are refused

Cause: the daemon links a call to its run by the call's context or id, and forgets a run when it ends. A call that is read afterwards looked like a first request of a caller, with a time limit that begins at its reading and without the deadline of its run. Change: CallContexts remembers the latest 2,048 tokens and ids of runs that were cancelled, by their callers or their deadlines; a call of such a run is refused as not run (504). A request that runs again is no longer remembered.

--- a/src/gate/callcontexts.ts
+++ b/src/gate/callcontexts.ts
@@ -3,9 +3,12 @@
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { WorkTime } from "../policy/admission/worktime.js";
+import { RecentSet } from "../policy/recentset.js";
 
 /** Long enough that a token cannot be guessed. */
 const TOKEN_BYTES = 12;
+/** Tokens and ids of cancelled runs that are remembered: those of some seconds in which all runs are cancelled. */
+const MAX_CANCELLED = 2048;
 
 /** The context of one running request. */
 type CallContext = {
@@ -39,6 +42,8 @@
 export class CallContexts {
     readonly #byToken = new Map<string, CallContext>();
     readonly #byRequest = new Map<string, CallContext>();
+    /** Tokens and request ids. */
+    readonly #cancelled = new RecentSet<string>(MAX_CANCELLED);
 
     /** Opens the context of a run; `requestId` is the id by which the upstream knows the request. */
     open(requestId: string, details: RunDetails): CallContext {
@@ -46,6 +51,7 @@
         const context = { ...details, token, requestId, calls: new Map(), retriedBelow: false };
         this.#byToken.set(token, context);
         this.#byRequest.set(requestId, context);
+        this.#cancelled.delete(requestId);
         return context;
     }
 
@@ -60,7 +66,19 @@
         return token === undefined ? undefined : this.#byToken.get(token);
     }
 
-    close(context: CallContext): void {
+    /** Returns true if a run with this token, or one of these requests, was cancelled lately and does not run again. */
+    wasCancelled(token: string | undefined, requestIds: readonly string[]): boolean {
+        const isRunning = this.findByToken(token) ?? this.findByRequests(requestIds);
+        return isRunning === undefined
+            && [...requestIds, token].some(id => id !== undefined && this.#cancelled.has(id));
+    }
+
+    /** Closes the context of a run that has ended; `wasCancelled`: its caller, or its deadline, has ended it. */
+    close(context: CallContext, wasCancelled: boolean): void {
+        if (wasCancelled) {
+            this.#cancelled.add(context.token);
+            this.#cancelled.add(context.requestId);
+        }
         this.#byToken.delete(context.token);
         if (this.#byRequest.get(context.requestId) === context) {
             this.#byRequest.delete(context.requestId);
--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -225,7 +225,7 @@
         this.#isActive = false;
         clearTimeout(this.#deadlineTimer);
         clearTimeout(this.#abortTimer);
-        this.deps.contexts.close(this.#context);
+        this.deps.contexts.close(this.#context, this.#cancel.aborted);
         this.deps.ledger.finish(this.request.call.head.id);
         const now = this.deps.clock();
         this.deps.onEnd(wasServed ? this.ageMs(now) : undefined, this.#workTime.read(now), this.#context.calls);
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -63,6 +63,10 @@
             return { type: "refusal", problem: "no-rule", detail: `${method} ${path}` };
         }
         const parent = this.parentOf(req);
+        if (parent === undefined && this.#isOfCancelledRun(req)) {
+            log.runCancelled();
+            return { type: "refusal", problem: "deadline", detail: "caller-left" };
+        }
         const key = this.#keyOf(req);
         const access = this.#decideAccess(matched, key, parent);
         if (access.type === "refused") {
@@ -105,14 +109,26 @@
      * keys are checked, a request with a key is no call: upstreams have no keys.
      */
     parentOf(req: IncomingMessage): Parent | undefined {
-        const { dialect, contexts, document } = this.deps;
-        if (document().teams !== undefined && req.headers[dialect.key] !== undefined) {
+        const { dialect, contexts } = this.deps;
+        if (this.#isExternal(req)) {
             return undefined;
         }
         const token = req.headers[dialect.context] as string | undefined;
         return contexts.findByToken(token) ?? contexts.findByRequests(dialect.parentIdsOf(req.headers));
     }
 
+    /** Returns true if a local upstream made this call during a run whose caller has left, or whose deadline has passed. */
+    #isOfCancelledRun(req: IncomingMessage): boolean {
+        const { dialect, contexts } = this.deps;
+        const token = req.headers[dialect.context] as string | undefined;
+        return !this.#isExternal(req) && contexts.wasCancelled(token, dialect.parentIdsOf(req.headers));
+    }
+
+    #isExternal(req: IncomingMessage): boolean {
+        const { dialect, document } = this.deps;
+        return document().teams !== undefined && req.headers[dialect.key] !== undefined;
+    }
+
     /** Node.js joins repeated fields with commas, so only a value with a comma may come from several fields. */
     #keyOf(req: IncomingMessage): PresentedKey {
         const { dialect, document } = this.deps;
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -120,6 +120,10 @@
         });
     }
 
+    runCancelled(): void {
+        logger.failure(this.id, "The run during which the call was made has been cancelled; the call is refused.", {});
+    }
+
     noConfiguration(): void {
         logger.failure(this.id, "The daemon has no configuration yet; the request is refused.", {});
     }
--- a/src/policy/recentset.ts
+++ b/src/policy/recentset.ts
@@ -13,6 +13,10 @@
         }
     }
 
+    delete(item: Item): void {
+        this.#items.delete(item);
+    }
+
     has(item: Item): boolean {
         return this.#items.has(item);
     }
