What a daemon reads while it starts is observed, too

Cause: the listeners opened before the monitor was started, and until then everything that is read counts as fresh, although a daemon that starts has the most work and the least warm code. Change: the monitor starts before the listeners open.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -73,11 +73,12 @@
      * names the upstreams, the listeners open only after the store and the seeds have responded or failed.
      */
     async start(): Promise<void> {
-        const { settings, datagrams } = this.#context;
+        const { settings, datagrams, unread } = this.#context;
         const loaded = this.#configuration.load();
         if (this.#membership.registryMembership === undefined) {
             await loaded;
         }
+        unread.start();
         await datagrams.bind(settings.peer, message => this.#router.receive(message));
         await this.#requestPath.peerServer.listen(settings.peer);
         await this.#operators.listen();
@@ -87,7 +88,6 @@
         this.#requestPath.loadSharing.start();
         this.#gates.healthCheck.start();
         this.#eventLoopMonitor.start();
-        this.#context.unread.start();
         logger.change("The daemon is up.", {
             ready: true,
             host: settings.host,
