--- a/test/starved.test.ts
+++ b/test/starved.test.ts
@@ -96,6 +96,25 @@
     await assertNoneLateInSlices(post);
 });
 
+// Guards against work for clients that have left (GONE): delays at both ends of a link, each short enough, add up.
+test("starved: daemons that all have slices of processor time run no request whose client left", async () => {
+    await withPlatform(async mesh => {
+        const sliceOthers = [...mesh.daemons].filter(([name]) => name !== DAEMON).map(([, daemon]) => daemon);
+        const run = async (): Promise<Map<string, number>> => {
+            const left = await sendGroups(mesh, get);
+            await pause(SETTLE_MS);
+            return left;
+        };
+        const slice = { runMs: 20, stopMs: 80 };
+        const leftAt = await sliceOthers.reduce(
+            (body, daemon) => () => withTimeSlices(daemon, slice, body),
+            () => withTimeSlices(mesh.daemons.get(DAEMON)!, slice, run),
+        )();
+        assertNoneLate(mesh, leftAt);
+        await assertServes(mesh);
+    });
+});
+
 // Guards against work for clients that have left (GONE), and against refusing the others to get there.
 test("starved: a daemon with slices of processor time and other load serves those that wait, not those that left", async () => {
     await withPlatform(async mesh => {
