A wait for a poll counts once it has ended, and a connection that is not read is not waited for

(1) The time up to which a connection had been read was set to the beginning of the wait. Where turns take over 100 ms, each check found it old again, and the check before the write could repeat without an end. (2) Behind a request that can't be accepted, reading is paused but for moments; a poll tells nothing there, and each wait lets more unread chunks of the body behind be parsed, an object each. Change: the end of the wait counts; while a request waits behind the accepted ones, the connection is not waited for.

--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -48,7 +48,7 @@
         this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
         this.#discard.lingerOnClose(() => this.#accepted.first?.res);
         const mayProbe = (): boolean => this.#accepted.first?.res.headersSent === false;
-        this.presence = new CallerPresence(socket, { ...deps, mayProbe });
+        this.presence = new CallerPresence(socket, { ...deps, mayProbe, isPaused: () => this.#waiting.count > 0 });
         socket.on("end", () => this.#handleEnd());
         socket.on("close", () => this.#handleClose());
     }
--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -16,6 +16,8 @@
     readonly clock: Clock;
     readonly unread: UnreadMonitor;
     readonly accepts: AcceptMonitor;
+    /** Returns true while reading is paused: a poll then tells nothing. */
+    readonly isPaused: () => boolean;
     /** Returns false while no request waits for a response, and once a response has begun. */
     readonly mayProbe: () => boolean;
 };
@@ -30,7 +32,7 @@
     #closedAt: number | undefined;
     /** True if the caller may have shut down its sending side long before that was read. */
     #isEndOld = false;
-    /** A time for which was waited: all that had arrived on the connection before it has been read. */
+    /** The last time at which a poll of the connection was waited for; a further wait would be as long as its turn. */
     #settledAt = -Infinity;
 
     constructor(socket: Socket, private readonly deps: PresenceDependencies) {
@@ -65,8 +67,9 @@
      * been told from the end of its sending side. Returns undefined if it can't have.
      */
     settle(now: number): Promise<void> | undefined {
-        const pendingReads = this.unreadMs(now) > maxFreshMs ? afterPoll() : undefined;
-        return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads, now);
+        const mayBeOld = this.unreadMs(now) > maxFreshMs && !this.deps.isPaused();
+        const pendingReads = mayBeOld ? afterPoll() : undefined;
+        return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads);
     }
 
     /** Begins to probe: a caller that has ended its side may still read. */
@@ -86,10 +89,10 @@
         return this.#isEndOld && !this.#probe.isDecided;
     }
 
-    async #waitUntilKnown(pendingReads: Promise<void> | undefined, now: number): Promise<void> {
+    async #waitUntilKnown(pendingReads: Promise<void> | undefined): Promise<void> {
         if (pendingReads !== undefined) {
             await pendingReads;
-            this.#settledAt = now;
+            this.#settledAt = this.deps.clock();
         }
         if (this.#isInDoubt) {
             await this.#probe.decided;
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -229,8 +229,7 @@
         let readUpTo = clock();
         return now => {
             const isOld = now - Math.max(readUpTo, unread.readUpTo(now)) > maxFreshMs;
-            readUpTo = now;
-            return isOld ? afterPoll() : undefined;
+            return isOld ? afterPoll().then(() => void (readUpTo = clock())) : undefined;
         };
     }
 
