--- a/src/ingress/callerpresence.test.ts
+++ b/src/ingress/callerpresence.test.ts
@@ -75,3 +75,28 @@
         assert.equal(res.destroyed, false);
     });
 });
+
+// Guards against a request that is never written where each turn of the event loop is long: each check waited for another one.
+test("presence: a wait whose own turn is long is not repeated", async () => {
+    await withObserved(async bench => {
+        bench.socket.write(get("a"));
+        stall();
+        const { connection: { presence } } = await firstAccepted(bench);
+        const settled = presence.settle(clock());
+        assert.notEqual(settled, undefined);
+        setImmediate(stall);
+        await settled;
+        assert.equal(presence.settle(clock()), undefined);
+    });
+});
+
+// Guards against a daemon that ran out of memory: with each wait more chunks of the body behind were parsed.
+test("presence: a connection that is not read, since a request waits behind another one, is not waited for", async () => {
+    await withObserved(async bench => {
+        bench.socket.write(get("a") + get("b"));
+        stall();
+        const { connection: { presence } } = await firstAccepted(bench);
+        assert.ok(presence.unreadMs(clock()) >= STALL_MS);
+        assert.equal(presence.settle(clock()), undefined);
+    });
+});
