Responses that nobody needs are drained only so far

What callers saw: not reported of winglock. Operators of similar systems saw a machine run out of memory over an instance that sent a body without end.

Cause: the rest of a refusal that is tried again elsewhere, and of a failed response that is retried or lost to a hedge, was read until the upstream ended it. The run had ended, so that neither its deadline nor its caller ended the reading. Each such refusal kept a connection to the upstream, and the daemon read from it as fast as the upstream wrote.

--- a/src/gate/endlessresponses.test.ts
+++ b/src/gate/endlessresponses.test.ts
@@ -1,10 +1,12 @@
-/** An upstream sends bytes without end in place of its response to a health probe, until the client closes. */
+/** An upstream sends bytes without end in place of its response, until the client closes. */
+import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { eventually } from "../../test/eventually.js";
 import type { Upstream } from "../config/upstream.js";
 import { OwnDialect } from "../dialect/owndialect.js";
+import type { GateCall } from "../hop/gatecall.js";
 import { UpstreamClient } from "./upstreamclient.js";
 
 const LOCAL_IP = "127.0.0.1";
@@ -23,10 +25,26 @@
     "a chunk extension": "HTTP/1.1 200 OK\r\nwinglock-upstream: fees-1\r\ntransfer-encoding: chunked\r\n\r\n5;",
 };
 
-const sendWithoutEnd = (socket: Socket, beginning: string): void => {
-    socket.write(beginning);
+const REQUEST_ID = "request-1";
+const REFUSAL =
+    `HTTP/1.1 503 Service Unavailable\r\nwinglock-outcome: not-run\r\nwinglock-request-id: ${REQUEST_ID}\r\n`;
+
+/** Refusals that prove that the request has not run; `x` follows without end. */
+const REFUSALS: Readonly<Record<string, string>> = {
+    "a body without a length": `${REFUSAL}\r\n`,
+    "a body with a length": `${REFUSAL}content-length: 9007199254740991\r\n\r\n`,
+    "a chunk": `${REFUSAL}transfer-encoding: chunked\r\n\r\nffffffff\r\n`,
+};
+
+/** Sends `part` again and again, as fast as the client reads or once in `everyMs`. */
+const sendWithoutEnd = (socket: Socket, part: Buffer, everyMs: number): void => {
+    if (everyMs > 0) {
+        const timer = setInterval(() => socket.write(part), everyMs);
+        socket.on("close", () => clearInterval(timer));
+        return;
+    }
     const fill = (): void => {
-        while (!socket.destroyed && socket.write(CHUNK)) {
+        while (!socket.destroyed && socket.write(part)) {
             // Writes until the client reads no more.
         }
     };
@@ -34,32 +52,66 @@
     fill();
 };
 
+type Upstreams = { readonly client: UpstreamClient; readonly sockets: readonly Socket[]; };
+
+/** Starts an upstream that responds to the first bytes of each connection with `beginning` and bytes without end. */
+const startUpstream = async (t: TestContext, beginning: string, part = CHUNK, everyMs = 0): Promise<Upstreams> => {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => {}).once("data", () => {
+            socket.write(beginning);
+            sendWithoutEnd(socket, part, everyMs);
+        });
+    }).listen(0, LOCAL_IP);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
+    const client = new UpstreamClient(upstream, {
+        localIp: LOCAL_IP,
+        dialect: new OwnDialect(),
+        onResponse: () => {},
+        clock: () => performance.now(),
+        onUnresponsive: () => {},
+    });
+    t.after(() => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    return { client, sockets };
+};
+
+/** Asserts that the first connection is closed; another one may be open by then, which has carried nothing. */
+const assertFirstCloses = (sockets: readonly Socket[]): Promise<unknown> =>
+    eventually("the connection is closed", async () => sockets[0]!.destroyed, CLOSE_BOUND_MS);
+
 for (const [name, beginning] of Object.entries(BEGINNINGS)) {
     // Guards against a daemon that reads what a faulty upstream sends without end, in a head or a body.
     test(`endless responses: a health probe that gets ${name} without end closes its connection`, async t => {
-        const sockets: Socket[] = [];
-        const server = createServer(socket => {
-            sockets.push(socket);
-            socket.on("error", () => {}).once("data", () => sendWithoutEnd(socket, beginning));
-        }).listen(0, LOCAL_IP);
-        await once(server, "listening");
-        const { port } = server.address() as AddressInfo;
-        const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
-        const client = new UpstreamClient(upstream, {
-            localIp: LOCAL_IP,
-            dialect: new OwnDialect(),
-            onResponse: () => {},
-            clock: () => performance.now(),
-            onUnresponsive: () => {},
-        });
-        t.after(() => {
-            sockets.forEach(socket => socket.destroy());
-            server.close();
-        });
+        const { client, sockets } = await startUpstream(t, beginning);
         await client.probeHealth("/health", PROBE_TIMEOUT_MS).catch(() => {
             // Whether the probe fails or is answered, nothing is read on.
         });
-        // Another connection may be open by now, which has carried nothing.
-        await eventually("the connection is closed", async () => sockets[0]!.destroyed, CLOSE_BOUND_MS);
+        await assertFirstCloses(sockets);
     });
 }
+
+const assertRefusalCloses = async ({ client, sockets }: Upstreams): Promise<void> => {
+    const call = { method: "GET", path: "/fees", body: undefined } as GateCall;
+    const options = { cancel: undefined, onConnected: () => {}, checkWrite: () => undefined, deadline: Infinity };
+    await assert.rejects(client.send(call, { "winglock-request-id": REQUEST_ID }, options), { reason: "shed" });
+    await assertFirstCloses(sockets);
+};
+
+for (const [name, beginning] of Object.entries(REFUSALS)) {
+    // Guards against a daemon that reads what a faulty upstream sends without end, behind a request that has ended.
+    test(`endless responses: a refusal with ${name} without end closes its connection`, async t => {
+        await assertRefusalCloses(await startUpstream(t, beginning));
+    });
+}
+
+// Guards against connections that stay open for each refusal of an upstream that never ends its responses.
+test("endless responses: a refusal whose body arrives slowly without end closes its connection", async t => {
+    const beginning = REFUSALS["a body with a length"]!;
+    await assertRefusalCloses(await startUpstream(t, beginning, Buffer.from("x"), 50));
+});
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -4,6 +4,7 @@
 import type { Dialect } from "../dialect/dialect.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { Cancellation } from "../http/cancellation.js";
+import { drainResponse } from "../http/drainresponse.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import { ignoreBodyErrors } from "../http/ignorebodyerrors.js";
 import { isConnectError } from "../http/isconnecterror.js";
@@ -73,7 +74,7 @@
             onResponse(response.headers, { sentAt, isHealth: false });
         }
         if (reason !== undefined) {
-            response.body.resume();
+            drainResponse(response.body);
             throw new UpstreamError(reason);
         }
         return response;
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -7,7 +7,7 @@
  */
 import type { GateResponse } from "../hop/gateresponse.js";
 import { Cancellation } from "../http/cancellation.js";
-import { drainBody } from "../http/drainbody.js";
+import { drainResponse } from "../http/drainresponse.js";
 import { isUnread } from "../http/isunread.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
 import type { Arrival } from "../policy/retry/arrival.js";
@@ -194,7 +194,7 @@
     async #prepareRetry(result: UnservedResult, target: UpstreamView): Promise<void> {
         this.deps.metrics.countRetry(this.plan.service.name, reasonLabel(result));
         if (result.outcome === "failed") {
-            drainBody(result.response.body);
+            drainResponse(result.response.body);
             return;
         }
         if (result.reason === "stale-rule") {
--- a/src/ingress/runhedged.ts
+++ b/src/ingress/runhedged.ts
@@ -5,7 +5,7 @@
  * policy/retry/decidehedge.ts decides whether and when a hedge is allowed.
  */
 import type { GateResponse } from "../hop/gateresponse.js";
-import { drainBody } from "../http/drainbody.js";
+import { drainResponse } from "../http/drainresponse.js";
 import type { AttemptResult } from "../policy/retry/attemptresult.js";
 import { pickResult } from "../policy/retry/pickresult.js";
 import { isOverdue } from "../time/isoverdue.js";
@@ -35,7 +35,7 @@
     const picked = pickResult(firstResult, hedgeResult);
     const unused = picked === firstResult ? hedgeResult : firstResult;
     if (unused.outcome === "failed") {
-        drainBody(unused.response.body);
+        drainResponse(unused.response.body);
     }
     return picked;
 }
