A response of the store without an end fails its call

Cause: the body of each response was collected to its end, and each part of it renewed the time limit of the call, so that a store that never ends a response took all memory of the daemon, and every daemon reads the store.

Change: a response of over 32 MiB fails its call, and its connection is closed.

Measured: with 128 KiB each millisecond, the call was still reading after 5 s before; it fails now, the connection closes, and the next call succeeds (src/store/storeclient.test.ts).

--- a/src/store/storeclient.test.ts
+++ b/src/store/storeclient.test.ts
@@ -4,11 +4,14 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { z } from "zod";
+import { pause } from "../../test/pause.js";
 import type { Address } from "../ids/address.js";
 import { StoreClient } from "./storeclient.js";
 
 const TIMEOUT_MS = 100;
 const WATCH_WAIT_MS = 20_000;
+const ENDLESS_PART = Buffer.alloc(128 * 1024, " ");
+const ENDLESS_BOUND_MS = 5000;
 const ResponseBody = z.object({ at: z.int() });
 
 type Serve = (path: string, res: ServerResponse, call: number) => void;
@@ -56,7 +59,6 @@
 
 // Guards against watches that stay pending on unresponsive connections while calls succeed on a newer connection.
 test("store client: the next call detects that all open connections are unresponsive, and pending watches end", async () => {
-    const pause = (): Promise<void> => new Promise(resolve => setTimeout(resolve, TIMEOUT_MS / 4));
     const unresponsive = new Set<unknown>();
     const sockets = new Set<unknown>();
     const serve: Serve = (path, res) => {
@@ -70,11 +72,11 @@
             for (let call = 0; call < calls; call++) {
                 await find(client);
             }
-            await pause();
+            await pause(TIMEOUT_MS / 4);
             const pending = [watch(client), watch(client)].map(each =>
                 assert.rejects(each, { message: "the store did not respond" })
             );
-            await pause();
+            await pause(TIMEOUT_MS / 4);
             sockets.forEach(socket => unresponsive.add(socket));
             await assert.rejects(find(client), { message: "the store did not respond" }, `after ${calls} calls`);
             await find(client);
@@ -107,3 +109,24 @@
         assert.ok(performance.now() - startedAt < 5 * TIMEOUT_MS);
     });
 });
+
+// Guards against a daemon that runs out of memory over a response without an end: each part of it renews the time limit.
+test("store client: a response without an end fails its call and closes its connection", async () => {
+    let closed: Promise<unknown> | undefined;
+    const serve: Serve = (_path, res, call) => {
+        if (call > 0) {
+            res.end(JSON.stringify({ at: 1 }));
+            return;
+        }
+        closed = once(res, "close");
+        res.writeHead(200, { "content-type": "application/json" });
+        const timer = setInterval(() => res.write(ENDLESS_PART), 1);
+        res.on("close", () => clearInterval(timer));
+    };
+    await withClient(serve, async client => {
+        const ended = assert.rejects(find(client), { message: "the store did not respond" });
+        assert.equal(await Promise.race([ended, pause(ENDLESS_BOUND_MS).then(() => "reading")]), undefined);
+        await closed;
+        await find(client);
+    });
+});
--- a/src/store/storeconnections.ts
+++ b/src/store/storeconnections.ts
@@ -5,11 +5,15 @@
  * connections have become unresponsive, the next call therefore detects it.
  */
 import { Client, type Dispatcher } from "undici";
+import { bufferBody } from "../http/bufferbody.js";
+import { destroyBody } from "../http/destroybody.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import type { Address } from "../ids/address.js";
 
 /** Generous for a store on the same network, which accepts a connection within milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
+/** Many times the size of the largest response; bounds the memory that a faulty store can make this daemon use. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 
 /** `maxClients` is the maximum number of connections; further calls wait for one. */
 type ConnectionOptions = { readonly address: Address; readonly localIp: string; readonly maxClients: number; };
@@ -24,8 +28,8 @@
     constructor(private readonly options: ConnectionOptions) {}
 
     /**
-     * Sends a request and reads the response; rejects with the connection's error or the signal's reason. Calls `onData`
-     * for the head and each part of the body that is received.
+     * Sends a request and reads the response; rejects with the connection's error or the signal's reason, or if the
+     * response is too long. Calls `onData` for the head and each part of the body that is received.
      */
     async request(options: Dispatcher.RequestOptions, onData: () => void): Promise<HttpResponse> {
         const client = this.#acquire();
@@ -33,7 +37,12 @@
             const { statusCode: status, headers, body } = await client.request(options);
             onData();
             body.on("data", onData);
-            return { status, headers, text: await body.text() };
+            const { isComplete, bytes } = await bufferBody(body, MAX_RESPONSE_BYTES);
+            if (!isComplete) {
+                destroyBody(body);
+                throw new Error(`the response to ${options.path} is longer than ${MAX_RESPONSE_BYTES} bytes`);
+            }
+            return { status, headers, text: bytes.toString() };
         }
         finally {
             this.#release(client);
