Tests: upstreams that send a head or a body without an end, to callers that read it and to others

What callers saw: operators of similar systems saw a daemon keep all that a faulty instance sent, until it ran out of memory.

Ordinary requests are served beside it. What is sent in place of responses has a file of its own, standin/sendfaulty.ts.

--- a/src/gate/endlessresponses.test.ts
+++ b/src/gate/endlessresponses.test.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { sendWithoutEnd } from "../../standin/sendwithoutend.js";
 import { eventually } from "../../test/eventually.js";
 import type { Upstream } from "../config/upstream.js";
 import { OwnDialect } from "../dialect/owndialect.js";
@@ -12,6 +13,7 @@
 const LOCAL_IP = "127.0.0.1";
 const PROBE_TIMEOUT_MS = 300;
 const CLOSE_BOUND_MS = 2000;
+const SLOW_INTERVAL_MS = 50;
 const CHUNK = Buffer.alloc(64 * 1024, "x");
 
 /** The beginning of what is sent; `x` follows without end. */
@@ -36,33 +38,20 @@
     "a chunk": `${REFUSAL}transfer-encoding: chunked\r\n\r\nffffffff\r\n`,
 };
 
-/** Sends `part` again and again, as fast as the client reads or once in `everyMs`. */
-const sendWithoutEnd = (socket: Socket, part: Buffer, everyMs: number): void => {
-    if (everyMs > 0) {
-        const timer = setInterval(() => socket.write(part), everyMs);
-        socket.on("close", () => clearInterval(timer));
-        return;
-    }
-    const fill = (): void => {
-        while (!socket.destroyed && socket.write(part)) {
-            // Writes until the client reads no more.
-        }
-    };
-    socket.on("drain", fill);
-    fill();
+/** Writes `part` once in `everyMs` until the connection closes. */
+const sendSlowly = (socket: Socket, part: Buffer, everyMs: number): void => {
+    const timer = setInterval(() => socket.write(part), everyMs);
+    socket.on("close", () => clearInterval(timer));
 };
 
 type Upstreams = { readonly client: UpstreamClient; readonly sockets: readonly Socket[]; };
 
-/** Starts an upstream that responds to the first bytes of each connection with `beginning` and bytes without end. */
-const startUpstream = async (t: TestContext, beginning: string, part = CHUNK, everyMs = 0): Promise<Upstreams> => {
+/** Starts an upstream that sends what `respond` sends after the first bytes of each connection. */
+const startUpstream = async (t: TestContext, respond: (socket: Socket) => void): Promise<Upstreams> => {
     const sockets: Socket[] = [];
     const server = createServer(socket => {
         sockets.push(socket);
-        socket.on("error", () => {}).once("data", () => {
-            socket.write(beginning);
-            sendWithoutEnd(socket, part, everyMs);
-        });
+        socket.on("error", () => {}).once("data", () => respond(socket));
     }).listen(0, LOCAL_IP);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
@@ -88,7 +77,7 @@
 for (const [name, beginning] of Object.entries(BEGINNINGS)) {
     // Guards against a daemon that reads what a faulty upstream sends without end, in a head or a body.
     test(`endless responses: a health probe that gets ${name} without end closes its connection`, async t => {
-        const { client, sockets } = await startUpstream(t, beginning);
+        const { client, sockets } = await startUpstream(t, socket => sendWithoutEnd(socket, beginning, CHUNK));
         await client.probeHealth("/health", PROBE_TIMEOUT_MS).catch(() => {
             // Whether the probe fails or is answered, nothing is read on.
         });
@@ -106,12 +95,15 @@
 for (const [name, beginning] of Object.entries(REFUSALS)) {
     // Guards against a daemon that reads what a faulty upstream sends without end, behind a request that has ended.
     test(`endless responses: a refusal with ${name} without end closes its connection`, async t => {
-        await assertRefusalCloses(await startUpstream(t, beginning));
+        await assertRefusalCloses(await startUpstream(t, socket => sendWithoutEnd(socket, beginning, CHUNK)));
     });
 }
 
 // Guards against connections that stay open for each refusal of an upstream that never ends its responses.
 test("endless responses: a refusal whose body arrives slowly without end closes its connection", async t => {
-    const beginning = REFUSALS["a body with a length"]!;
-    await assertRefusalCloses(await startUpstream(t, beginning, Buffer.from("x"), 50));
+    const respond = (socket: Socket): void => {
+        socket.write(REFUSALS["a body with a length"]!);
+        sendSlowly(socket, Buffer.from("x"), SLOW_INTERVAL_MS);
+    };
+    await assertRefusalCloses(await startUpstream(t, respond));
 });
--- a/standin/instancecontrol.ts
+++ b/standin/instancecontrol.ts
@@ -5,7 +5,16 @@
     state: "ready" | "draining" | "left";
     workMs: number;
     pace: number;
-    fault: "none" | "foreign" | "lost" | "short" | "unframed-reset" | "unframed-end";
+    /** `endless-head` and `endless-body` apply to requests whose path ends with `/endless`. */
+    fault:
+        | "none"
+        | "foreign"
+        | "lost"
+        | "short"
+        | "unframed-reset"
+        | "unframed-end"
+        | "endless-head"
+        | "endless-body";
     silent: boolean;
     /** Time for which the instance becomes cold, in milliseconds. */
     coldMs: number;
--- a/standin/instancestandin.ts
+++ b/standin/instancestandin.ts
@@ -4,6 +4,7 @@
 import type { InstanceControl } from "./instancecontrol.js";
 import { seededRandom } from "./seededrandom.js";
 import { sendChunked } from "./sendchunked.js";
+import { sendFaulty } from "./sendfaulty.js";
 import { sendJson } from "./sendjson.js";
 import { StandinServer } from "./standinserver.js";
 import { SurplusResponses } from "./surplusresponses.js";
@@ -12,6 +13,7 @@
 const UNANNOUNCED: readonly string[] = ["workMs", "pace"];
 /** Run time of a request that crashes the instance; about as long as in observed crashes. */
 const CRASH_AFTER_MS = 60;
+const ENDLESS_PATH = "/endless";
 
 /** Identity, addresses and capacity of an instance. */
 type InstanceOptions = {
@@ -173,30 +175,15 @@
         const pad = padBytes === 0 ? undefined : "p".repeat(padBytes);
         const hasKey = key !== undefined;
         const body = JSON.stringify({ id, host, caller, team, hasKey, url: req.url, callStatus, pad });
-        switch (this.control.fault) {
-            case "lost":
-                req.socket.resetAndDestroy();
-                return;
-            case "short":
-                res.writeHead(200, { "content-length": body.length + 5 });
-                res.write(body, () => req.socket.destroy());
-                return;
-            case "unframed-reset":
-                req.socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-signature: s\r\n\r\n{"id":`, () => {
-                    setTimeout(() => req.socket.resetAndDestroy(), 20);
-                });
-                return;
-            case "unframed-end":
-                req.socket.end(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-signature: s\r\n\r\n{"id":`);
-                return;
-            case "foreign":
-                res.writeHead(200, { "content-type": "application/json" }).end(body);
-                return;
-            case "none":
-                if (chunkBytes > 0) {
-                    return sendChunked(res, { "attempt-id": id }, body, chunkBytes);
-                }
-                return this.#respond(req, res, 200, { "content-type": "application/json" }, body);
+        const { fault } = this.control;
+        if (fault !== "none" && (!fault.startsWith("endless") || req.url?.endsWith(ENDLESS_PATH))) {
+            sendFaulty(req.socket, res, fault, id, body);
+        }
+        else if (chunkBytes > 0) {
+            sendChunked(res, { "attempt-id": id }, body, chunkBytes);
+        }
+        else {
+            this.#respond(req, res, 200, { "content-type": "application/json" }, body);
         }
     }
 
--- a/test/limits.crowd.test.ts
+++ b/test/limits.crowd.test.ts
@@ -122,3 +122,27 @@
         prepare: mesh => mesh.controlInstance("pages-1", { padBytes: 60_000, chunkBytes: 1 }),
     });
 });
+
+const endlessCases = {
+    "a head without an end": { fault: "endless-head" },
+    "a body without an end": { fault: "endless-body" },
+    "a body without an end that is not read": { fault: "endless-body", readsResponses: false },
+} as const;
+const upstreams = {
+    "this daemon's": { method: "GET", service: "pages", fields: "" },
+    "a peer's": { method: "POST", service: "fees", fields: "content-length: 0\r\n" },
+} as const;
+
+for (const [response, { fault, ...crowd }] of Object.entries(endlessCases)) {
+    for (const [owner, { method, service, fields }] of Object.entries(upstreams)) {
+        // Guards against a daemon that runs out of memory over what a faulty upstream sends without end.
+        test(`crowd: ${response} of ${owner} upstream ends no daemon`, async t => {
+            const payload = [Buffer.from(head(method, `/${service}/endless`, fields))];
+            await withCrowd(t, {
+                crowd: { count: 48, payload: () => payload, ...crowd },
+                slots: 12,
+                prepare: mesh => mesh.controlInstance(`${service}-1`, { fault }),
+            });
+        });
+    }
+}
--- a/test/platformmesh.ts
+++ b/test/platformmesh.ts
@@ -18,6 +18,7 @@
 const scriptPath = (path: string): string => new URL(`../${path}`, import.meta.url).pathname;
 const DAEMON_SCRIPT = scriptPath("platform/bin/winglockd.cjs");
 const HALLS = ["a", "b", "c"];
+const DEFAULT_SLOTS = 4;
 
 type Host = { readonly name: string; readonly ip: string; readonly service: string; readonly hall: string; };
 
@@ -103,12 +104,12 @@
     /** Starts a host's instance, which exits when it runs a request with the path `crashPath`. */
     startInstance(name: string, id: string, crashPath = ""): Child {
         const { ip, service } = this.host(name);
-        const { announceEveryMs } = this.options;
+        const { announceEveryMs, slots = DEFAULT_SLOTS } = this.options;
         const args = [
             id,
             service,
             `${ip}:7200`,
-            "4",
+            String(slots),
             `${ip}:7106`,
             crashPath,
             ...announceEveryMs ? [String(announceEveryMs)] : [],
--- a/test/withcrowd.ts
+++ b/test/withcrowd.ts
@@ -35,6 +35,8 @@
     /** The number of ordinary callers that connect at the same time. */
     readonly ordinaryCallers?: number;
     readonly settings?: object;
+    /** The slots of each instance. */
+    readonly slots?: number;
     /** Called before the clients connect. */
     readonly prepare?: (mesh: PlatformMesh) => Promise<void>;
     /** Called while the clients are connected, after the ordinary requests. */
@@ -59,12 +61,13 @@
  */
 export async function withCrowd(
     t: TestContext,
-    { crowd, maxDescriptors = DESCRIPTORS, ordinaryCallers = 1, settings, prepare, check }: CrowdTest,
+    { crowd, maxDescriptors = DESCRIPTORS, ordinaryCallers = 1, settings, slots, prepare, check }: CrowdTest,
 ): Promise<void> {
     const options = {
         nodeFlags: nodeFlags(),
         settings: { limits: { headerBytes: 65536, ...settings } },
         maxDescriptors,
+        slots,
     };
     await runWith(await PlatformMesh.start(["pages", "fees"], 1, undefined, options), async mesh => {
         await mesh.configure(platformConfiguration(2));
