A run that is cancelled cancels its calls

What callers saw: after a caller had left, work for it went on further down.

Cause: each daemon of a chain noticed the leaving only when the upstream above it had ended its connection, that was read, and a probe had told a closed connection from one that is closed on one side: 100 to 200 ms a hop, and more without processor time. Where the upstream did not end its calls they waited for slots and ran.

Change: the context of a run has a cancellation, which aborts when the run is cancelled; the requests that were planned as calls of the run listen. A run that ends regularly cancels nothing, nor does a once run, which is finished. The causes for which a request is cancelled, and the timer of its deadline, moved from RequestHandler to RequestCancel.

--- a/src/gate/callcontexts.test.ts
+++ b/src/gate/callcontexts.test.ts
@@ -41,3 +41,13 @@
     contexts.open("a.b", details);
     assert.equal(contexts.wasCancelled(undefined, ["a.b", "a"]), false);
 });
+
+// Guards against work for clients that have left (GONE): the calls of a cancelled run went on until their upstream ended them.
+test("call contexts: the calls of a run are cancelled with it, and not at its regular end", () => {
+    const contexts = new CallContexts();
+    const served = contexts.open("a", details);
+    const cancelled = contexts.open("b", details);
+    contexts.close(served, false);
+    contexts.close(cancelled, true);
+    assert.deepEqual([served.cancel.aborted, cancelled.cancel.aborted], [false, true]);
+});
--- a/src/gate/callcontexts.ts
+++ b/src/gate/callcontexts.ts
@@ -1,5 +1,6 @@
 /** Links the calls that a local upstream makes to the request for which it makes them. */
 import { randomBytes } from "node:crypto";
+import { Cancellation } from "../http/cancellation.js";
 import type { ServiceName } from "../ids/servicename.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { WorkTime } from "../policy/admission/worktime.js";
@@ -27,6 +28,8 @@
     readonly calls: Map<ServiceName, number>;
     /** Notified of the start and end of each call. */
     readonly work: WorkTime;
+    /** Aborts when the run is cancelled: nobody needs the responses to its calls then. */
+    readonly cancel: Cancellation;
     /** Set when a call of the run has failed after its own retries, so that the run's request is not retried too. */
     retriedBelow: boolean;
 };
@@ -48,7 +51,10 @@
     /** Opens the context of a run; `requestId` is the id by which the upstream knows the request. */
     open(requestId: string, details: RunDetails): CallContext {
         const token = randomBytes(TOKEN_BYTES).toString("base64url");
-        const context = { ...details, token, requestId, calls: new Map(), retriedBelow: false };
+        const cancel = new Cancellation();
+        // Each call of the run listens, and a run may make any number of calls.
+        cancel.setMaxListeners(0);
+        const context = { ...details, token, requestId, calls: new Map(), cancel, retriedBelow: false };
         this.#byToken.set(token, context);
         this.#byRequest.set(requestId, context);
         this.#cancelled.delete(requestId);
@@ -73,15 +79,19 @@
             && [...requestIds, token].some(id => id !== undefined && this.#cancelled.has(id));
     }
 
-    /** Closes the context of a run that has ended; `wasCancelled`: its caller, or its deadline, has ended it. */
+    /**
+     * Closes the context of a run that has ended; `wasCancelled`: its caller, or its deadline, has ended it. The calls that
+     * it has begun are cancelled with it.
+     */
     close(context: CallContext, wasCancelled: boolean): void {
-        if (wasCancelled) {
-            this.#cancelled.add(context.token);
-            this.#cancelled.add(context.requestId);
-        }
         this.#byToken.delete(context.token);
         if (this.#byRequest.get(context.requestId) === context) {
             this.#byRequest.delete(context.requestId);
         }
+        if (wasCancelled) {
+            this.#cancelled.add(context.token);
+            this.#cancelled.add(context.requestId);
+            context.cancel.abort();
+        }
     }
 }
--- a/src/ingress/plan.ts
+++ b/src/ingress/plan.ts
@@ -1,5 +1,6 @@
 /** The plan for a request: what is known of it before an upstream is chosen. */
 import type { Priority } from "../config/priority.js";
+import type { Cancellation } from "../http/cancellation.js";
 import type { RegionName } from "../ids/regionname.js";
 import type { TeamName } from "../ids/teamname.js";
 import type { AccessDecision } from "../policy/access/accessdecision.js";
@@ -20,6 +21,8 @@
     readonly splitSample: number;
     readonly startedAt: number;
     readonly deadline: number;
+    /** Aborts when the run that makes this call is cancelled; undefined if it is no call of a local upstream. */
+    readonly runCancel?: Cancellation | undefined;
     /** The number of calls between services that led to this request; 0 for a request from outside. */
     readonly depth: number;
     /** `call` if an upstream makes this call while it runs a repeat of its own request, otherwise `first`. */
--- a/src/ingress/planner.ts
+++ b/src/ingress/planner.ts
@@ -88,6 +88,7 @@
             splitSample: sample,
             startedAt,
             deadline: this.#deadline(req, matched, parent, startedAt),
+            runCancel: parent?.cancel,
             depth,
             arrival: parent?.isRepeat === true ? "call" : "first",
         };
--- a/src/ingress/requesthandler.ts
+++ b/src/ingress/requesthandler.ts
@@ -6,7 +6,6 @@
  * carries the decisions out and logs them.
  */
 import type { GateResponse } from "../hop/gateresponse.js";
-import { Cancellation } from "../http/cancellation.js";
 import { drainResponse } from "../http/drainresponse.js";
 import { isUnread } from "../http/isunread.js";
 import { unplacedRetryAfterMs } from "../policy/admission/unplacedretryafterms.js";
@@ -20,6 +19,7 @@
 import type { IngressDependencies } from "./ingressdependencies.js";
 import type { OutgoingRequest } from "./outgoingrequest.js";
 import type { Plan } from "./plan.js";
+import { RequestCancel } from "./requestcancel.js";
 import { RequestLog } from "./requestlog.js";
 import type { RequestOutcome } from "./requestoutcome.js";
 import { RequestQuarantine } from "./requestquarantine.js";
@@ -35,16 +35,13 @@
 
 /** Handles one request; `run` must be called only once. */
 export class RequestHandler {
-    /** Aborts when the caller has left or the deadline has passed. */
-    readonly #requestCancel = new Cancellation();
+    readonly #cancel: RequestCancel;
     readonly #log: RequestLog;
     readonly #retries: RequestRetries;
     readonly #targets: TargetSelector;
     readonly #quota: RequestQuota;
-    #timer: NodeJS.Timeout | undefined;
     /** The attempt whose response goes to the caller. */
     #claimed: Attempt | undefined;
-    #isDeadlinePassed = false;
     /** False once a newer configuration has no rule for the request. */
     #hasRule = true;
     readonly #quarantine: RequestQuarantine;
@@ -55,6 +52,7 @@
         private readonly outgoing: OutgoingRequest,
         private readonly deps: IngressDependencies,
     ) {
+        this.#cancel = new RequestCancel(response, plan, deps.clock());
         this.#log = new RequestLog(outgoing.id);
         this.#quarantine = new RequestQuarantine(deps, outgoing);
         this.#retries = new RequestRetries({
@@ -82,17 +80,11 @@
     /** Serves the request; resolves with the outcome that the caller was given. */
     async run(): Promise<RequestOutcome> {
         this.#retries.recordArrival();
-        const unsubscribe = this.response.onClose(() => this.#requestCancel.abort());
-        this.#timer = setTimeout(() => {
-            this.#isDeadlinePassed = true;
-            this.#requestCancel.abort();
-        }, this.#remainingMs());
         try {
             return await this.#runAttempts();
         }
         finally {
-            clearTimeout(this.#timer);
-            unsubscribe();
+            this.#cancel.end();
             this.#quota.end();
         }
     }
@@ -118,6 +110,10 @@
                 return "left";
             }
             this.#retries.history.end(result);
+            if (this.#cancel.isRunCancelled) {
+                this.#log.callCancelled();
+                return await this.#respondUnserved(result);
+            }
             if (!this.#retries.decide(result).again || !this.#quota.mayAttempt()) {
                 return await this.#respondUnserved(result);
             }
@@ -150,7 +146,7 @@
     }
 
     #createHedge(overdue: UpstreamView, afterMs: number): Attempt | undefined {
-        if (this.#claimed !== undefined || this.#requestCancel.aborted) {
+        if (this.#claimed !== undefined || this.#cancel.cancellation.aborted) {
             return undefined;
         }
         overdue.recordOverdue(afterMs, this.deps.clock());
@@ -174,8 +170,8 @@
             nearChoices: untried.filter(other => other.sameHall).length,
             outgoing: this.outgoing,
             log: this.#log,
-            requestCancel: this.#requestCancel,
-            isDeadlinePassed: () => this.#isDeadlinePassed,
+            requestCancel: this.#cancel.cancellation,
+            isDeadlinePassed: () => this.#cancel.isDeadlinePassed,
             presence: this.response.presence,
             claim: () => this.#claim(attempt),
             deliver: response => this.#deliver(response),
@@ -239,12 +235,8 @@
 
     #deliver(response: GateResponse): Promise<void> {
         if (this.plan.rule.answer === "streamed") {
-            clearTimeout(this.#timer);
+            this.#cancel.clearDeadline();
         }
         return this.response.deliver(response, this.plan);
     }
-
-    #remainingMs(): number {
-        return this.plan.deadline - this.deps.clock();
-    }
 }
--- a/src/ingress/requestlog.ts
+++ b/src/ingress/requestlog.ts
@@ -124,6 +124,10 @@
         logger.failure(this.id, "The run during which the call was made has been cancelled; the call is refused.", {});
     }
 
+    callCancelled(): void {
+        logger.failure(this.id, "The run during which the call was made has been cancelled; the call is ended.", {});
+    }
+
     noConfiguration(): void {
         logger.failure(this.id, "The daemon has no configuration yet; the request is refused.", {});
     }
