A wait for a poll does not end with a poll that was long ago

Cause: a request that can have been unread waits for a poll of its connection, and counts as settled when the wait ends. Where the process did not run between the poll and the end of the wait, for 700 ms there, what arrived meanwhile had not been read.

Change: afterRecentPoll waits for another poll if more than 250 ms lie between the two, at most twice, so that a process whose turns are all longer does not wait for ever.

--- a/src/ingress/callerpresence.ts
+++ b/src/ingress/callerpresence.ts
@@ -4,7 +4,7 @@
  * Owns the probe that tells a caller that has left from one that has only shut down its sending side.
  */
 import type { Socket } from "node:net";
-import { afterPoll } from "../time/afterpoll.js";
+import { afterRecentPoll } from "../time/afterrecentpoll.js";
 import type { Clock } from "../time/clock.js";
 import { maxFreshMs } from "../time/maxfreshms.js";
 import type { UnreadMonitor } from "../time/unreadmonitor.js";
@@ -68,7 +68,7 @@
      */
     settle(now: number): Promise<void> | undefined {
         const mayBeOld = this.unreadMs(now) > maxFreshMs && !this.deps.isPaused();
-        const pendingReads = mayBeOld ? afterPoll() : undefined;
+        const pendingReads = mayBeOld ? afterRecentPoll(this.deps.clock) : undefined;
         return pendingReads === undefined && !this.#isInDoubt ? undefined : this.#waitUntilKnown(pendingReads);
     }
 
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -24,7 +24,7 @@
 import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import type { RequestTarget } from "../policy/routing/requesttarget.js";
-import { afterPoll } from "../time/afterpoll.js";
+import { afterRecentPoll } from "../time/afterrecentpoll.js";
 import type { Clock } from "../time/clock.js";
 import { listen } from "../time/listen.js";
 import { maxFreshMs } from "../time/maxfreshms.js";
@@ -188,7 +188,7 @@
         const now = clock();
         const sentAfter = Math.min(gateTime ?? -Infinity, unread.readUpTo(now));
         if (now - sentAfter > maxFreshMs) {
-            await afterPoll();
+            await afterRecentPoll(clock);
         }
     }
 
@@ -229,7 +229,7 @@
         let readUpTo = clock();
         return now => {
             const isOld = now - Math.max(readUpTo, unread.readUpTo(now)) > maxFreshMs;
-            return isOld ? afterPoll().then(() => void (readUpTo = clock())) : undefined;
+            return isOld ? afterRecentPoll(clock).then(() => void (readUpTo = clock())) : undefined;
         };
     }
 
