A probe that a response interrupts begins again for the next one

What callers saw: a caller that pipelines and shuts down its sending side got a stray character between two responses.

Cause: the characters that were sent are removed from the next write, once. A probe whose second character followed the first response of the connection sent it without being removed from anything.

Change: the response from which the characters were removed resets the probe, so that the next one begins with its first character.

--- a/src/ingress/callerpresence.test.ts
+++ b/src/ingress/callerpresence.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { test } from "node:test";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { connectionBench } from "../../test/connectionbench.js";
@@ -100,3 +101,19 @@
         assert.equal(presence.settle(clock()), undefined);
     });
 });
+
+// Guards against characters of a probe between two responses: the second one began in the middle of the probe.
+test("presence: a caller that pipelines and shuts down its sending side gets only responses", async () => {
+    await withConnection(2, async bench => {
+        let received = "";
+        bench.socket.on("data", chunk => received += String(chunk));
+        bench.socket.end(get("a") + get("b"));
+        await firstAccepted(bench);
+        for (const index of [0, 1]) {
+            await pause(PROBED_MS);
+            bench.accepted[index]!.res.end(`response ${index}`);
+        }
+        await once(bench.socket, "close");
+        assert.match(received, /^HTTP\/1\.1 200 OK\r\n[^]*response 0HTTP\/1\.1 200 OK\r\n[^]*response 1$/);
+    });
+});
--- a/src/ingress/disconnectprobe.ts
+++ b/src/ingress/disconnectprobe.ts
@@ -71,10 +71,10 @@
         const { socket } = this;
         const writeFirst = (chunk: string | Buffer, ...rest: []): boolean => {
             Reflect.deleteProperty(socket, "write");
-            return socket.write(
-                typeof chunk === "string" ? chunk.slice(this.#sent) : chunk.subarray(this.#sent),
-                ...rest,
-            );
+            const sent = this.#sent;
+            // The next response on the connection begins with its first character.
+            this.#sent = 0;
+            return socket.write(typeof chunk === "string" ? chunk.slice(sent) : chunk.subarray(sent), ...rest);
         };
         socket.write = writeFirst as Socket["write"];
     }
