A request is not sent to a gate before its caller is asked for again

Cause: the caller is asked for before an attempt. Where a connection to the gate is opened then, and the process stands still meanwhile, the request was written right after it, with a fresh time of sending, so that the gate could not know better.

Change: the caller is asked for again once the connection is ready.

--- a/src/peer/remotehop.test.ts
+++ b/src/peer/remotehop.test.ts
@@ -3,6 +3,9 @@
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
 import { LinkEnds } from "../../test/linkends.js";
+import type { GateCall } from "../hop/gatecall.js";
+import type { HopError } from "../hop/hoperror.js";
+import { Cancellation } from "../http/cancellation.js";
 import type { Address } from "../ids/address.js";
 import { LinkSession } from "../link/linksession.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
@@ -13,8 +16,11 @@
 const READ_DELAY_MS = 200;
 const REMAINING_MS = 900;
 
-/** Sends a request of this kind to a gate that is slow to read new connections; returns the metadata received there. */
-const headAtSlowGate = async (kind: RequestMetadata["kind"]): Promise<RequestMetadata> => {
+/** What the gate has received, and the error with which the request failed. */
+type Sent = { readonly head: RequestMetadata | undefined; readonly err: unknown; };
+
+/** Sends a request of this kind to a gate that is slow to read new connections. */
+const sendToSlowGate = async (kind: RequestMetadata["kind"], overrides: Partial<GateCall> = {}): Promise<Sent> => {
     let receivedHead: RequestMetadata | undefined;
     const identity = (): typeof LinkEnds.metadata => ({ ...LinkEnds.metadata, gateTime: performance.now() });
     const server = createServer({ pauseOnConnect: true }, socket => {
@@ -43,16 +49,28 @@
         clock,
         onUnresponsive: () => {},
     });
-    const call = LinkEnds.call();
-    await hop.send({ ...call, head: { ...call.head, kind, remainingMs: REMAINING_MS, maxWaitMs: 100 } });
+    const call = LinkEnds.call(overrides);
+    const head = { ...call.head, kind, remainingMs: REMAINING_MS, maxWaitMs: 100 };
+    const err = await hop.send({ ...call, head }).then(() => undefined, (reason: unknown) => reason);
     server.close();
     await hop.close();
-    return receivedHead!;
+    return { head: receivedHead, err };
 };
 
 test("remote hop: the request's remaining time is reduced by the time that the handshake takes", async () => {
-    const { remainingMs, maxWaitMs } = await headAtSlowGate("once");
+    const { head, err } = await sendToSlowGate("once");
+    assert.equal(err, undefined);
+    const { remainingMs, maxWaitMs } = head!;
     assert.ok(remainingMs <= REMAINING_MS - READ_DELAY_MS + 1, `${remainingMs} ms remain`);
     assert.ok(remainingMs > 0);
     assert.equal(maxWaitMs, 0);
 });
+
+// Guards against work for clients that have left (GONE): the daemon did not run while a connection was opened for the request.
+test("remote hop: a request whose caller turns out to have left is not sent once its connection is ready", async () => {
+    const cancel = new Cancellation();
+    const settleCancel = async (): Promise<void> => cancel.abort();
+    const { head, err } = await sendToSlowGate("repeatable", { cancel, settleCancel });
+    assert.equal(head, undefined);
+    assert.equal((err as HopError).outcome, "not-run");
+});
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -126,6 +126,7 @@
         writableHead.maxWaitMs = Math.max(0, head.maxWaitMs - elapsedMs);
         writableHead.incarnation = this.clock.incarnation;
         writableHead.gateTime = this.clock.estimate(sentAt);
+        writableHead.answersCallerChecks = true;
     }
 
     /** Records a reading of the gate's clock that was requested at `askedAt`. */
@@ -143,6 +144,8 @@
     ): Promise<Awaited<ReturnType<Awaited<ReturnType<LinkPool["acquire"]>>["send"]>>> {
         try {
             const connection = await this.#pool.acquire();
+            // The caller may have left while the connection was opened and the process did not run.
+            await call.settleCancel?.(this.options.clock());
             const sentAt = this.options.clock();
             this.#completeHead(call.head, preparedAt, sentAt);
             // A daemon of another incarnation, which may be of an older version, refuses the request.
