A gate asks for the caller of a request that was delayed for long

Cause: a gate that is behind reads what its sender has told it, but the sender may be short of processor time too, and not have read the leaving of its caller. Both are so in a rush.

Change: a gate that reads a request over 400 ms after it was sent asks its sender, and queues it when the answer has come; the sender settles the presence of the caller first, and closes the connection where it has left. No slot is held meanwhile, and the wait ends with the deadline. Two frames without a payload; a sender states in the metadata of a request that it answers, so that older versions are not asked. Requests whose body follows unasked are not checked: the answer would arrive behind it.

--- a/src/link/callsender.ts
+++ b/src/link/callsender.ts
@@ -3,6 +3,7 @@
 import { Readable } from "node:stream";
 import type { GateCall } from "../hop/gatecall.js";
 import { emptyBuffer } from "./emptybuffer.js";
+import type { Frame } from "./frame.js";
 import { frameType } from "./frametype.js";
 import { OnDemandBody } from "./ondemandbody.js";
 import { packCall } from "./packcall.js";
@@ -14,6 +15,7 @@
     /** The body of the present request, until the peer asks for it. */
     #keptBody: Buffer | Readable | undefined;
     #isSending = false;
+    #settleCancel: GateCall["settleCancel"];
 
     constructor(private readonly socket: Socket) {}
 
@@ -25,6 +27,7 @@
     /** Writes a request with its body, or without it if the peer is to ask for it. */
     send(call: GateCall, isBodyOnDemand: boolean): void {
         const { body } = call;
+        this.#settleCancel = call.settleCancel;
         if (isBodyOnDemand && body !== undefined) {
             this.#keptBody = body;
             const size = Buffer.isBuffer(body) ? body.length : undefined;
@@ -39,8 +42,27 @@
         }
     }
 
-    /** Sends the body that the peer asks for; returns false if none waits, which violates the protocol. */
-    sendKeptBody(): boolean {
+    /** Answers what the peer asks during a request; returns false if it violates the protocol. */
+    answer({ type }: Frame, now: number): boolean {
+        if (type === frameType.callerCheck) {
+            void this.#confirmCaller(now);
+            return true;
+        }
+        return type === frameType.bodyRequest && this.#sendKeptBody();
+    }
+
+    /** A request whose caller has left closes the connection, and one that has ended has no caller. */
+    async #confirmCaller(now: number): Promise<void> {
+        const settleCancel = this.#settleCancel;
+        await settleCancel?.(now);
+        const isServed = this.#settleCancel === settleCancel;
+        if (isServed && this.socket.writable) {
+            this.socket.write(writeFrame(frameType.callerPresent, emptyBuffer));
+        }
+    }
+
+    /** Sends the body that the peer asks for; returns false if none waits. */
+    #sendKeptBody(): boolean {
         const body = this.#keptBody;
         this.#keptBody = undefined;
         if (body instanceof Readable) {
@@ -53,9 +75,10 @@
         return body !== undefined;
     }
 
-    /** Drops a body that the peer has not asked for, since the request has ended. */
-    dropKeptBody(): void {
+    /** Ends the request; drops a body that the peer has not asked for. */
+    end(): void {
         this.#keptBody = undefined;
+        this.#settleCancel = undefined;
     }
 
     #writeCall(call: GateCall, body: Parameters<typeof packCall>[1]): void {
--- a/src/link/frametype.ts
+++ b/src/link/frametype.ts
@@ -20,4 +20,8 @@
     probeResponse: 8,
     /** Asks for the body of the request that is being served; sent only if the request's frame says that it waits. */
     bodyRequest: 9,
+    /** Asks whether the caller of the request that is being served is still there; only if the request says so. */
+    callerCheck: 10,
+    /** States that the caller is still there; where it has left, the connection is closed instead. */
+    callerPresent: 11,
 } as const;
--- a/src/link/link.test.ts
+++ b/src/link/link.test.ts
@@ -180,3 +180,64 @@
         assert.deepEqual(lengths, [5, 10, 15]);
     }
 });
+
+const CHECK_TIMEOUT_MS = 1000;
+
+/** Serves requests once the sender has answered whether their callers are there; records which were cancelled by then. */
+const checkFirst = (cancelled: boolean[]): Serve => async ({ checkCaller }, cancel) => {
+    await checkCaller!(CHECK_TIMEOUT_MS);
+    cancelled.push(cancel.aborted);
+    return { metadata, status: 200, headers: {}, body: undefined };
+};
+
+const checkedHead = { ...LinkEnds.call().head, answersCallerChecks: true };
+
+test("link: the sender of a request answers that the caller is there, once it knows", async () => {
+    const cancelled: boolean[] = [];
+    await LinkEnds.between(checkFirst(cancelled), async ({ pool, sockets }) => {
+        const settle = [undefined, async () => {}, () => undefined];
+        for (const settleCancel of settle) {
+            const startedAt = performance.now();
+            assert.equal((await send(pool, LinkEnds.call({ head: checkedHead, settleCancel }))).status, 200);
+            assert.ok(performance.now() - startedAt < CHECK_TIMEOUT_MS / 2);
+        }
+        assert.deepEqual(cancelled, [false, false, false]);
+        assert.equal(sockets.length, 1);
+    });
+});
+
+test("link: a request whose caller turns out to have left is cancelled by the check", async () => {
+    const cancelled: boolean[] = [];
+    await LinkEnds.between(checkFirst(cancelled), async ({ pool }) => {
+        const cancel = new Cancellation();
+        const settleCancel = async (): Promise<void> => cancel.abort();
+        await assert.rejects(send(pool, LinkEnds.call({ head: checkedHead, cancel, settleCancel })));
+        while (cancelled.length === 0) {
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+        assert.deepEqual(cancelled, [true]);
+    });
+});
+
+test("link: a check that is not answered ends with its time", async () => {
+    const cancelled: boolean[] = [];
+    await LinkEnds.between(checkFirst(cancelled), async ({ pool }) => {
+        const settleCancel = (): Promise<void> => new Promise(() => {});
+        const startedAt = performance.now();
+        assert.equal((await send(pool, LinkEnds.call({ head: checkedHead, settleCancel }))).status, 200);
+        assert.ok(performance.now() - startedAt >= CHECK_TIMEOUT_MS - 1);
+        assert.deepEqual(cancelled, [false]);
+    });
+});
+
+test("link: a sender that does not state that it answers is not asked", async () => {
+    const serve: Serve = async ({ checkCaller }) => ({
+        metadata,
+        status: checkCaller === undefined ? 200 : 500,
+        headers: {},
+        body: undefined,
+    });
+    await LinkEnds.between(serve, async ({ pool }) => {
+        assert.equal((await send(pool, LinkEnds.call())).status, 200);
+    });
+});
--- a/src/link/linkconnection.ts
+++ b/src/link/linkconnection.ts
@@ -188,16 +188,12 @@
             );
             return;
         }
-        if (frame.type === frameType.bodyRequest) {
-            if (!this.#sender.sendKeptBody()) {
+        if (!isBodyFrame(frame)) {
+            if (!this.#sender.answer(frame, this.events.clock())) {
                 this.destroy();
             }
             return;
         }
-        if (!isBodyFrame(frame)) {
-            this.destroy();
-            return;
-        }
         if (this.#body?.add(frame)) {
             this.#finish();
         }
@@ -231,7 +227,7 @@
         this.#removeAbortListener();
         this.#removeAbortListener = () => {};
         this.#body = undefined;
-        this.#sender.dropKeptBody();
+        this.#sender.end();
         if (this.#isLast || this.#sender.isSending) {
             this.destroy();
             return;
--- a/src/link/linksession.ts
+++ b/src/link/linksession.ts
@@ -6,9 +6,9 @@
 import { bufferBody } from "../http/bufferbody.js";
 import { Cancellation } from "../http/cancellation.js";
 import { log } from "../log/log.js";
-import type { ResponseMetadata } from "../wire/responsemetadata.js";
 import { responseMetadataCodec } from "../wire/responsemetadatacodec.js";
 import { bufferShortBody } from "./buffershortbody.js";
+import { CallerCheck } from "./callercheck.js";
 import { emptyBuffer } from "./emptybuffer.js";
 import type { Frame } from "./frame.js";
 import { FramedBody } from "./framedbody.js";
@@ -21,6 +21,7 @@
 import { sendBody } from "./sendbody.js";
 import type { ServedCall } from "./servedcall.js";
 import type { ServedResponse } from "./servedresponse.js";
+import type { SessionDependencies } from "./sessiondependencies.js";
 import { unpackCall } from "./unpackcall.js";
 import type { WireCall } from "./wirecall.js";
 import type { WireResponse } from "./wireresponse.js";
@@ -28,18 +29,6 @@
 
 const logger = log("peer");
 
-/** Dependencies that the listener provides; `serve` never rejects. */
-type SessionDependencies = {
-    readonly key: Buffer;
-    readonly serve: (call: ServedCall, cancel: Cancellation) => Promise<ServedResponse>;
-    /** Returns the refusal of a request that can't be decoded. */
-    readonly refuseInvalid: (err: unknown) => ServedResponse;
-    /** Returns this daemon's incarnation and clock, which are the response to a probe. */
-    readonly identity: () => ResponseMetadata;
-    /** Returns true if each response is to be its connection's last one. */
-    readonly isClosing: () => boolean;
-};
-
 /** Serves the requests on the connection, and closes it if the peer violates the protocol. */
 export class LinkSession {
     readonly #reader = new FrameReader();
@@ -47,8 +36,10 @@
     #isFirst = true;
     #serving: Cancellation | undefined;
     #body: FramedBody | undefined;
+    readonly #callerCheck: CallerCheck;
 
     constructor(private readonly socket: Socket, private readonly deps: SessionDependencies) {
+        this.#callerCheck = new CallerCheck(socket);
         socket.setNoDelay(true);
         socket.on("data", (chunk: Buffer) => this.read(chunk));
         socket.on("error", () => {
@@ -114,6 +105,10 @@
             this.#receiveCall(frame.payload);
             return;
         }
+        if (frame.type === frameType.callerPresent) {
+            this.#callerCheck.end();
+            return;
+        }
         if (!isBodyFrame(frame)) {
             this.destroy();
             return;
@@ -124,17 +119,14 @@
     }
 
     #authenticate({ type, payload }: Frame): void {
-        this.#isAuthenticated = type === frameType.greeting && this.#matchesKey(payload);
+        const { key } = this.deps;
+        const hasKey = payload.length === key.length && timingSafeEqual(payload, key);
+        this.#isAuthenticated = type === frameType.greeting && hasKey;
         if (!this.#isAuthenticated) {
             this.destroy();
         }
     }
 
-    #matchesKey(received: Buffer): boolean {
-        const { key } = this.deps;
-        return received.length === key.length && timingSafeEqual(received, key);
-    }
-
     #receiveCall(payload: Buffer): void {
         if (this.busy) {
             this.destroy();
@@ -164,11 +156,18 @@
         );
     }
 
+    /** Behind a body that nobody reads yet, the answer to a check would not arrive. */
     #toServedCall({ body, ...call }: WireCall): ServedCall {
+        if (body === "follows") {
+            return { ...call, body: this.#openBody() };
+        }
+        const ask = (timeoutMs: number): Promise<void> => this.#callerCheck.ask(timeoutMs);
+        const checkCaller = call.head.answersCallerChecks ? ask : undefined;
         if (body instanceof OnDemandBody) {
-            return { ...call, body: undefined, bodySize: body.size, fetchBody: () => this.#fetchBody(body) };
+            const fetchBody = (): Promise<Buffer | Readable> => this.#fetchBody(body);
+            return { ...call, body: undefined, bodySize: body.size, fetchBody, checkCaller };
         }
-        return { ...call, body: body === "follows" ? this.#openBody() : body };
+        return { ...call, body, checkCaller };
     }
 
     /** Asks for the body. Resolves with all of it, or at once with a stream if the peer does not have it whole. */
@@ -239,5 +238,6 @@
         this.#body = undefined;
         this.#serving?.abort();
         this.#serving = undefined;
+        this.#callerCheck.end();
     }
 }
--- a/src/link/servedcall.ts
+++ b/src/link/servedcall.ts
@@ -8,4 +8,9 @@
     /** Set if the peer keeps the body, of `bodySize` bytes or a stream, until it is asked for it by this call. */
     readonly fetchBody?: (() => Promise<Buffer | Readable>) | undefined;
     readonly bodySize?: number | undefined;
+    /**
+     * Resolves when the peer has stated that the caller is still there, or after `timeoutMs` milliseconds; cancels the
+     * request otherwise. Undefined if the peer can't be asked.
+     */
+    readonly checkCaller?: ((timeoutMs: number) => Promise<void>) | undefined;
 };
--- a/src/peer/peerserver.ts
+++ b/src/peer/peerserver.ts
@@ -8,7 +8,6 @@
 import { headerName } from "../dialect/headername.js";
 import type { Gate } from "../gate/gate.js";
 import type { GateIdentity } from "../gate/gateidentity.js";
-import type { GateCall } from "../hop/gatecall.js";
 import type { GateResponse } from "../hop/gateresponse.js";
 import { HopError } from "../hop/hoperror.js";
 import type { Cancellation } from "../http/cancellation.js";
@@ -24,16 +23,15 @@
 import { bodyMemoryRetryAfterMs } from "../policy/admission/bodymemoryretryafterms.js";
 import type { MatchedRule } from "../policy/routing/matchedrule.js";
 import type { RequestTarget } from "../policy/routing/requesttarget.js";
-import { afterRecentPoll } from "../time/afterrecentpoll.js";
 import type { Clock } from "../time/clock.js";
 import { listen } from "../time/listen.js";
-import { maxFreshMs } from "../time/maxfreshms.js";
 import type { UnreadMonitor } from "../time/unreadmonitor.js";
 import type { RequestMetadata } from "../wire/requestmetadata.js";
 import type { ResponseMetadata } from "../wire/responsemetadata.js";
 import { BodyHold } from "./bodyhold.js";
 import { handleCall } from "./handlecall.js";
 import type { PeerService } from "./peerservice.js";
+import { PendingCancel } from "./pendingcancel.js";
 import { ResponseBodies } from "./responsebodies.js";
 
 /** The response fields of a refusal, which consists of its metadata only. */
@@ -77,11 +75,13 @@
     readonly #sockets = new Set<Socket>();
     readonly #sessions = new Set<LinkSession>();
     readonly #bodies = new ResponseBodies();
+    readonly #pendingCancel: PendingCancel;
     #openCalls = 0;
     #isClosing = false;
 
     constructor(private readonly deps: PeerServerDependencies) {
         this.#key = Buffer.from(deps.key);
+        this.#pendingCancel = new PendingCancel(deps.clock, deps.unread);
         this.#server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, (req, res) => {
             this.#handleHttp(req, res);
         });
@@ -165,7 +165,7 @@
         try {
             this.deps.onSender(head.from);
             hold.reserveReceived();
-            await this.#waitForPendingClose(head);
+            await this.#pendingCancel.settle(call);
             await this.deps.pullConfiguration(head.revision, head.from);
             const { metadata, ...response } = await this.#sendToGate({ ...call, fetchBody: hold.fetchBody }, cancel);
             return { ...response, metadata: metadata ?? this.#createMetadata({}) };
@@ -178,20 +178,6 @@
         }
     }
 
-    /**
-     * Waits until the end of the connection has been read, if it may have arrived already. If a request was unread in the
-     * socket until its caller left, the end follows it and is read in the next turn of the event loop. A request without
-     * `gateTime` does not show how long it was delayed.
-     */
-    async #waitForPendingClose({ gateTime }: RequestMetadata): Promise<void> {
-        const { clock, unread } = this.deps;
-        const now = clock();
-        const sentAfter = Math.min(gateTime ?? -Infinity, unread.readUpTo(now));
-        if (now - sentAfter > maxFreshMs) {
-            await afterRecentPoll(clock);
-        }
-    }
-
     #errorMetadata(err: unknown, upstream: UpstreamName): ResponseMetadata {
         if (!(err instanceof HopError)) {
             logger.warn(
@@ -218,21 +204,11 @@
         if (this.deps.isStale(head, matched, gate.upstream.service)) {
             throw new HopError("not-run", "stale-rule");
         }
-        const settleCancel = this.#createSettleCancel();
+        const settleCancel = this.#pendingCancel.createSettleCancel();
         const rule = matched?.rule.name;
         return await gate.serve({ head, rule, method, path, headers, body, cancel, settleCancel, fetchBody });
     }
 
-    /** A cancellation that had arrived when the request is passed on has been read. */
-    #createSettleCancel(): NonNullable<GateCall["settleCancel"]> {
-        const { clock, unread } = this.deps;
-        let readUpTo = clock();
-        return now => {
-            const isOld = now - Math.max(readUpTo, unread.readUpTo(now)) > maxFreshMs;
-            return isOld ? afterRecentPoll(clock).then(() => void (readUpTo = clock())) : undefined;
-        };
-    }
-
     #refuseInvalid({ remoteAddress }: Socket, err: unknown): ServedResponse {
         logger.warn("Could not decode a request from a peer; it is refused.", err, { peer: remoteAddress });
         return { metadata: this.#createMetadata({ outcome: "not-run", reason: INVALID_CALL }), ...REFUSAL };
--- a/src/wire/requestmetadata.ts
+++ b/src/wire/requestmetadata.ts
@@ -42,6 +42,8 @@
     arrival: arrivalSchema.default("first"),
     /** The upstream's stated rate limit in requests a second, as known to the sender from earlier responses. */
     limitPerSecond: z.number().min(0).optional(),
+    /** True if the sender can be asked whether the caller is still there. */
+    answersCallerChecks: z.boolean().optional(),
 });
 type RequestMetadata = z.infer<typeof RequestMetadata>;
 
--- a/src/wire/requestmetadatacodec.ts
+++ b/src/wire/requestmetadatacodec.ts
@@ -25,4 +25,5 @@
     { name: "offer" },
     { name: "arrival", encoding: arrivalSchema.options, defaultValue: "first" },
     { name: "limitPerSecond" },
+    { name: "answersCallerChecks" },
 ]);
--- a/test/stalled.test.ts
+++ b/test/stalled.test.ts
@@ -154,3 +154,26 @@
         assert.deepEqual(late, []);
     });
 });
+
+// Guards against work for clients that have left (GONE): the gate ran again before the ingress had read the leaving.
+test("stalled: a gate runs no request of clients that left while their daemon was stopped, too", async () => {
+    await withPlatform(async mesh => {
+        const { ip } = mesh.host("fees-1");
+        const ingress = mesh.daemons.get("fees-1")!;
+        const gates = ["pages-1", "pages-2"].map(name => mesh.daemons.get(name)!);
+        gates.forEach(daemon => daemon.signal("SIGSTOP"));
+        const ids = Array.from({ length: CLIENTS }, (_, index) => `both-${index}`);
+        const left = ids.map(id => sendAndAbort({ ip, path: "/pages/1", id, timeLimitMs: 3000 }, 2 * LEAVE_AFTER_MS));
+        await pause(LEAVE_AFTER_MS);
+        ingress.signal("SIGSTOP");
+        await Promise.all(left);
+        await pause(LEFT_BOUND_MS);
+        gates.forEach(daemon => daemon.signal("SIGCONT"));
+        await pause(LEFT_BOUND_MS / 2);
+        ingress.signal("SIGCONT");
+        await pause(SETTLE_MS);
+        assert.deepEqual(ids.filter(id => mesh.runsOf(id) > 0), []);
+        const { status } = await mesh.send("fees-1", "GET", "/pages/1", "after");
+        assert.equal(status, 200);
+    });
+});
