A request is not written to a connection that closed while its caller was asked for

Cause: while a daemon that stood still waits for what lies behind a request, the connection that it has acquired may turn out to be closed. What is written to it then has no end, and the request hangs until its deadline. The same held for the question whether a caller is still there, on a connection that has closed.

Change: a connection that has closed meanwhile is replaced, and no question is asked on it.

Measured: a unit test whose first connection closes during the wait (src/peer/remotehop.test.ts): no result within 8 s before.

--- a/src/link/callercheck.ts
+++ b/src/link/callercheck.ts
@@ -12,6 +12,9 @@
 
     /** Resolves when the peer has answered, or when `timeoutMs` milliseconds have passed; the connection closes otherwise. */
     ask(timeoutMs: number): Promise<void> {
+        if (this.socket.destroyed) {
+            return Promise.resolve();
+        }
         this.socket.write(writeFrame(frameType.callerCheck, emptyBuffer));
         return new Promise(resolve => {
             const timer = setTimeout(resolve, Math.max(0, timeoutMs));
--- a/src/peer/remotehop.test.ts
+++ b/src/peer/remotehop.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { LinkEnds } from "../../test/linkends.js";
 import type { GateCall } from "../hop/gatecall.js";
@@ -20,7 +20,11 @@
 type Sent = { readonly head: RequestMetadata | undefined; readonly err: unknown; };
 
 /** Sends a request of this kind to a gate that is slow to read new connections. */
-const sendToSlowGate = async (kind: RequestMetadata["kind"], overrides: Partial<GateCall> = {}): Promise<Sent> => {
+const sendToSlowGate = async (
+    kind: RequestMetadata["kind"],
+    overrides: Partial<GateCall> = {},
+    onSocket?: (socket: Socket) => void,
+): Promise<Sent> => {
     let receivedHead: RequestMetadata | undefined;
     const identity = (): typeof LinkEnds.metadata => ({ ...LinkEnds.metadata, gateTime: performance.now() });
     const server = createServer({ pauseOnConnect: true }, socket => {
@@ -48,6 +52,7 @@
         key: KEY,
         clock,
         onUnresponsive: () => {},
+        ...onSocket && { onSocket },
     });
     const call = LinkEnds.call(overrides);
     const head = { ...call.head, kind, remainingMs: REMAINING_MS, maxWaitMs: 100 };
@@ -74,3 +79,16 @@
     assert.equal(head, undefined);
     assert.equal((err as HopError).outcome, "not-run");
 });
+
+test("remote hop: a request is sent over a new connection if the first one closes while its caller is asked for", async () => {
+    const opened: Socket[] = [];
+    const settleCancel = async (): Promise<void> => {
+        const socket = opened.at(-1)!;
+        socket.destroy();
+        await once(socket, "close");
+    };
+    const { head, err } = await sendToSlowGate("repeatable", { settleCancel }, socket => opened.push(socket));
+    assert.equal(err, undefined);
+    assert.notEqual(head, undefined);
+    assert.equal(opened.length, 2);
+});
--- a/src/peer/remotehop.ts
+++ b/src/peer/remotehop.ts
@@ -10,6 +10,7 @@
 import type { RevokeResult } from "../ledger/revokeresult.js";
 import { emptyBuffer } from "../link/emptybuffer.js";
 import { isLargeBody } from "../link/islargebody.js";
+import type { LinkConnection } from "../link/linkconnection.js";
 import { LinkError } from "../link/linkerror.js";
 import { LinkPool } from "../link/linkpool.js";
 import { log } from "../log/log.js";
@@ -137,15 +138,24 @@
         this.clock.observe(incarnation, gateTime, { askedAt, now: this.options.clock() });
     }
 
+    /** The caller may have left while a connection was opened and the process did not run. */
+    async #acquire({ settleCancel }: GateCall): Promise<LinkConnection> {
+        const connection = await this.#pool.acquire();
+        const pendingCancel = settleCancel?.(this.options.clock());
+        if (pendingCancel === undefined) {
+            return connection;
+        }
+        await pendingCancel;
+        return connection.open ? connection : await this.#pool.acquire();
+    }
+
     /** Sends the request on an idle or new connection; throws a HopError. See `#completeHead` for `preparedAt`. */
     async #request(
         call: GateCall,
         preparedAt: number,
     ): Promise<Awaited<ReturnType<Awaited<ReturnType<LinkPool["acquire"]>>["send"]>>> {
         try {
-            const connection = await this.#pool.acquire();
-            // The caller may have left while the connection was opened and the process did not run.
-            await call.settleCancel?.(this.options.clock());
+            const connection = await this.#acquire(call);
             const sentAt = this.options.clock();
             this.#completeHead(call.head, preparedAt, sentAt);
             // A daemon of another incarnation, which may be of an older version, refuses the request.
