--- a/src/gate/cutresponses.test.ts
+++ b/src/gate/cutresponses.test.ts
@@ -1,16 +1,13 @@
 /** An upstream stops at each byte of its response, and closes or resets its connection there. */
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
-import type { Upstream } from "../config/upstream.js";
-import { OwnDialect } from "../dialect/owndialect.js";
+import { startUpstreamClient } from "../../test/startupstreamclient.js";
 import type { GateCall } from "../hop/gatecall.js";
-import { UpstreamClient } from "./upstreamclient.js";
+import type { UpstreamClient } from "./upstreamclient.js";
 
-const LOCAL_IP = "127.0.0.1";
 const REQUEST_ID = "winglock-request-id";
 /** Time after a response by which its connection can be reused. */
 const RELEASE_MS = 5;
@@ -37,35 +34,18 @@
 
 /** Starts an upstream that sends so many bytes of the response to a request whose id says so, and whole ones to others. */
 const startClient = async (t: TestContext, format: Format, ending: Ending): Promise<UpstreamClient> => {
-    const sockets: Socket[] = [];
-    const server = createServer(socket => {
-        sockets.push(socket);
-        socket.on("error", () => {}).on("data", data => {
-            const id = /winglock-request-id: (\S+)/.exec(data.toString())![1]!;
-            const bytes = /^cut-(\d+)/.exec(id)?.[1];
-            const response = responseOf(id, format);
-            if (bytes === undefined) {
-                socket.write(response);
-            }
-            else {
-                cut(socket, response.slice(0, Number(bytes)), ending);
-            }
-        });
-    }).listen(0, LOCAL_IP);
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    const client = new UpstreamClient({ name: "fees-1", address: `${LOCAL_IP}:${port}` } as unknown as Upstream, {
-        localIp: LOCAL_IP,
-        dialect: new OwnDialect(),
-        onResponse: () => {},
-        clock: () => performance.now(),
-        onUnresponsive: () => {},
-    });
-    t.after(async () => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-        await client.close();
-    });
+    const respond = (socket: Socket, data: Buffer): void => {
+        const id = /winglock-request-id: (\S+)/.exec(data.toString())![1]!;
+        const bytes = /^cut-(\d+)/.exec(id)?.[1];
+        const response = responseOf(id, format);
+        if (bytes === undefined) {
+            socket.write(response);
+        }
+        else {
+            cut(socket, response.slice(0, Number(bytes)), ending);
+        }
+    };
+    const { client } = await startUpstreamClient(t, socket => void socket.on("data", data => respond(socket, data)));
     return client;
 };
 
--- a/src/gate/endlessresponses.test.ts
+++ b/src/gate/endlessresponses.test.ts
@@ -1,16 +1,12 @@
 /** An upstream sends bytes without end in place of its response, until the client closes. */
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { sendWithoutEnd } from "../../standin/sendwithoutend.js";
 import { eventually } from "../../test/eventually.js";
-import type { Upstream } from "../config/upstream.js";
-import { OwnDialect } from "../dialect/owndialect.js";
+import { startUpstreamClient } from "../../test/startupstreamclient.js";
 import type { GateCall } from "../hop/gatecall.js";
-import { UpstreamClient } from "./upstreamclient.js";
 
-const LOCAL_IP = "127.0.0.1";
 const PROBE_TIMEOUT_MS = 300;
 const CLOSE_BOUND_MS = 2000;
 const SLOW_INTERVAL_MS = 50;
@@ -44,31 +40,9 @@
     socket.on("close", () => clearInterval(timer));
 };
 
-type Upstreams = { readonly client: UpstreamClient; readonly sockets: readonly Socket[]; };
-
 /** Starts an upstream that sends what `respond` sends after the first bytes of each connection. */
-const startUpstream = async (t: TestContext, respond: (socket: Socket) => void): Promise<Upstreams> => {
-    const sockets: Socket[] = [];
-    const server = createServer(socket => {
-        sockets.push(socket);
-        socket.on("error", () => {}).once("data", () => respond(socket));
-    }).listen(0, LOCAL_IP);
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
-    const client = new UpstreamClient(upstream, {
-        localIp: LOCAL_IP,
-        dialect: new OwnDialect(),
-        onResponse: () => {},
-        clock: () => performance.now(),
-        onUnresponsive: () => {},
-    });
-    t.after(() => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-    });
-    return { client, sockets };
-};
+const startUpstream = (t: TestContext, respond: (socket: Socket) => void): ReturnType<typeof startUpstreamClient> =>
+    startUpstreamClient(t, socket => void socket.once("data", () => respond(socket)));
 
 /** Asserts that the first connection is closed; another one may be open by then, which has carried nothing. */
 const assertFirstCloses = (sockets: readonly Socket[]): Promise<unknown> =>
@@ -85,7 +59,9 @@
     });
 }
 
-const assertRefusalCloses = async ({ client, sockets }: Upstreams): Promise<void> => {
+const assertRefusalCloses = async (
+    { client, sockets }: Awaited<ReturnType<typeof startUpstreamClient>>,
+): Promise<void> => {
     const call = { method: "GET", path: "/fees", body: undefined } as GateCall;
     const options = { cancel: undefined, onConnected: () => {}, checkWrite: () => undefined, deadline: Infinity };
     await assert.rejects(client.send(call, { "winglock-request-id": REQUEST_ID }, options), { reason: "shed" });
--- a/src/gate/upstreamclient.test.ts
+++ b/src/gate/upstreamclient.test.ts
@@ -1,16 +1,14 @@
 import assert from "node:assert/strict";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
-import type { Upstream } from "../config/upstream.js";
-import { OwnDialect } from "../dialect/owndialect.js";
+import { startUpstreamClient } from "../../test/startupstreamclient.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
-import { UpstreamClient } from "./upstreamclient.js";
+import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
 
-const LOCAL_IP = "127.0.0.1";
 const REQUEST_ID = "winglock-request-id";
 const PROBE_TIMEOUT_MS = 1000;
 /** Time after a response by which its connection can be reused. */
@@ -39,32 +37,11 @@
 };
 
 const startClient = async (t: TestContext, respond: Respond): Promise<TestClient> => {
-    let connections = 0;
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        const connection = ++connections;
-        sockets.add(socket);
-        socket.on("error", () => {
-            // The client destroys connections.
-        });
-        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())?.[1], connection));
-    });
-    await new Promise<void>(resolve => server.listen(0, LOCAL_IP, resolve));
-    const { port } = server.address() as AddressInfo;
     const accepted: HttpHeaders[] = [];
-    const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
-    const client = new UpstreamClient(upstream, {
-        localIp: LOCAL_IP,
-        dialect: new OwnDialect(),
-        onResponse: headers => accepted.push(headers),
-        clock: () => performance.now(),
-        onUnresponsive: () => {},
-    });
-    t.after(async () => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-        await client.close();
-    });
+    const onConnection = (socket: Socket, connection: number): void => {
+        socket.on("data", data => respond(socket, /winglock-request-id: (\S+)/.exec(data.toString())?.[1], connection));
+    };
+    const { client, sockets } = await startUpstreamClient(t, onConnection, headers => accepted.push(headers));
     const send = async (id: string): Promise<string> => {
         const call = { method: "POST", path: "/fees", body: undefined } as GateCall;
         const { body } = await client.send(call, { [REQUEST_ID]: id }, {
@@ -75,7 +52,7 @@
         });
         return await text(body);
     };
-    return { client, accepted, connectionCount: () => connections, send };
+    return { client, accepted, connectionCount: () => sockets.length, send };
 };
 
 const isUpstreamError = (reason: string) => (err: unknown): boolean =>
