--- a/src/link/callercheck.ts
+++ b/src/link/callercheck.ts
@@ -10,7 +10,7 @@
 
     constructor(private readonly socket: Socket) {}
 
-    /** Resolves when the peer has answered, or when `timeoutMs` milliseconds have passed; the connection closes otherwise. */
+    /** Resolves when the peer has answered, the connection has closed, or `timeoutMs` milliseconds have passed. */
     ask(timeoutMs: number): Promise<void> {
         if (this.socket.destroyed) {
             return Promise.resolve();
--- a/src/link/servedcall.ts
+++ b/src/link/servedcall.ts
@@ -9,8 +9,8 @@
     readonly fetchBody?: (() => Promise<Buffer | Readable>) | undefined;
     readonly bodySize?: number | undefined;
     /**
-     * Resolves when the peer has stated that the caller is still there, or after `timeoutMs` milliseconds; cancels the
-     * request otherwise. Undefined if the peer can't be asked.
+     * Asks the peer whether the caller is still there; resolves with the answer, or after `timeoutMs` milliseconds. Where
+     * the caller has left, the request is cancelled by then. Undefined if the peer can't be asked.
      */
     readonly checkCaller?: ((timeoutMs: number) => Promise<void>) | undefined;
 };
