The leave soak names its targets once; a comment within the line width

Found on reading the change again: two optional values and a cast stood where one object serves both kinds of callers. The requests, their order and the counts are the same. No behaviour of the daemon changes.

--- a/src/ingress/disconnectprobe.ts
+++ b/src/ingress/disconnectprobe.ts
@@ -9,7 +9,10 @@
 
 /** The beginning of every response; one character is sent with each probe. */
 const PROBE_TEXT = "HTTP/1";
-/** The times between the probes, one less than there are characters. The first are longer than the round trip to a caller on this host. */
+/**
+ * The times between the probes, one less than there are characters. The first are longer than the round trip to a caller
+ * on this host.
+ */
 const PROBE_INTERVALS_MS = [10, 20, 70, 100, 100];
 /**
  * This character is written after the reset that an earlier one causes, and fails, also if the round trip is the longest
--- a/test/leavesoak.ts
+++ b/test/leavesoak.ts
@@ -95,18 +95,15 @@
 
     async #send(name: string, id: string, random: () => number): Promise<void> {
         const isOnce = random() < 0.3;
-        const [method, path] = isOnce ? ["POST", "/fees/1"] : ["GET", "/pages/1"];
+        const target = isOnce ? { method: "POST", path: "/fees/1" } : { method: "GET", path: "/pages/1" };
         const agent = random() < 0.5 ? this.#agent : undefined;
         if (random() < 0.5) {
-            const { status } = await this.mesh.send(name, method!, path!, id, TIME_LIMIT_MS, {}, agent);
+            const { status } = await this.mesh.send(name, target.method, target.path, id, TIME_LIMIT_MS, {}, agent);
             this.#statuses.push(status);
             return;
         }
         const { ip } = this.mesh.host(name);
-        const request = { ip, method, path, id, timeLimitMs: TIME_LIMIT_MS, agent } as Parameters<
-            typeof sendAndAbort
-        >[0];
-        await sendAndAbort(request, MAX_LEAVE_AFTER_MS * random());
+        await sendAndAbort({ ip, ...target, id, timeLimitMs: TIME_LIMIT_MS, agent }, MAX_LEAVE_AFTER_MS * random());
         this.#leftAt.set(id, performance.now());
     }
 
