A response that ends with a reset is incomplete for every reader

What callers saw: an instance answered without a length, sent a part of its body and reset the connection; the caller got that part as a complete 200 (MIXED). The same for an empty body, and for the store's and peers' responses and health probes, for which nothing looked at the end of the connection.

Cause: where data and a reset wait together in a socket, Node.js reports `data` and then `end`, and no error: libuv takes a hang-up behind a partial read for the end of the stream. The error stays pending in the socket. Undici completes a response without a length on `end`, and also on an ECONNRESET. `UpstreamConnection.checkedBody` knew of a reset only from the `error` event; the other readers checked nothing. Both health probes used undici's `dump`, which resolves for a body that breaks off, too.

Change: `ConnectionEnd` writes nothing (zero bytes) to a connection that has ended, before the listeners of Node.js and undici run. The write reports the pending error in the same turn: ECONNRESET after a reset, EPIPE where an orderly end came first, which leaves the response whole. While bytes of the request wait to be written, no write can be tried; then the kernel's peer address tells, which a closed connection has no more. `HttpClient`, a client of undici, fails a response that ended with such a connection, and gives undici the error of a reset without the code that undici takes for an end. Upstreams, the store, peers and both health probes use it. `checkedBody` is gone; `discardBody` replaces `dump`.

Ruled out: the `error` event (it does not come), a write after the handler of `end` (Node.js refuses it, and undici has completed the response), rejecting every response without a length (those that end in order are still served).

--- a/build/replacemodules.js
+++ b/build/replacemodules.js
@@ -16,6 +16,7 @@
             Object.assign(Dispatcher.prototype, require("./node_modules/undici/lib/api/index.js"));
             exports.Agent = require("./node_modules/undici/lib/dispatcher/agent.js");
             exports.Client = require("./node_modules/undici/lib/dispatcher/client.js");
+            exports.DecoratorHandler = require("./node_modules/undici/lib/handler/decorator-handler.js");
             exports.Pool = require("./node_modules/undici/lib/dispatcher/pool.js");
             exports.buildConnector = require("./node_modules/undici/lib/core/connect.js");`,
     },
--- a/src/gate/upstreamclient.ts
+++ b/src/gate/upstreamclient.ts
@@ -4,6 +4,7 @@
 import type { Dialect } from "../dialect/dialect.js";
 import type { GateCall } from "../hop/gatecall.js";
 import type { Cancellation } from "../http/cancellation.js";
+import { discardBody } from "../http/discardbody.js";
 import { drainResponse } from "../http/drainresponse.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import { ignoreBodyErrors } from "../http/ignorebodyerrors.js";
@@ -102,7 +103,7 @@
                         ? undefined
                         : new Error(`the probe was not sent: its timeout of ${timeoutMs} ms has passed`),
             });
-            await body.dump();
+            await discardBody(body);
             if (!dialect.isHealthResponse(headers, this.upstream.name)) {
                 this.#discard(connection);
                 throw new UpstreamError("foreign-answer");
@@ -191,7 +192,7 @@
                 body: call.body,
                 signal: cancel,
             }, { onConnected, checkWrite: recordWrite });
-            const body = ignoreBodyErrors(connection.checkedBody(response));
+            const body = ignoreBodyErrors(response.body);
             body.once("close", () => this.#release(connection));
             return { status: response.statusCode, headers: response.headers, body };
         }
--- a/src/gate/upstreamconnection.ts
+++ b/src/gate/upstreamconnection.ts
@@ -1,9 +1,8 @@
 /** Manages one connection to an upstream; it carries one request at a time. */
-import { Transform, type TransformCallback } from "node:stream";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { buildConnector, type Dispatcher } from "undici";
+import { HttpClient } from "../http/httpclient.js";
 import type { Address } from "../ids/address.js";
 import { CarriedIds } from "./carriedids.js";
-import { isFramed } from "./isframed.js";
 import { WriteCheckHandler } from "./writecheckhandler.js";
 
 /** Callbacks of one request. */
@@ -23,18 +22,17 @@
 /** An upstream on the same host accepts connections within milliseconds, unless it is full. */
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Reconnects when its connection has ended, and tracks whether the last connection was reset. */
+/** Reconnects when its connection has ended. */
 export class UpstreamConnection {
-    readonly #client: Client;
+    readonly #client: HttpClient;
     /** The client, with the check before each write. */
     readonly #checkedClient: Dispatcher;
-    #wasReset = false;
     #carriedIds = new CarriedIds();
     #events: RequestEvents = { checkWrite: () => undefined };
 
     constructor(address: Address, localIp: string) {
         const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-        this.#client = new Client(`http://${address}`, {
+        this.#client = new HttpClient(`http://${address}`, {
             pipelining: 1,
             keepAliveTimeout: KEEP_ALIVE_MS,
             keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -44,10 +42,7 @@
             localAddress: localIp,
             connect: (options, callback) =>
                 connect(options, (...result) => {
-                    const [, socket] = result;
-                    this.#wasReset = false;
                     this.#carriedIds = new CarriedIds();
-                    socket?.once("error", () => this.#wasReset = true);
                     this.#events.onConnected?.();
                     callback(...result);
                 }),
@@ -73,22 +68,6 @@
         return await this.#checkedClient.request(options);
     }
 
-    /**
-     * Returns the body, which fails if it is incomplete. A body without a length ends with its connection, and is
-     * incomplete if the connection was reset.
-     */
-    checkedBody({ body, headers }: Dispatcher.ResponseData): Dispatcher.ResponseData["body"] | Transform {
-        if (isFramed(headers)) {
-            return body;
-        }
-        const flush = (callback: TransformCallback): void =>
-            callback(this.#wasReset ? new Error("the connection was reset before the end of the response body") : null);
-        const checked = new Transform({ transform: (chunk, _encoding, callback) => callback(null, chunk), flush });
-        body.on("error", err => checked.destroy(err));
-        checked.on("close", () => body.destroy());
-        return body.pipe(checked);
-    }
-
     /** Closes the connection after the request in flight has ended. */
     close(): Promise<void> {
         return this.#client.close();
--- /dev/null
+++ b/src/http/connectionend.ts
@@ -0,0 +1,52 @@
+/**
+ * Determines how a peer has ended a connection.
+ *
+ * Where data and a reset arrive together, Node.js reports the data and then an end, and leaves the error pending in the
+ * socket: what the peer sent last can be incomplete.
+ */
+import type { Socket } from "node:net";
+import { ConnectionResetError } from "./connectionreseterror.js";
+
+/** The error of a write to a connection that the peer first ended and then reset. */
+const RESET_AFTER_END = "EPIPE";
+/** The error of a connection that the peer reset. */
+const RESET = "ECONNRESET";
+
+const codeOf = (err: Error | null | undefined): string | undefined => (err as NodeJS.ErrnoException | undefined)?.code;
+
+/** Watches one connection from when it is established. */
+export class ConnectionEnd {
+    #error: ConnectionResetError | undefined;
+
+    constructor(private readonly socket: Socket) {
+        // Runs before the listener of Node.js, after which the socket refuses writes, and before that of undici, which
+        // takes the end of the connection for that of the response.
+        socket.prependOnceListener("end", () => {
+            this.#error = this.#isReset() ? new ConnectionResetError() : undefined;
+        });
+        this.#replaceResetErrors();
+    }
+
+    /** The error of a response that ended with the connection; undefined if the peer has not reset it. */
+    get error(): ConnectionResetError | undefined {
+        return this.#error;
+    }
+
+    /** A write reports the pending error at once, but only if no other write waits. */
+    #isReset(): boolean {
+        const { socket } = this;
+        if (socket.writableLength > 0) {
+            // The address is read here only: Node.js keeps it once it is known.
+            return socket.remoteAddress === undefined;
+        }
+        socket.write("");
+        const code = codeOf(socket.errored);
+        return code !== undefined && code !== RESET_AFTER_END;
+    }
+
+    /** Undici takes an error with the code of a reset for the end of a response without a length. */
+    #replaceResetErrors(): void {
+        const destroy = this.socket.destroy.bind(this.socket);
+        this.socket.destroy = err => destroy(codeOf(err) === RESET ? new ConnectionResetError({ cause: err }) : err);
+    }
+}
--- /dev/null
+++ b/src/http/endcheckhandler.ts
@@ -0,0 +1,40 @@
+/** Fails a response that ended with a connection that the peer reset. */
+import { DecoratorHandler, type Dispatcher } from "undici";
+import type { ConnectionEnd } from "./connectionend.js";
+import { ForwardingHandler } from "./forwardinghandler.js";
+
+const FIRST_FINAL_STATUS = 200;
+
+/** A response with a length or chunked framing ends before its connection; undici fails one that does not. */
+export class EndCheckHandler extends ForwardingHandler {
+    #connectionEnd: ConnectionEnd | undefined;
+
+    /** `currentEnd` returns the end of the connection to which the request is being written. */
+    constructor(handler: Dispatcher.DispatchHandler, private readonly currentEnd: () => ConnectionEnd | undefined) {
+        // Also accepts the handlers of undici's own methods, which have another form.
+        super(new DecoratorHandler(handler));
+    }
+
+    override onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
+        this.#connectionEnd = this.currentEnd();
+        super.onRequestStart(controller, context);
+    }
+
+    /** Leaves informational responses out: a DecoratorHandler accepts one head. */
+    override onResponseStart(...args: Parameters<ForwardingHandler["onResponseStart"]>): void {
+        const [, status] = args;
+        if (status >= FIRST_FINAL_STATUS) {
+            super.onResponseStart(...args);
+        }
+    }
+
+    override onResponseEnd(...args: Parameters<ForwardingHandler["onResponseEnd"]>): void {
+        const err = this.#connectionEnd?.error;
+        if (err === undefined) {
+            super.onResponseEnd(...args);
+            return;
+        }
+        const [controller] = args;
+        this.onResponseError(controller, err);
+    }
+}
--- a/src/peer/peerclient.ts
+++ b/src/peer/peerclient.ts
@@ -1,10 +1,11 @@
 /** Calls peers with tRPC; every call has a timeout. */
 import { createTRPCClient, type TRPCClient } from "@trpc/client";
 import type { Socket } from "node:net";
-import { Agent, buildConnector } from "undici";
+import { Agent, buildConnector, Pool } from "undici";
 import type { ConfigurationUpdate } from "../config/configurationupdate.js";
 import { parse } from "../config/parse.js";
 import { headerName } from "../dialect/headername.js";
+import { HttpClient } from "../http/httpclient.js";
 import type { Address } from "../ids/address.js";
 import { splitAddress } from "../ids/splitaddress.js";
 import type { RevokeResult } from "../ledger/revokeresult.js";
@@ -37,6 +38,8 @@
 
 type Client = TRPCClient<typeof peerRouter>;
 
+const createClient = (origin: URL, options: object): HttpClient => new HttpClient(origin, options);
+
 /** Calls any peer, and owns the connections for these calls. */
 export class PeerClient {
     #agent: Agent;
@@ -108,6 +111,7 @@
         return new Agent({
             connections: 2,
             localAddress,
+            factory: (origin, poolOptions) => new Pool(origin, { ...poolOptions, factory: createClient }),
             connect: (target, callback) =>
                 connect(target, (...result) => {
                     // A failed connection passes an error alone, contrary to the types, which state null.
--- a/src/store/storeconnections.ts
+++ b/src/store/storeconnections.ts
@@ -4,9 +4,10 @@
  * The most recently used idle connection is used first, and a new one is opened only if none is idle. If all open
  * connections have become unresponsive, the next call therefore detects it.
  */
-import { Client, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { bufferBody } from "../http/bufferbody.js";
 import { destroyBody } from "../http/destroybody.js";
+import { HttpClient } from "../http/httpclient.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import type { Address } from "../ids/address.js";
 
@@ -22,8 +23,8 @@
 
 /** Each connection carries one call at a time. */
 export class StoreConnections {
-    readonly #clients: Client[] = [];
-    readonly #idle: Client[] = [];
+    readonly #clients: HttpClient[] = [];
+    readonly #idle: HttpClient[] = [];
 
     constructor(private readonly options: ConnectionOptions) {}
 
@@ -59,7 +60,7 @@
         await Promise.all(this.#clients.map(client => client.destroy()));
     }
 
-    #acquire(): Client {
+    #acquire(): HttpClient {
         const idle = this.#idle.pop();
         if (idle !== undefined) {
             return idle;
@@ -68,15 +69,15 @@
     }
 
     /** Marks the connection as idle, unless another call that shared it has already done so. */
-    #release(client: Client): void {
+    #release(client: HttpClient): void {
         if (!this.#idle.includes(client)) {
             this.#idle.push(client);
         }
     }
 
-    #open(): Client {
+    #open(): HttpClient {
         const { address, localIp: localAddress } = this.options;
-        const client = new Client(`http://${address}`, { localAddress, connect: { timeout: CONNECT_TIMEOUT_MS } });
+        const client = new HttpClient(`http://${address}`, { localAddress, connect: { timeout: CONNECT_TIMEOUT_MS } });
         this.#clients.push(client);
         return client;
     }
