A connection that ends while its reader is slow no longer ends the daemon

What callers saw: an instance sent 6 MB without a length and ended its connection in order; its caller read slowly. The daemon ended with an uncaught error, and its callers' connections with it.

Cause: undici pauses its parser while a body's reader is slow, and asserts in the handlers of `end` and ECONNRESET that it is not paused (`Parser.finish`). If the end of the connection is read with the last bytes, the parser is paused there, and the assertion is thrown in an event handler.

Change: before undici sees the end, the request is resumed, and a part that is still parsed then does not pause it again. Nothing more can arrive, so the memory of the body is not larger than before.

--- a/src/http/endcheckhandler.ts
+++ b/src/http/endcheckhandler.ts
@@ -17,6 +17,7 @@
 
     override onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
         this.#connectionEnd = this.currentEnd();
+        this.#connectionEnd?.beginRequest(controller);
         super.onRequestStart(controller, context);
     }
 
@@ -28,6 +29,14 @@
         }
     }
 
+    /** A slow reader pauses the response with each part. After the end of the connection it must not stay paused. */
+    override onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        super.onResponseData(controller, chunk);
+        if (this.#connectionEnd?.hasEnded) {
+            controller.resume();
+        }
+    }
+
     override onResponseEnd(...args: Parameters<ForwardingHandler["onResponseEnd"]>): void {
         const err = this.#connectionEnd?.error;
         if (err === undefined) {
