A transfer coding frames a response only if it is chunked; one that can't be decoded fails it

What callers saw: a response with `Transfer-Encoding: identity` whose connection was reset reached them with a `content-length`, and one with `xchunked` or `chunked, identity` as a 200 whose body held the chunk sizes of the instance.

Cause: `isFramed` took any `Transfer-Encoding` for framing. Only chunked as the last coding ends a body by itself (RFC 9112, 6.3); with another one undici reads to the end of the connection, and passes on bytes that are still encoded, while the field itself is not forwarded.

Change: `bodyFraming` replaces `isFramed`. A response with codings that can't be decoded fails with an InvalidResponseError for each reader, so that the request is tried elsewhere or gets 502. `identity` counts as no coding: such a body ends with its connection, and is served that way. EndCheckHandler becomes ResponseCheckHandler, since it checks heads, too.

Measured: `src/gate/invalidresponses.test.ts`, codings `xchunked`, `chunked, identity`, `gzip` and `gzip, chunked`: passed on before, 502 for each now; `identity`, `chunked` and `identity, chunked` are read as before. `src/http/bodyframing.test.ts`, 12 of 12.

--- a/src/gate/upstreamrun.ts
+++ b/src/gate/upstreamrun.ts
@@ -2,6 +2,7 @@
 import { PassThrough, type Readable } from "node:stream";
 import type { Dialect } from "../dialect/dialect.js";
 import type { GateResponse } from "../hop/gateresponse.js";
+import { bodyFraming } from "../http/bodyframing.js";
 import { Cancellation } from "../http/cancellation.js";
 import { forwardableHeaders } from "../http/forwardableheaders.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
@@ -17,7 +18,6 @@
 import type { CrashDetector } from "./crashdetector.js";
 import { endAtDeadline } from "./endatdeadline.js";
 import type { GateRequest } from "./gaterequest.js";
-import { isFramed } from "./isframed.js";
 import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
 import { WriteCheck } from "./writecheck.js";
@@ -154,7 +154,7 @@
                 body: isStreamed ? response.body : this.#trackBody(response.body, response.status),
                 calls: this.#context.calls.size > 0,
                 retriedBelow: this.#context.retriedBelow,
-                unframed: !isFramed(response.headers),
+                unframed: bodyFraming(response.headers) === "end-of-connection",
             };
         }
         catch (err) {
--- a/src/http/httpclient.ts
+++ b/src/http/httpclient.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import { ConnectionEnd } from "./connectionend.js";
-import { EndCheckHandler } from "./endcheckhandler.js";
+import { ResponseCheckHandler } from "./responsecheckhandler.js";
 
 /**
  * A client of undici for which a response without a length, which ends with its connection, is complete only if the peer
@@ -26,6 +26,6 @@
     }
 
     override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        return super.dispatch(options, new EndCheckHandler(handler, this.#currentEnd));
+        return super.dispatch(options, new ResponseCheckHandler(handler, this.#currentEnd));
     }
 }
--- a/src/http/endcheckhandler.ts
+++ b/src/http/responsecheckhandler.ts
@@ -1,12 +1,15 @@
-/** Fails a response that ended with a connection that the peer reset. */
+/** Fails a response that is invalid, or that ended with a connection that the peer reset. */
 import { DecoratorHandler, type Dispatcher } from "undici";
+import { bodyFraming } from "./bodyframing.js";
 import type { ConnectionEnd } from "./connectionend.js";
 import { ForwardingHandler } from "./forwardinghandler.js";
+import type { HttpHeaders } from "./httpheaders.js";
+import { InvalidResponseError } from "./invalidresponseerror.js";
 
 const FIRST_FINAL_STATUS = 200;
 
 /** A response with a length or chunked framing ends before its connection; undici fails one that does not. */
-export class EndCheckHandler extends ForwardingHandler {
+export class ResponseCheckHandler extends ForwardingHandler {
     #connectionEnd: ConnectionEnd | undefined;
 
     /** `currentEnd` returns the end of the connection to which the request is being written. */
@@ -23,10 +26,16 @@
 
     /** Leaves informational responses out: a DecoratorHandler accepts one head. */
     override onResponseStart(...args: Parameters<ForwardingHandler["onResponseStart"]>): void {
-        const [, status] = args;
-        if (status >= FIRST_FINAL_STATUS) {
+        const [controller, status, headers] = args;
+        if (status < FIRST_FINAL_STATUS) {
+            return;
+        }
+        const err = this.#headError(headers);
+        if (err === undefined) {
             super.onResponseStart(...args);
+            return;
         }
+        controller.abort(err);
     }
 
     /** A slow reader pauses the response with each part. After the end of the connection it must not stay paused. */
@@ -46,4 +55,14 @@
         const [controller] = args;
         this.onResponseError(controller, err);
     }
+
+    #headError(headers: HttpHeaders): InvalidResponseError | undefined {
+        if (bodyFraming(headers) === "unknown") {
+            const codings = String(headers["transfer-encoding"]);
+            return new InvalidResponseError(
+                `the response has the transfer codings "${codings}", which can't be decoded`,
+            );
+        }
+        return undefined;
+    }
 }
