A response with a status above 599 is broken

What callers saw: an instance in trouble that answered with 600, 700 or 999; they got `600 unknown` and so on, which a client may treat in its own way.

Cause: the parser refuses what is below 100 or has not three digits, and nothing looked at the rest. Statuses outside 100 to 599 are not valid (RFC 9110, section 15).

Change: `ResponseCheckHandler` fails such a response for each reader with an InvalidResponseError: it is tried elsewhere, or the caller gets 502.

Measured: `src/gate/invalidresponses.test.ts`, the three statuses: passed on before, broken now.

--- a/src/gate/invalidresponses.test.ts
+++ b/src/gate/invalidresponses.test.ts
@@ -41,3 +41,10 @@
         assert.equal(await receive(t, responseOf("200 OK", `transfer-encoding: ${codings}`, body!)), "whole");
     });
 }
+
+for (const status of ["600", "700", "999"]) {
+    // Guards against a status that is passed on although HTTP does not have it, and clients treat it in ways of their own.
+    test(`invalid responses: the status ${status} breaks the response`, async t => {
+        await assert.rejects(receive(t, responseOf(status, "content-length: 5", "whole")), isBroken);
+    });
+}
--- a/src/http/responsecheckhandler.ts
+++ b/src/http/responsecheckhandler.ts
@@ -7,6 +7,19 @@
 import { InvalidResponseError } from "./invalidresponseerror.js";
 
 const FIRST_FINAL_STATUS = 200;
+/** The largest valid status (RFC 9110, section 15). */
+const LAST_STATUS = 599;
+
+const headError = (status: number, headers: HttpHeaders): InvalidResponseError | undefined => {
+    if (status > LAST_STATUS) {
+        return new InvalidResponseError(`the response has the status ${status}, which is not valid`);
+    }
+    if (bodyFraming(headers) === "unknown") {
+        const codings = String(headers["transfer-encoding"]);
+        return new InvalidResponseError(`the response has the transfer codings "${codings}", which can't be decoded`);
+    }
+    return undefined;
+};
 
 /** A response with a length or chunked framing ends before its connection; undici fails one that does not. */
 export class ResponseCheckHandler extends ForwardingHandler {
@@ -30,7 +43,7 @@
         if (status < FIRST_FINAL_STATUS) {
             return;
         }
-        const err = this.#headError(headers);
+        const err = headError(status, headers);
         if (err === undefined) {
             super.onResponseStart(...args);
             return;
@@ -55,14 +68,4 @@
         const [controller] = args;
         this.onResponseError(controller, err);
     }
-
-    #headError(headers: HttpHeaders): InvalidResponseError | undefined {
-        if (bodyFraming(headers) === "unknown") {
-            const codings = String(headers["transfer-encoding"]);
-            return new InvalidResponseError(
-                `the response has the transfer codings "${codings}", which can't be decoded`,
-            );
-        }
-        return undefined;
-    }
 }
