Tests: statuses that are no final ones, and field names with blanks or control bytes, break a response

Both were reported of other systems: an answer with a status of 000, and one in whose head the name of a field held a blank or a control byte. No behaviour changes.

--- a/src/gate/invalidresponses.test.ts
+++ b/src/gate/invalidresponses.test.ts
@@ -48,3 +48,56 @@
         await assert.rejects(receive(t, responseOf(status, "content-length: 5", "whole")), isBroken);
     });
 }
+
+for (
+    const statusLine of [
+        "000",
+        "000 OK",
+        "001 OK",
+        "099 OK",
+        "199 OK",
+        "100 Continue",
+        "101 Switching Protocols",
+        "0 OK",
+    ]
+) {
+    // Guards against a status that is no final one and reaches callers as an answer.
+    test(`invalid responses: the status line "${statusLine}" breaks the response`, async t => {
+        await assert.rejects(receive(t, responseOf(statusLine, "content-length: 5", "whole")), isBroken);
+    });
+}
+
+const invalidNames = {
+    "a blank inside": "x y",
+    "a blank before the colon": "x ",
+    "a blank in front": "a: 1\r\nx: 2\r\n y",
+    "a tab": "x\ty",
+    "NUL": "x\0y",
+    "SOH": "x\x01y",
+    "VT": "x\vy",
+    "FF": "x\fy",
+    "CR": "x\ry",
+    "ESC": "x\x1by",
+    "DEL": "x\x7fy",
+    "eight bits": "x\xe9y",
+    "no character": "",
+    "a separator": "x(y",
+};
+
+for (const [description, name] of Object.entries(invalidNames)) {
+    for (const position of ["first", "last"]) {
+        // Guards against a line of the head that is passed on, or that hides where the body of the response ends.
+        test(`invalid responses: ${description} in the name of the ${position} field breaks the response`, async t => {
+            const fields = [`${name}: 1`, "content-length: 5"];
+            const head = (position === "first" ? fields : fields.reverse()).join("\r\n");
+            await assert.rejects(receive(t, responseOf("200 OK", head, "whole")), isBroken);
+        });
+    }
+}
+
+for (const name of ["content-length ", "content length", "content-length\0", "\x01content-length"]) {
+    // Guards against a length that one reader takes for the length of the body and another one does not.
+    test(`invalid responses: the field ${JSON.stringify(name)} breaks the response`, async t => {
+        await assert.rejects(receive(t, responseOf("200 OK", `${name}: 3`, "whole")), isBroken);
+    });
+}
