A cut response resets the caller's connection where only its end tells that the response is complete

Cause: whatever cuts a response calls `destroy` of its socket, which ends the connection in order unless bytes are unread.

Change: `resetCutResponse` makes `destroy` of a caller's socket reset the connection while a response is unfinished that has no chunked framing and closes its connection. It stands at the socket, since everything that cuts a response passes there: a broken body, limits, deadlines, the end of a planned stop. Responses with chunked framing are ended as before. Not covered: a daemon that is killed (docs/PROMISES.md).

--- a/src/ingress/callerconnection.ts
+++ b/src/ingress/callerconnection.ts
@@ -18,6 +18,7 @@
 import type { ParsedRequest } from "./parsedrequest.js";
 import { ReadPause } from "./readpause.js";
 import { requestBytes } from "./requestbytes.js";
+import { resetCutResponse } from "./resetcutresponse.js";
 import { TurnShare } from "./turnshare.js";
 import { WaitingRequests } from "./waitingrequests.js";
 
@@ -47,6 +48,7 @@
         this.turnPause = new ReadPause(socket);
         this.#discard = new BodyDiscard(socket, deps.discardLimits, () => deps.onLimit("discard-limit", socket));
         this.#discard.lingerOnClose(() => this.#accepted.first?.res);
+        resetCutResponse(socket, () => this.#accepted.first?.res);
         const mayProbe = (): boolean => this.#accepted.first?.res.headersSent === false;
         this.presence = new CallerPresence(socket, { ...deps, mayProbe, isPaused: () => this.#waiting.count > 0 });
         socket.on("end", () => this.#handleEnd());
