The gate logs what is invalid in a response that it does not pass on

Run (a trial with real daemons and a raw upstream that answers with 700): 502 for each of six requests, and the line `An upstream's response is invalid and was not passed on.` with `the response has the status 700, which is not valid`.

--- a/src/gate/requestrunner.ts
+++ b/src/gate/requestrunner.ts
@@ -7,6 +7,7 @@
 import type { Upstream } from "../config/upstream.js";
 import type { GateResponse } from "../hop/gateresponse.js";
 import type { HopError } from "../hop/hoperror.js";
+import { InvalidResponseError } from "../http/invalidresponseerror.js";
 import type { RequestKey } from "../ids/requestkey.js";
 import type { ServiceName } from "../ids/servicename.js";
 import { log } from "../log/log.js";
@@ -196,6 +197,12 @@
                 upstream: this.upstream.name,
             });
         }
+        const cause = err instanceof UpstreamError ? err.cause : undefined;
+        if (cause instanceof InvalidResponseError) {
+            logger.warn("An upstream's response is invalid and was not passed on.", cause, {
+                upstream: this.upstream.name,
+            });
+        }
         this.deps.checks.recordFailure(reason);
         return this.deps.refusals.create(reason, { arrived: hasArrived });
     }
