An idle connection does not keep its last request

Found on reading the change again: `ConnectionEnd` kept the controller of a request, and with it the request, until the next one. It is released when the response has ended or failed.

--- a/src/http/connectionend.ts
+++ b/src/http/connectionend.ts
@@ -50,6 +50,11 @@
         this.#request = request;
     }
 
+    /** Releases the request, which an idle connection would keep otherwise. */
+    endRequest(): void {
+        this.#request = undefined;
+    }
+
     /** A write reports the pending error at once, but only if no other write waits. */
     #isReset(): boolean {
         const { socket } = this;
--- a/src/http/responsecheckhandler.ts
+++ b/src/http/responsecheckhandler.ts
@@ -60,12 +60,18 @@
     }
 
     override onResponseEnd(...args: Parameters<ForwardingHandler["onResponseEnd"]>): void {
+        const [controller] = args;
         const err = this.#connectionEnd?.error;
-        if (err === undefined) {
-            super.onResponseEnd(...args);
+        if (err !== undefined) {
+            this.onResponseError(controller, err);
             return;
         }
-        const [controller] = args;
-        this.onResponseError(controller, err);
+        this.#connectionEnd?.endRequest();
+        super.onResponseEnd(...args);
+    }
+
+    override onResponseError(...args: Parameters<ForwardingHandler["onResponseError"]>): void {
+        this.#connectionEnd?.endRequest();
+        super.onResponseError(...args);
     }
 }
