--- a/src/http/httpclient.ts
+++ b/src/http/httpclient.ts
@@ -6,7 +6,8 @@
 
 /**
  * A client of undici for which a response without a length, which ends with its connection, is complete only if the peer
- * ended the connection in order: after a reset, the request or the body fails with a ConnectionResetError.
+ * ended the connection in order: after a reset, the request or the body fails with a ConnectionResetError. The request
+ * fails with an InvalidResponseError if the response's head is invalid.
  */
 export class HttpClient extends Client {
     readonly #currentEnd: () => ConnectionEnd | undefined;
