Tests: requests to raw upstreams are sent in one place

`sendToUpstream` and `createUpstreamClient` hold them now; the raw responder uses `pause`. No assertion changes.

--- a/src/gate/cutresponses.test.ts
+++ b/src/gate/cutresponses.test.ts
@@ -4,8 +4,8 @@
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { sendToUpstream } from "../../test/sendtoupstream.js";
 import { startUpstreamClient } from "../../test/startupstreamclient.js";
-import type { GateCall } from "../hop/gatecall.js";
 import type { UpstreamClient } from "./upstreamclient.js";
 
 const REQUEST_ID = "winglock-request-id";
@@ -51,10 +51,8 @@
 
 /** Returns the body of the response, or undefined if the request or the body failed. */
 const send = async (client: UpstreamClient, id: string): Promise<string | undefined> => {
-    const call = { method: "GET", path: "/fees", body: undefined } as GateCall;
-    const options = { cancel: undefined, onConnected: () => {}, checkWrite: () => undefined, deadline: Infinity };
     try {
-        const { body } = await client.send(call, { [REQUEST_ID]: id }, options);
+        const { body } = await sendToUpstream(client, id);
         return await text(body);
     }
     catch {
--- a/src/gate/endlessresponses.test.ts
+++ b/src/gate/endlessresponses.test.ts
@@ -4,8 +4,8 @@
 import { test, type TestContext } from "node:test";
 import { sendWithoutEnd } from "../../standin/sendwithoutend.js";
 import { eventually } from "../../test/eventually.js";
+import { sendToUpstream } from "../../test/sendtoupstream.js";
 import { startUpstreamClient } from "../../test/startupstreamclient.js";
-import type { GateCall } from "../hop/gatecall.js";
 
 const PROBE_TIMEOUT_MS = 300;
 const CLOSE_BOUND_MS = 2000;
@@ -62,9 +62,7 @@
 const assertRefusalCloses = async (
     { client, sockets }: Awaited<ReturnType<typeof startUpstreamClient>>,
 ): Promise<void> => {
-    const call = { method: "GET", path: "/fees", body: undefined } as GateCall;
-    const options = { cancel: undefined, onConnected: () => {}, checkWrite: () => undefined, deadline: Infinity };
-    await assert.rejects(client.send(call, { "winglock-request-id": REQUEST_ID }, options), { reason: "shed" });
+    await assert.rejects(sendToUpstream(client, REQUEST_ID), { reason: "shed" });
     await assertFirstCloses(sockets);
 };
 
--- a/src/gate/invalidresponses.test.ts
+++ b/src/gate/invalidresponses.test.ts
@@ -2,29 +2,22 @@
 import assert from "node:assert/strict";
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
+import { sendToUpstream } from "../../test/sendtoupstream.js";
 import { startUpstreamClient } from "../../test/startupstreamclient.js";
-import type { GateCall } from "../hop/gatecall.js";
 import { UpstreamError } from "./upstreamerror.js";
 
-const REQUEST_ID = "winglock-request-id";
 const ID = "r-1";
 const CHUNKED_BODY = "5\r\nwhole\r\n0\r\n\r\n";
 
 /** Sends one request, and returns the body of the response; `response` is what the upstream sends before it closes. */
 const receive = async (t: TestContext, response: string): Promise<string> => {
     const { client } = await startUpstreamClient(t, socket => void socket.once("data", () => socket.end(response)));
-    const call = { method: "GET", path: "/fees", body: undefined } as GateCall;
-    const { body } = await client.send(call, { [REQUEST_ID]: ID }, {
-        cancel: undefined,
-        onConnected: () => {},
-        checkWrite: () => undefined,
-        deadline: Infinity,
-    });
+    const { body } = await sendToUpstream(client, ID);
     return await text(body);
 };
 
 const responseOf = (statusLine: string, fields: string, body: string): string =>
-    `HTTP/1.1 ${statusLine}\r\n${REQUEST_ID}: ${ID}\r\n${fields}\r\n\r\n${body}`;
+    `HTTP/1.1 ${statusLine}\r\nwinglock-request-id: ${ID}\r\n${fields}\r\n\r\n${body}`;
 
 const isBroken = (err: unknown): boolean => err instanceof UpstreamError && err.reason === "upstream-broke";
 
--- a/src/gate/upstreamclient.test.ts
+++ b/src/gate/upstreamclient.test.ts
@@ -3,8 +3,8 @@
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { sendToUpstream } from "../../test/sendtoupstream.js";
 import { startUpstreamClient } from "../../test/startupstreamclient.js";
-import type { GateCall } from "../hop/gatecall.js";
 import type { HttpHeaders } from "../http/httpheaders.js";
 import type { UpstreamClient } from "./upstreamclient.js";
 import { UpstreamError } from "./upstreamerror.js";
@@ -43,13 +43,7 @@
     };
     const { client, sockets } = await startUpstreamClient(t, onConnection, headers => accepted.push(headers));
     const send = async (id: string): Promise<string> => {
-        const call = { method: "POST", path: "/fees", body: undefined } as GateCall;
-        const { body } = await client.send(call, { [REQUEST_ID]: id }, {
-            cancel: undefined,
-            onConnected: () => {},
-            checkWrite: () => undefined,
-            deadline: Infinity,
-        });
+        const { body } = await sendToUpstream(client, id, { method: "POST" });
         return await text(body);
     };
     return { client, accepted, connectionCount: () => sockets.length, send };
--- a/test/connectionend.test.ts
+++ b/test/connectionend.test.ts
@@ -6,15 +6,14 @@
 import { Readable } from "node:stream";
 import { text } from "node:stream/consumers";
 import { test, type TestContext } from "node:test";
-import type { Upstream } from "../src/config/upstream.js";
-import { OwnDialect } from "../src/dialect/owndialect.js";
-import { UpstreamClient } from "../src/gate/upstreamclient.js";
-import type { GateCall } from "../src/hop/gatecall.js";
+import type { UpstreamClient } from "../src/gate/upstreamclient.js";
 import type { Address } from "../src/ids/address.js";
 import { probeHealth } from "../src/membership/probehealth.js";
 import { PeerClient } from "../src/peer/peerclient.js";
 import { StoreClient } from "../src/store/storeclient.js";
+import { createUpstreamClient } from "./createupstreamclient.js";
 import type { RawResponderOptions } from "./rawresponderoptions.js";
+import { sendToUpstream } from "./sendtoupstream.js";
 import { startRawResponder } from "./startrawresponder.js";
 
 const LOCAL_IP = "127.0.0.1";
@@ -40,13 +39,7 @@
     address: Address,
     use: (client: UpstreamClient) => Promise<Result>,
 ): Promise<Result> => {
-    const client = new UpstreamClient({ name: "fees-1", service: "fees", address } as Upstream, {
-        localIp: LOCAL_IP,
-        dialect: new OwnDialect(),
-        onResponse: () => {},
-        clock: () => performance.now(),
-        onUnresponsive: () => {},
-    });
+    const client = createUpstreamClient(address);
     try {
         return await use(client);
     }
@@ -57,13 +50,7 @@
 
 const readFromUpstream = (body?: () => Readable): Read => address =>
     withUpstreamClient(address, async client => {
-        const call = { method: "POST", path: "/fees", body: body?.() } as GateCall;
-        const response = await client.send(call, { "winglock-request-id": "r-1" }, {
-            cancel: undefined,
-            onConnected: () => {},
-            checkWrite: () => undefined,
-            deadline: Infinity,
-        });
+        const response = await sendToUpstream(client, "r-1", { method: "POST", body: body?.() });
         return await text(response.body);
     });
 
--- a/test/rawresponder.ts
+++ b/test/rawresponder.ts
@@ -5,7 +5,7 @@
  * A process of its own: the client's event loop can stand still while the response and the end of its connection arrive.
  */
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { setTimeout as wait } from "node:timers/promises";
+import { pause } from "./pause.js";
 import type { RawResponderOptions } from "./rawresponderoptions.js";
 
 const { head, body, ending, readsUpload = true } = JSON.parse(process.argv[2]!) as RawResponderOptions;
@@ -17,7 +17,7 @@
     if (!readsUpload) {
         socket.pause();
     }
-    await wait(RESPOND_AFTER_MS);
+    await pause(RESPOND_AFTER_MS);
     const id = /^winglock-request-id: (\S+)/m.exec(request)?.[1] ?? "";
     socket.write(`${head.replace("{id}", id)}${body}`, () => {
         if (ending === "reset") {
--- a/test/startupstreamclient.ts
+++ b/test/startupstreamclient.ts
@@ -2,10 +2,9 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import type { TestContext } from "node:test";
-import type { Upstream } from "../src/config/upstream.js";
-import { OwnDialect } from "../src/dialect/owndialect.js";
-import { UpstreamClient } from "../src/gate/upstreamclient.js";
+import type { UpstreamClient } from "../src/gate/upstreamclient.js";
 import type { HttpHeaders } from "../src/http/httpheaders.js";
+import { createUpstreamClient } from "./createupstreamclient.js";
 
 const LOCAL_IP = "127.0.0.1";
 
@@ -19,7 +18,7 @@
 export async function startUpstreamClient(
     t: TestContext,
     onConnection: (socket: Socket, connection: number) => void,
-    onResponse: (headers: HttpHeaders) => void = () => {},
+    onResponse?: (headers: HttpHeaders) => void,
 ): Promise<StartedClient> {
     const sockets: Socket[] = [];
     const server = createServer(socket => {
@@ -31,14 +30,7 @@
     }).listen(0, LOCAL_IP);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
-    const upstream = { name: "fees-1", service: "fees", address: `${LOCAL_IP}:${port}` } as unknown as Upstream;
-    const client = new UpstreamClient(upstream, {
-        localIp: LOCAL_IP,
-        dialect: new OwnDialect(),
-        onResponse,
-        clock: () => performance.now(),
-        onUnresponsive: () => {},
-    });
+    const client = createUpstreamClient(`${LOCAL_IP}:${port}`, onResponse);
     t.after(async () => {
         sockets.forEach(socket => socket.destroy());
         server.close();
