Resetting a cut response and watching a connection need less state

Found on reading the change again: a flag told a reset from its own call of `destroy`, which is restored instead; a cast and its comment repeated what a check of the socket covers. No behaviour changes.

--- a/src/http/httpclient.ts
+++ b/src/http/httpclient.ts
@@ -1,5 +1,4 @@
 /** Sends HTTP/1.1 requests over one connection at a time; every response that the daemon reads is received by it. */
-import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import { ConnectionEnd } from "./connectionend.js";
 import { ResponseCheckHandler } from "./responsecheckhandler.js";
@@ -17,8 +16,7 @@
         let connectionEnd: ConnectionEnd | undefined;
         const connectWatched: buildConnector.connector = (target, callback) =>
             connect(target, (...result) => {
-                // A failed connection passes an error alone, contrary to the types, which state null.
-                const socket = result[1] as Socket | null | undefined;
+                const [, socket] = result;
                 connectionEnd = socket ? new ConnectionEnd(socket) : undefined;
                 callback(...result);
             });
--- a/src/ingress/resetcutresponse.ts
+++ b/src/ingress/resetcutresponse.ts
@@ -13,13 +13,13 @@
  */
 export function resetCutResponse(socket: Socket, current: () => ServerResponse | undefined): void {
     const destroy = socket.destroy.bind(socket);
-    let isResetting = false;
     socket.destroy = err => {
         const res = current();
         const isCut = res?.headersSent === true && !res.writableFinished;
-        // A reset calls `destroy`, too. An error means that the connection has failed already.
-        if (err === undefined && !isResetting && !socket.destroyed && isCut && mayEndWithConnection(res)) {
-            isResetting = true;
+        // An error means that the connection has failed already.
+        if (err === undefined && !socket.destroyed && isCut && mayEndWithConnection(res)) {
+            // The reset calls `destroy`, too.
+            socket.destroy = destroy;
             return socket.resetAndDestroy();
         }
         return destroy(err);
