The event loop's delays are told apart, and a daemon that does not wait says so

Cause: a late timer was logged as "the process was stopped or had no CPU time" whatever had delayed it, and a loop that polls without a pause delays no timer, so nothing told it. None of the hypotheses of the incident could be told from another by logs or metrics.

Change: each check reads the time for which the event loop has waited, its turns and events, and the processor time of the process. Metrics: winglock_event_loop_waiting_seconds_total, _turns_total, _events_total and winglock_process_cpu_seconds_total. No decision depends on them.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,6 +7,7 @@
 import { log } from "../log/log.js";
 import { Metrics } from "../metrics/metrics.js";
 import { planStop } from "../policy/stop/planstop.js";
+import { readEventLoop } from "../time/readeventloop.js";
 import { sleep } from "../time/sleep.js";
 import { ConfigurationGroup } from "./configurationgroup.js";
 import { DaemonContext } from "./daemoncontext.js";
@@ -45,7 +46,8 @@
         const metrics = new Metrics();
         const context = new DaemonContext(settings, createEnvironment(settings, metrics), metrics);
         this.#context = context;
-        this.#eventLoopMonitor = new EventLoopMonitor(context.clock, metrics);
+        this.#eventLoopMonitor = new EventLoopMonitor({ clock: context.clock, metrics });
+        metrics.eventLoop.showUse(() => readEventLoop(context.clock()));
         this.#configuration = new ConfigurationGroup(context);
         this.#gates = new GateGroup(context, this.#configuration);
         this.#membership = new MembershipGroup(context, this.#configuration, this.#gates);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -8,6 +8,7 @@
 import { CallerMetrics } from "./callermetrics.js";
 import { ConfigurationMetrics } from "./configurationmetrics.js";
 import type { ConnectionKind } from "./connectionkind.js";
+import { EventLoopMetrics } from "./eventloopmetrics.js";
 import { latencyBucketsS } from "./latencybuckets.js";
 import { RefusalMetrics } from "./refusalmetrics.js";
 import type { StoreCallKind } from "./storecallkind.js";
@@ -47,6 +48,7 @@
     readonly refusals = new RefusalMetrics(this.registry);
     readonly callers = new CallerMetrics(this.registry);
     readonly configuration = new ConfigurationMetrics(this.registry);
+    readonly eventLoop = new EventLoopMetrics(this.registry);
     readonly #crashes = new Counter({
         name: "winglock_upstream_crashes_total",
         help: "Crashes of the upstreams beside this daemon with requests under way.",
@@ -65,12 +67,6 @@
         labelNames: ["kind"] as const,
         registers: [this.registry],
     });
-    readonly #eventLoopDelay = new Histogram({
-        name: "winglock_event_loop_delay_seconds",
-        help: "How late a timer of this daemon is, ten times a second.",
-        buckets: latencyBucketsS,
-        registers: [this.registry],
-    });
     readonly #controlMessages = new Counter({
         name: "winglock_control_messages_total",
         help: "Messages and calls sent for control.",
@@ -223,11 +219,6 @@
         this.#controlBytes.inc({ kind }, bytes);
     }
 
-    /** Records how late a timer was, in milliseconds. */
-    recordEventLoopDelay(delayMs: number): void {
-        this.#eventLoopDelay.observe(delayMs / MS_PER_SECOND);
-    }
-
     #show(name: string, help: string, read: () => number): void {
         new Gauge({
             name,
--- /dev/null
+++ b/src/time/readeventloop.ts
@@ -0,0 +1,18 @@
+/** Reads how the event loop and the process have used their time, from Node.js. */
+import { performance } from "node:perf_hooks";
+import type { EventLoopReading } from "../policy/eventloop/eventloopreading.js";
+
+const US_PER_MS = 1000;
+
+/** `now` is the time on the daemon's clock. */
+export function readEventLoop(now: number): EventLoopReading {
+    const { user, system } = process.cpuUsage();
+    const { loopCount: turns, events } = performance.nodeTiming.uvMetricsInfo;
+    return {
+        at: now,
+        waitedMs: performance.eventLoopUtilization().idle,
+        cpuMs: (user + system) / US_PER_MS,
+        turns,
+        events,
+    };
+}
