Redirects that are free end by their number, not by the clock alone

Seen: with AttemptHistory and decideRetry at one moment of the clock, a request that one upstream refuses for `leaving`, `incarnation` or `no-such-upstream` made 60 of 60 attempts, whatever its kind; only its deadline ended it. Where such a refusal comes from the same process, a round has no wait, so that the request holds the event loop until the deadline. Not seen in a run of daemons: the exclusion of the upstream usually ends it, `incarnation` has none.

Cause: after two redirects `free` allows another attempt, and redirects don't count as attempts, so attempts less redirects stay below the maximum.

Change: a free redirect by an upstream that the request was sent to before counts as an attempt. Each of many upstreams that leave may still redirect a request once. Redirects that cost budget are bounded by it and count as before.

--- a/src/policy/retry/attempthistory.ts
+++ b/src/policy/retry/attempthistory.ts
@@ -13,6 +13,10 @@
     readonly attempted = new Set<Target>();
     #attempts = 0;
     #redirects = 0;
+    /** The free redirects by upstreams that had refused the request before. */
+    #repeatedRedirects = 0;
+    /** True if the request was sent to the last target before. */
+    #isReturn = false;
     #mayHaveRun = false;
     #arrivals = 0;
     #paidArrivals = 0;
@@ -27,9 +31,12 @@
         return this.#redirects;
     }
 
-    /** The number of attempts that count towards the rule's maximum: all but redirects. */
+    /**
+     * The number of attempts that count towards the rule's maximum: all but redirects. A free redirect by an upstream that
+     * the request was sent to before counts, since only time would end a series of them.
+     */
     get countedAttempts(): number {
-        return this.#attempts - this.#redirects;
+        return this.#attempts - this.#redirects + this.#repeatedRedirects;
     }
 
     /** True once an attempt may have run the request; a later refusal of another attempt does not change that. */
@@ -55,6 +62,7 @@
     /** Records the start of an attempt. */
     begin(target: Target): void {
         this.#attempts += 1;
+        this.#isReturn = this.attempted.has(target);
         this.attempted.add(target);
     }
 
@@ -75,8 +83,10 @@
         if (mayHaveArrived(result)) {
             this.#arrivals += 1;
         }
-        if (result.outcome !== "failed" && reasons[result.reason].causesRedirect) {
+        const facts = result.outcome === "failed" ? undefined : reasons[result.reason];
+        if (facts?.causesRedirect === true) {
             this.#redirects += 1;
+            this.#repeatedRedirects += this.#isReturn && !facts.costsBudget ? 1 : 0;
         }
     }
 }
--- a/src/policy/retry/decideretry.ts
+++ b/src/policy/retry/decideretry.ts
@@ -6,7 +6,7 @@
  * - Every attempt that reached an upstream is an arrival, even if the upstream refused it. Each attempt that may be a
  *   repeat costs budget, without exception.
  * - An attempt that is refused because the request belongs elsewhere is followed by a redirect, which is free up to a
- *   maximum.
+ *   maximum. Beyond that, each upstream may redirect the request for free once (attempthistory.ts).
  * - A request that is proven not to have run may be retried. If it was refused for load, the retry costs budget, since
  *   it adds to a load that is too high already.
  * - A request that may have run is retried only if it is repeatable.
