A follower of the records stops when a response brings it no further

Found while loops without a bound were looked for: the loop that requests a watcher's changes ended only when the watcher's responses reached the position of its heartbeat. With responses that stay behind it, requests followed each other without a pause.

Change: the loop ends when a response is at the position that was applied before; the watcher's next heartbeat starts another request.

--- a/src/membership/recordfollower.ts
+++ b/src/membership/recordfollower.ts
@@ -43,8 +43,9 @@
         }
         this.#isFetching = true;
         try {
-            while (this.#isBehind()) {
-                await this.#fetchOnce(this.#watcher!);
+            let isAdvancing = true;
+            while (this.#isBehind() && isAdvancing) {
+                isAdvancing = await this.#fetchOnce(this.#watcher!);
             }
         }
         catch (err) {
@@ -64,18 +65,21 @@
 
     /**
      * Replaces a target of another incarnation by the position in the response, since that incarnation of the watcher has
-     * ended.
+     * ended. Resolves with false if the response is at the position that was applied before: another request would get
+     * the same, and the watcher's next heartbeat starts one.
      */
-    async #fetchOnce(watcher: Address): Promise<void> {
-        const changes = await this.deps.fetch(watcher, this.#appliedPosition);
+    async #fetchOnce(watcher: Address): Promise<boolean> {
+        const applied = this.#appliedPosition;
+        const changes = await this.deps.fetch(watcher, applied);
         if (watcher !== this.#watcher) {
-            return;
+            return true;
         }
         this.#appliedPosition = changes.mark;
         if (this.#targetPosition?.life !== changes.mark.life) {
             this.#targetPosition = changes.mark;
         }
         this.#apply(changes);
+        return applied?.life !== changes.mark.life || applied.at < changes.mark.at;
     }
 
     #apply({ complete, members, gone }: RecordChanges): void {
