The readings of the event loop have their type in the folder of time

Change: EventLoopReading stands in src/time/eventloopreading.ts; policy and metrics import it from there.

--- a/src/daemon/eventloopmonitor.test.ts
+++ b/src/daemon/eventloopmonitor.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { EventLoopReading } from "../policy/eventloop/eventloopreading.js";
 import { eventLoopUse } from "../policy/eventloop/eventloopuse.js";
+import type { EventLoopReading } from "../time/eventloopreading.js";
 import { processClock } from "../time/processclock.js";
 import { readEventLoop } from "../time/readeventloop.js";
 import { EventLoopMonitor } from "./eventloopmonitor.js";
--- a/src/daemon/eventloopmonitor.ts
+++ b/src/daemon/eventloopmonitor.ts
@@ -5,10 +5,10 @@
 import { log } from "../log/log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import { causedByOwnWork } from "../policy/eventloop/causedbyownwork.js";
-import type { EventLoopReading } from "../policy/eventloop/eventloopreading.js";
 import { eventLoopUse } from "../policy/eventloop/eventloopuse.js";
 import { hardlyWaits } from "../policy/eventloop/hardlywaits.js";
 import type { Clock } from "../time/clock.js";
+import type { EventLoopReading } from "../time/eventloopreading.js";
 import { readEventLoop } from "../time/readeventloop.js";
 import { Ticker } from "../time/ticker.js";
 
--- a/src/metrics/eventloopmetrics.ts
+++ b/src/metrics/eventloopmetrics.ts
@@ -1,6 +1,6 @@
 /** Defines the metrics of the event loop. */
 import { Counter, Histogram, type Registry } from "prom-client";
-import type { EventLoopReading } from "../policy/eventloop/eventloopreading.js";
+import type { EventLoopReading } from "../time/eventloopreading.js";
 import { latencyBucketsS } from "./latencybuckets.js";
 
 const MS_PER_SECOND = 1000;
--- a/src/policy/eventloop/eventloopuse.ts
+++ b/src/policy/eventloop/eventloopuse.ts
@@ -1,5 +1,5 @@
 /** Computes what the event loop did between two readings. */
-import type { EventLoopReading } from "./eventloopreading.js";
+import type { EventLoopReading } from "../../time/eventloopreading.js";
 
 /** Times in milliseconds; see EventLoopReading for the other fields. */
 type EventLoopUse = Omit<EventLoopReading, "at"> & { readonly elapsedMs: number; };
--- a/src/time/readeventloop.ts
+++ b/src/time/readeventloop.ts
@@ -1,6 +1,6 @@
 /** Reads how the event loop and the process have used their time, from Node.js. */
 import { performance } from "node:perf_hooks";
-import type { EventLoopReading } from "../policy/eventloop/eventloopreading.js";
+import type { EventLoopReading } from "./eventloopreading.js";
 
 const US_PER_MS = 1000;
 
