The event loop is read without its counters on older releases of Node.js 20

Found by reading the diff, not by a run: no older Node.js is on this machine. Change: turns and events are 0 where they are not counted. Measured: the new test, which takes the counters away, was red on ('Cannot destructure property loopCount ... as it is undefined') and is green here.

--- a/src/daemon/eventloopmonitor.test.ts
+++ b/src/daemon/eventloopmonitor.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { performance } from "node:perf_hooks";
 import { test } from "node:test";
 import { eventLoopUse } from "../policy/eventloop/eventloopuse.js";
 import type { EventLoopReading } from "../time/eventloopreading.js";
@@ -88,3 +89,12 @@
     const { waitedMs } = eventLoopUse(computed, readEventLoop(processClock()));
     assert.ok(waitedMs > 0);
 });
+
+// Guards against daemons that end at their start: the counters of turns and events are missing in older releases of Node.js 20.
+test("event loop: it is read without the counters that older releases of Node.js do not have", t => {
+    Object.defineProperty(performance, "nodeTiming", { value: {}, configurable: true });
+    t.after(() => Reflect.deleteProperty(performance, "nodeTiming"));
+    const { turns, events, cpuMs } = readEventLoop(processClock());
+    assert.deepEqual([turns, events], [0, 0]);
+    assert.ok(cpuMs > 0);
+});
--- a/src/time/eventloopreading.ts
+++ b/src/time/eventloopreading.ts
@@ -8,8 +8,8 @@
     readonly waitedMs: number;
     /** The processor time of the process, all threads together. */
     readonly cpuMs: number;
-    /** The number of turns of the event loop. */
+    /** The number of turns of the event loop; 0 if Node.js does not count them. */
     readonly turns: number;
-    /** The number of events of sockets that the event loop has handled. */
+    /** The number of events of sockets that the event loop has handled; 0 if Node.js does not count them. */
     readonly events: number;
 };
--- a/src/time/readeventloop.ts
+++ b/src/time/readeventloop.ts
@@ -7,12 +7,13 @@
 /** `now` is the time on the daemon's clock. */
 export function readEventLoop(now: number): EventLoopReading {
     const { user, system } = process.cpuUsage();
-    const { loopCount: turns, events } = performance.nodeTiming.uvMetricsInfo;
+    // Node.js before 20.18 does not count turns and events.
+    const { uvMetricsInfo }: Partial<typeof performance.nodeTiming> = performance.nodeTiming;
     return {
         at: now,
         waitedMs: performance.eventLoopUtilization().idle,
         cpuMs: (user + system) / US_PER_MS,
-        turns,
-        events,
+        turns: uvMetricsInfo?.loopCount ?? 0,
+        events: uvMetricsInfo?.events ?? 0,
     };
 }
