--- a/standin/storecontrol.ts
+++ b/standin/storecontrol.ts
@@ -11,6 +11,8 @@
     silent: boolean;
     /** Makes the connections that are open now unresponsive, without closing them. One-time. */
     muteOpen: boolean;
+    /** Makes the connections on which a watch is pending now unresponsive, and no others. One-time. */
+    muteWatches: boolean;
     /** IP addresses of the callers to which `refuse` and `silent` apply; empty for all. */
     from: readonly string[];
     /** Number of next writes that are applied but get no response. */
--- a/standin/storestandin.ts
+++ b/standin/storestandin.ts
@@ -23,6 +23,7 @@
     readonly #documentedApi: DocumentedStoreApi;
     readonly #platformApi: PlatformStoreApi;
     readonly #openSockets = new Set<Socket>();
+    readonly #watchingSockets = new Set<Socket>();
     readonly #unresponsiveSockets = new WeakSet<Socket>();
     #hosts: readonly HostEntry[] = [];
     #currentSecond = 0;
@@ -34,6 +35,7 @@
             refuse: 0,
             silent: false,
             muteOpen: false,
+            muteWatches: false,
             from: [],
             loseAnswers: 0,
             delayMs: 0,
@@ -82,14 +84,25 @@
             return;
         }
         const api = url.pathname.startsWith("/v1/") ? this.#documentedApi : this.#platformApi;
-        await api.serve(req, res, url);
+        if (url.searchParams.has("waitMs")) {
+            this.#watchingSockets.add(req.socket);
+        }
+        try {
+            await api.serve(req, res, url);
+        }
+        finally {
+            this.#watchingSockets.delete(req.socket);
+        }
     }
 
     protected override async applyControl({ hosts }: Partial<StoreControl>): Promise<object> {
-        const { forget, revoke, muteOpen, makeCopy, comeBack } = this.control;
+        const { forget, revoke, muteOpen, muteWatches, makeCopy, comeBack } = this.control;
         if (muteOpen) {
             this.#makeOpenUnresponsive(comeBack);
         }
+        if (muteWatches) {
+            this.#watchingSockets.forEach(socket => this.#makeUnresponsive(socket));
+        }
         if (forget) {
             this.#data.compact();
         }
@@ -107,6 +120,7 @@
             forget: false,
             revoke: false,
             muteOpen: false,
+            muteWatches: false,
             makeCopy: false,
             comeBack: false,
         };
@@ -123,16 +137,18 @@
     #makeOpenUnresponsive(isRestoring: boolean): void {
         const sockets = [...this.#openSockets];
         setTimeout(() => {
-            for (const socket of sockets) {
-                this.#unresponsiveSockets.add(socket);
-                socket.write = () => true;
-            }
+            sockets.forEach(socket => this.#makeUnresponsive(socket));
             if (isRestoring) {
                 this.#data.restoreBackup();
             }
         }, UNRESPONSIVE_DELAY_MS);
     }
 
+    #makeUnresponsive(socket: Socket): void {
+        this.#unresponsiveSockets.add(socket);
+        socket.write = () => true;
+    }
+
     #count(name: string): void {
         this.#counts[name] = (this.#counts[name] ?? 0) + 1;
     }
