--- a/test/silent.test.ts
+++ b/test/silent.test.ts
@@ -3,17 +3,19 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { Mesh } from "../demo/mesh.js";
 import { readMetric } from "../demo/readmetric.js";
+import { allServe } from "./allserve.js";
 import { countRecords } from "./countrecords.js";
 import { eventually } from "./eventually.js";
 import { pause } from "./pause.js";
 import { platformConfiguration } from "./platformconfiguration.js";
-import type { PlatformMesh } from "./platformmesh.js";
 import { runLoadWithFault } from "./runloadwithfault.js";
 import { withMesh } from "./withmesh.js";
 import { withPlatform } from "./withplatform.js";
 
 /** The time within which a request should be served even if it was sent on an unresponsive connection. */
 const MAX_LATENCY_MS = 1500;
+/** The platform's bound from the acknowledgement of a change until it is in force. */
+const APPLY_MS = 2000;
 
 /** Makes all connections that are open now unresponsive; later ones work. */
 const muteOpenConnections = async (mesh: Mesh): Promise<void> => {
@@ -48,11 +50,6 @@
 
 const addedRule = { name: "added", host: "site.example", pathPrefix: "/added/", kind: "repeatable", service: "pages" };
 
-const allServe = async (mesh: PlatformMesh, path: string): Promise<boolean> => {
-    const responses = await Promise.all(mesh.hosts.map(({ name }) => mesh.send(name, "GET", path, `${name}${path}`)));
-    return responses.every(item => item.status === 200);
-};
-
 test("silent: watches and leases survive when all open connections to the store become unresponsive", async () => {
     await withPlatform(async mesh => {
         await mesh.controlStore({ muteOpen: true });
@@ -66,3 +63,20 @@
         assert.equal(await allServe(mesh, "/pages/1"), true);
     });
 });
+
+// Guards against a change that comes late because nothing but the next renewal of a lease detects silent connections.
+test("silent: a change is in force in time although all open connections to the store have just become unresponsive", async () => {
+    await withPlatform(async mesh => {
+        for (let round = 1; round <= 8; round++) {
+            await pause(1000 + 230 * round);
+            await mesh.controlStore({ muteOpen: true });
+            await pause(40);
+            const pathPrefix = `/added${round}/`;
+            await mesh.configure(
+                platformConfiguration(5 + round, [{ ...addedRule, name: `added${round}`, pathPrefix }]),
+            );
+            await pause(APPLY_MS);
+            assert.equal(await allServe(mesh, `${pathPrefix}1`), true, `all daemons serve the rule of round ${round}`);
+        }
+    });
+});
