--- a/src/config/callerlimits.ts
+++ b/src/config/callerlimits.ts
@@ -1,19 +1,15 @@
 /** Defines the limits that an operator can set on requests and connections of callers. */
 import { z } from "zod";
+import { callerLimitBounds } from "./callerlimitbounds.js";
 
-const KIB = 1024;
-/** Equals the largest value that the daemon's settings allow. */
-const MAX_HEADER_BYTES = 1024 * KIB;
-/** Equals the largest value that the daemon's settings allow. */
-const MAX_BODY_BYTES = 1024 * KIB * KIB;
-/** An hour in milliseconds; equals the largest value that the daemon's settings allow. */
-const MAX_TIMEOUT_MS = 3_600_000;
+const limitSchema = ({ min, max }: { readonly min: number; readonly max: number; }): z.ZodOptional<z.ZodInt> =>
+    z.int().min(min).max(max).optional();
 
 const CallerLimits = z.strictObject({
-    headerBytes: z.int().min(KIB).max(MAX_HEADER_BYTES).optional(),
-    bodyBytes: z.int().min(0).max(MAX_BODY_BYTES).optional(),
-    headersTimeoutMs: z.int().min(1).max(MAX_TIMEOUT_MS).optional(),
-    keepAliveMs: z.int().min(1).max(MAX_TIMEOUT_MS).optional(),
+    headerBytes: limitSchema(callerLimitBounds.headerBytes),
+    bodyBytes: limitSchema(callerLimitBounds.bodyBytes),
+    headersTimeoutMs: limitSchema(callerLimitBounds.headersTimeoutMs),
+    keepAliveMs: limitSchema(callerLimitBounds.keepAliveMs),
 });
 type CallerLimits = z.infer<typeof CallerLimits>;
 
--- /dev/null
+++ b/src/config/maxattempts.ts
@@ -0,0 +1,2 @@
+/** Limits the attempts of a request; further attempts would only add load. */
+export const maxAttempts = 16;
--- a/src/config/rule.ts
+++ b/src/config/rule.ts
@@ -4,6 +4,8 @@
 import { RuleName } from "../ids/rulename.js";
 import { ServiceName } from "../ids/servicename.js";
 import { TeamName } from "../ids/teamname.js";
+import { maxAttempts } from "./maxattempts.js";
+import { maxTimeLimitMs } from "./maxtimelimitms.js";
 import { Priority } from "./priority.js";
 import { priorityOfRank } from "./priorityofrank.js";
 import { ResponseMode } from "./responsemode.js";
@@ -11,16 +13,12 @@
 import { WeightedService } from "./weightedservice.js";
 
 const DEFAULT_TIME_LIMIT_MS = 10_000;
-/** Ten minutes; also bounds how long the ledger keeps an entry for a request. */
-const MAX_TIME_LIMIT_MS = 600_000;
 /** Limits the length of a host name or a path prefix. */
 const MAX_PATH_CHARS = 1024;
 /** More than the number of methods in use. */
 const MAX_METHODS = 16;
 /** Limits the shares of a split, and so the size of the document. */
 const MAX_SHARES = 64;
-/** Limits the attempts of a request; further attempts would only add load. */
-const MAX_ATTEMPTS = 16;
 /** Limits the regions of a rule; more than any deployment has. */
 const MAX_REGIONS = 64;
 
@@ -43,9 +41,9 @@
     priority: z.union([Priority, z.int().min(0).transform(priorityOfRank)]).default("normal"),
     tenant: TeamName.default("none" as TeamName),
     kind: RuleKind.optional(),
-    timeLimitMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).default(DEFAULT_TIME_LIMIT_MS),
-    targetMs: z.int().min(1).max(MAX_TIME_LIMIT_MS).optional(),
-    maxTries: z.int().min(1).max(MAX_ATTEMPTS).optional(),
+    timeLimitMs: z.int().min(1).max(maxTimeLimitMs).default(DEFAULT_TIME_LIMIT_MS),
+    targetMs: z.int().min(1).max(maxTimeLimitMs).optional(),
+    maxTries: z.int().min(1).max(maxAttempts).optional(),
     answer: ResponseMode.default("whole"),
     public: z.boolean().optional(),
     regions: z.array(RegionName).max(MAX_REGIONS).optional(),
--- a/src/config/service.ts
+++ b/src/config/service.ts
@@ -1,6 +1,8 @@
 /** Defines the settings of a service. */
 import { z } from "zod";
 import { ServiceName } from "../ids/servicename.js";
+import { maxColdStartMs } from "./maxcoldstartms.js";
+import { maxRequestsPerSecond } from "./maxrequestspersecond.js";
 
 /** Responses up to this size are received in full before any part is sent to the caller. */
 const DEFAULT_BUFFER_BYTES = 1024 * 1024;
@@ -14,19 +16,14 @@
 /** Retries that are allowed for each successful request. */
 const DEFAULT_RETRY_RATIO = 0.1;
 
-/** More than any upstream can serve. */
-const MAX_REQUESTS_PER_SECOND = 1_000_000;
-/** An hour in milliseconds. */
-const MAX_COLD_START_MS = 3_600_000;
-
 const Service = z.strictObject({
     name: ServiceName,
     bufferBytes: z.int().min(0).max(MAX_BUFFER_BYTES).default(DEFAULT_BUFFER_BYTES),
     maxWaitMs: z.int().min(0).max(MAX_WAIT_MS).default(DEFAULT_MAX_WAIT_MS),
     healthPath: z.string().max(MAX_PATH_CHARS).startsWith("/").optional(),
     retryRatio: z.number().min(0).max(1).default(DEFAULT_RETRY_RATIO),
-    coldPerSecond: z.number().positive().max(MAX_REQUESTS_PER_SECOND).optional(),
-    coldStartMs: z.int().min(0).max(MAX_COLD_START_MS).optional(),
+    coldPerSecond: z.number().positive().max(maxRequestsPerSecond).optional(),
+    coldStartMs: z.int().min(0).max(maxColdStartMs).optional(),
 });
 type Service = z.infer<typeof Service>;
 
--- a/src/config/team.ts
+++ b/src/config/team.ts
@@ -3,6 +3,7 @@
 import { KeyDigest } from "../ids/keydigest.js";
 import { RegionName } from "../ids/regionname.js";
 import { TeamName } from "../ids/teamname.js";
+import { maxRequestsPerSecond } from "./maxrequestspersecond.js";
 import { Priority } from "./priority.js";
 import { priorityOfRank } from "./priorityofrank.js";
 
@@ -10,14 +11,12 @@
 const MAX_KEYS = 64;
 /** Limits the regions of a team; more than any deployment has. */
 const MAX_REGIONS = 64;
-/** More than all upstreams together can serve. */
-const MAX_REQUESTS_PER_SECOND = 1_000_000;
 
 const Team = z.strictObject({
     name: TeamName,
     keyDigests: z.array(KeyDigest).max(MAX_KEYS).default([]),
-    ratePerSecond: z.number().min(0).max(MAX_REQUESTS_PER_SECOND).default(0),
-    burst: z.number().min(0).max(MAX_REQUESTS_PER_SECOND).default(0),
+    ratePerSecond: z.number().min(0).max(maxRequestsPerSecond).default(0),
+    burst: z.number().min(0).max(maxRequestsPerSecond).default(0),
     priority: z.union([Priority, z.int().min(0).transform(priorityOfRank)]).optional(),
     regions: z.array(RegionName).max(MAX_REGIONS).optional(),
 });
--- a/src/ids/servicename.ts
+++ b/src/ids/servicename.ts
@@ -2,7 +2,10 @@
 import { z } from "zod";
 import { namePattern } from "./namepattern.js";
 
-const ServiceName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand(
+const ServiceName = z.string().regex(
+    namePattern,
+    "must be 1 to 253 printable ASCII characters, without a blank at either end",
+).brand(
     "ServiceName",
 );
 type ServiceName = z.infer<typeof ServiceName>;
--- a/src/ids/teamname.ts
+++ b/src/ids/teamname.ts
@@ -2,7 +2,10 @@
 import { z } from "zod";
 import { namePattern } from "./namepattern.js";
 
-const TeamName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand(
+const TeamName = z.string().regex(
+    namePattern,
+    "must be 1 to 253 printable ASCII characters, without a blank at either end",
+).brand(
     "TeamName",
 );
 type TeamName = z.infer<typeof TeamName>;
