A change is read in time although watches of the store wait on silent connections

Callers got the former routes for up to 2.8 s after a change, 3.2 s beside load, when all open connections to the store had gone silent, and for 4.6 s and more when those of the watches alone had: a removed route was served, an added one got 404, at every daemon at once.

Cause: a pending watch that gets no response can't be told from one that waits for a change.

Each call that stays silent for 0.4 s is now compared with a check on new connections; if that one is answered first, the open ones are replaced and their watches begin anew at once. A store that is slow answers both late, and nothing is replaced. The watchers of all halls take turns in renewing their watch of the configuration, one of them a second, and a response that is overdue counts as a silent call: so one of them notices within 1.4 s, whatever else its daemon calls.

The tests that were red are green.

--- a/src/daemon/membershipgroup.ts
+++ b/src/daemon/membershipgroup.ts
@@ -47,6 +47,7 @@
         this.crashes = this.#createCrashPropagation();
         this.#crashPublisher = this.#createCrashPublisher();
         this.heartbeats = this.#createHeartbeats();
+        configuration.watcher.setMaxWaitSource(() => this.heartbeats.untilTurnMs(Date.now()));
         context.unresponsiveConnections.onDetected(() => this.#renewStoreConnections());
         gates.setMedianLimitShareSource(service => this.registryMembership?.medianLimitShare(service));
         gates.onEnding(name => this.registryMembership?.recordLeaving(name));
--- a/src/distribution/documentwatcher.ts
+++ b/src/distribution/documentwatcher.ts
@@ -13,6 +13,7 @@
 export class DocumentWatcher {
     readonly #loop: StoreLoop;
     #version = 0;
+    #maxWaitMs: () => number | undefined = () => undefined;
 
     constructor(
         private readonly store: Store,
@@ -35,6 +36,11 @@
         return this.#loop.isRunning;
     }
 
+    /** Sets the function that returns how long the next watch may wait, in milliseconds. */
+    setMaxWaitSource(maxWaitMs: () => number): void {
+        this.#maxWaitMs = maxWaitMs;
+    }
+
     /** Starts or stops the loop. */
     setWatching(watch: boolean): void {
         if (!watch) {
@@ -58,7 +64,7 @@
      */
     async #watchOnce(signal: AbortSignal): Promise<void> {
         const requestedAt = this.clock();
-        const { document, halls } = await this.store.watch(this.#version, signal);
+        const { document, halls } = await this.store.watch(this.#version, signal, this.#maxWaitMs());
         if (halls !== undefined) {
             this.evacuations.recordStoreChange(halls);
         }
--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -9,6 +9,7 @@
  */
 import type { Message } from "../datagram/message.js";
 import type { Address } from "../ids/address.js";
+import { untilTurnMs } from "../policy/distribution/untilturnms.js";
 import { sample } from "../policy/placement/sample.js";
 import { Ticker } from "../time/ticker.js";
 import { ChangeThrottle } from "./changethrottle.js";
@@ -20,6 +21,7 @@
 import { partitionHall } from "./partitionhall.js";
 import { rank } from "./rank.js";
 import { RevisionAnnouncements } from "./revisionannouncements.js";
+import { watchersPerHall } from "./watchersperhall.js";
 import type { WatchScope } from "./watchscope.js";
 
 /** Interval at which a watcher sends the heartbeats that are due: divides a round of 2 s into 40 parts. */
@@ -75,6 +77,15 @@
         return this.deps.watch.scope !== "nothing";
     }
 
+    /** Returns the time until this daemon, as a watcher, should renew its watch of the configuration. */
+    untilTurnMs(timeOfDayMs: number): number {
+        const { hall, locations, election } = this.deps;
+        const halls = [...new Set(locations().map(location => location.hall))].sort();
+        const rank = Math.max(0, election.ownRank) % watchersPerHall;
+        const index = Math.max(0, halls.indexOf(hall)) * watchersPerHall + rank;
+        return untilTurnMs({ index, count: Math.max(1, halls.length) * watchersPerHall }, timeOfDayMs);
+    }
+
     start(): void {
         this.#tickers.forEach(ticker => ticker.start());
     }
--- a/src/distribution/watcherelection.ts
+++ b/src/distribution/watcherelection.ts
@@ -6,10 +6,9 @@
  * daemon that does not watch follows one of the watchers, which notifies its followers of changes.
  */
 import type { Address } from "../ids/address.js";
+import { watchersPerHall } from "./watchersperhall.js";
 import type { WatchScope } from "./watchscope.js";
 
-/** Watchers of a hall: two, so that one may fail. */
-const WATCHERS_PER_HALL = 2;
 /** A watcher without a heartbeat for so long is replaced: more than two rounds of heartbeats. */
 const HEARTBEAT_TIMEOUT_MS = 5000;
 /**
@@ -56,6 +55,11 @@
         );
     }
 
+    /** The place of this daemon in the order of its hall, from 0; -1 while it is not known. */
+    get ownRank(): number {
+        return this.#ownRank;
+    }
+
     /** Records a heartbeat, which states whether its sender is an active watcher. */
     recordHeartbeat(from: Address, watching: boolean, now: number): void {
         if (watching) {
@@ -79,11 +83,11 @@
             return false;
         }
         const higherRanked = this.#ownRank < 0 ? this.#rankedMembers : this.#rankedMembers.slice(0, this.#ownRank);
-        if (this.#activeWatchers(higherRanked, now).length >= WATCHERS_PER_HALL) {
+        if (this.#activeWatchers(higherRanked, now).length >= watchersPerHall) {
             this.#lastSufficientAt = now;
             return false;
         }
-        return higherRanked.length < WATCHERS_PER_HALL
+        return higherRanked.length < watchersPerHall
             || isStoreReachable && now - this.#lastSufficientAt >= higherRanked.length * RANK_DELAY_MS;
     }
 
@@ -98,7 +102,7 @@
         const discoveryEndsAt = this.#discoveryEndsAt;
         const isDiscovering = discoveryEndsAt !== undefined && now < discoveryEndsAt
             && now >= discoveryEndsAt - this.discoveryMs + FIRST_DISCOVERY_MS;
-        return isDiscovering && this.#ownRank < WATCHERS_PER_HALL ? "configuration" : "nothing";
+        return isDiscovering && this.#ownRank < watchersPerHall ? "configuration" : "nothing";
     }
 
     /** Returns the watcher that a daemon of the hall follows, or undefined if no active watcher is known. */
@@ -107,13 +111,13 @@
         return watchers[Math.max(0, this.#rankedMembers.indexOf(gate)) % watchers.length];
     }
 
-    /** Returns the first active watchers among the candidates, WATCHERS_PER_HALL at most. */
+    /** Returns the first active watchers among the candidates, watchersPerHall at most. */
     #activeWatchers(candidates: readonly Address[], now: number): Address[] {
         const active: Address[] = [];
         for (const gate of candidates) {
             if (
                 now - (this.#lastHeartbeatAt.get(gate) ?? -Infinity) < HEARTBEAT_TIMEOUT_MS
-                && active.push(gate) === WATCHERS_PER_HALL
+                && active.push(gate) === watchersPerHall
             ) {
                 break;
             }
--- a/src/store/httpstore.ts
+++ b/src/store/httpstore.ts
@@ -17,10 +17,14 @@
 
 const KEY_PATH = "/v1/kv/winglock";
 const HOSTS_PATH = "/v1/hosts";
+/** A key that does not exist, so that the response is small. */
+const CHECK_PATH = "/v1/kv/winglock-check";
 /** Long enough for a write to a store that is slow but not down. */
 const CALL_TIMEOUT_MS = 1500;
 /** Maximum number of connections for calls and for watches each: one watch is pending while other calls are made. */
 const CONNECTION_LIMIT = 4;
+/** Longer than the interval between reads of the list of hosts, which serve as checks. */
+const CHECK_INTERVAL_MS = 1100;
 /** Time for which the store holds a watch open: a third of that after which a configuration counts as unconfirmed. */
 const WATCH_WAIT_MS = 5000;
 
@@ -39,7 +43,8 @@
         super();
         this.#watchWaitMs = Math.min(maxWatchMs, WATCH_WAIT_MS);
         const bounds = { connections: CONNECTION_LIMIT, timeoutMs: CALL_TIMEOUT_MS };
-        this.#client = new StoreClient({ address, localIp, ...bounds, ...events });
+        const check = { checkPath: CHECK_PATH, checkIntervalMs: CHECK_INTERVAL_MS };
+        this.#client = new StoreClient({ address, localIp, ...check, ...bounds, ...events });
     }
 
     async read(): Promise<VersionedValue> {
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -16,9 +16,9 @@
     abstract write(value: string, version: number): Promise<boolean>;
     /**
      * Waits for a version above `version` or for another change; the result has no change if none comes within the time
-     * limit.
+     * limit, or within `maxWaitMs` milliseconds where the store supports that.
      */
-    abstract watch(version: number, signal: AbortSignal): Promise<StoreUpdate>;
+    abstract watch(version: number, signal: AbortSignal, maxWaitMs?: number): Promise<StoreUpdate>;
     /** Returns the platform's hosts; empty if the store has no list of them. */
     abstract hosts(): Promise<StoredHost[]>;
     /** Makes later calls on new connections, because the old ones may have become unresponsive. */
--- a/src/store/storeclient.test.ts
+++ b/src/store/storeclient.test.ts
@@ -24,7 +24,13 @@
     await once(server, "listening");
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}` as Address;
     const events = { onCall: () => {}, onBytes: () => {}, onUnresponsive: () => {} };
-    const bounds = { connections: 4, timeoutMs: TIMEOUT_MS, eraHeader: "era" };
+    const bounds = {
+        connections: 4,
+        timeoutMs: TIMEOUT_MS,
+        checkPath: "/find",
+        checkIntervalMs: WATCH_WAIT_MS,
+        eraHeader: "era",
+    };
     const client = new StoreClient({ address, localIp: "127.0.0.1", ...bounds, ...events });
     try {
         await body(client);
--- a/src/store/storeclient.ts
+++ b/src/store/storeclient.ts
@@ -6,14 +6,17 @@
 import type { HttpHeaders } from "../http/httpheaders.js";
 import { httpStatus } from "../http/httpstatus.js";
 import { isConnectError } from "../http/isconnecterror.js";
-import type { Address } from "../ids/address.js";
 import { log } from "../log/log.js";
-import type { StoreCallKind } from "../metrics/storecallkind.js";
 import { CallTimeLimit } from "./calltimelimit.js";
+import { ConnectionMonitor } from "./connectionmonitor.js";
+import { ConnectionPools } from "./connectionpools.js";
+import { ConnectionReplacedError } from "./connectionreplacederror.js";
 import { HistoryUnavailableError } from "./historyunavailableerror.js";
-import { StoreConnections } from "./storeconnections.js";
+import { parseResponse } from "./parseresponse.js";
+import { PendingWatches } from "./pendingwatches.js";
+import type { StoreCall } from "./storecall.js";
+import type { StoreClientOptions } from "./storeclientoptions.js";
 import { StoreError } from "./storeerror.js";
-import type { StoreEvents } from "./storeevents.js";
 
 const logger = log("connections");
 
@@ -24,56 +27,37 @@
 /** Statuses of a store that is rate limiting or unavailable; they prove that the call was not executed. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([httpStatus.tooManyRequests, httpStatus.serviceUnavailable]);
 
-/** `timeoutMs` limits the time without data of each call; watches may wait longer for the first. */
-type ClientOptions = StoreEvents & {
-    readonly address: Address;
-    readonly localIp: string;
-    /** Maximum number of connections for calls and for watches each. */
-    readonly connections: number;
-    readonly timeoutMs: number;
-    /**
-     * The response header with the store's era, which rises with each restore from a backup; undefined if the store
-     * does not send one.
-     */
-    readonly eraHeader?: string;
-};
-
 /** `era` is 0 if the store does not send one. */
 type WithEra<Value> = { readonly value: Value; readonly era: number; };
 type StoreResponse = { readonly status: number; readonly text: string; readonly era: number; };
 
-type Call = {
-    readonly kind: StoreCallKind;
-    readonly method: "GET" | "PUT" | "POST" | "DELETE";
-    readonly path: string;
-    readonly headers?: Record<string, string>;
-    readonly body?: string;
-    /** Statuses that mean that there is no value; the result does not show which of them was received. */
-    readonly emptyStatuses?: readonly number[];
-    /** Time for which the store may hold a watch open, in milliseconds; undefined for other calls. */
-    readonly waitMs?: number;
-    /** Cancels the call. */
-    readonly signal?: AbortSignal;
-};
-
-/**
- * Watches have connections of their own. A call then reuses an idle connection that is older than the pending watches,
- * and so detects when all open connections have become unresponsive.
- */
-type Connections = { readonly calls: StoreConnections; readonly watches: StoreConnections; };
-
 /** A call without a response may have been executed; `StoreError.mayHaveBeenSent` is false if that is ruled out. */
 export class StoreClient {
-    #connections: Connections;
+    #connections: ConnectionPools;
     /** True from the renewal of the connections after a timeout until the first response. */
     #isRenewedAfterTimeout = false;
     /** The latest era in a response. */
     #era = 0;
-    /** The controllers that cancel the pending watches, with the connections that these use. */
-    readonly #watches = new Map<AbortController, Connections>();
+    readonly #monitor: ConnectionMonitor<ConnectionPools>;
+    readonly #watches: PendingWatches;
 
-    constructor(private readonly options: ClientOptions) {
+    constructor(private readonly options: StoreClientOptions) {
         this.#connections = this.#connect();
+        this.#monitor = new ConnectionMonitor({
+            checkIntervalMs: options.checkIntervalMs,
+            current: () => this.#connections,
+            open: () => this.#connect(),
+            discard: connections => connections.closeAfterCalls(),
+            check: connections => this.#isResponsive(connections),
+            onUnresponsive: replacement => {
+                this.#replaceConnections(replacement);
+                this.#endOldWatches("a check on a new connection had the first response");
+            },
+        });
+        this.#watches = new PendingWatches({
+            onBegin: () => this.#monitor.start(),
+            onEnd: () => this.#monitor.stop(),
+        });
     }
 
     /**
@@ -81,11 +65,13 @@
      * the latest by their time limits.
      */
     renewConnections(): void {
-        const { calls, watches } = this.#connections;
-        this.#connections = this.#connect();
-        Promise.all([calls.close(), watches.close()]).catch((err: unknown) =>
-            logger.warn("Closing the old connections to the store failed.", err)
-        );
+        this.#replaceConnections(this.#connect());
+    }
+
+    #replaceConnections(replacement: ConnectionPools): void {
+        const replaced = this.#connections;
+        this.#connections = replacement;
+        replaced.closeAfterCalls();
     }
 
     /**
@@ -93,33 +79,33 @@
      * HistoryUnavailableError for status 410. Throws a StoreError if there is no response, its status is not 200, it
      * does not match the schema, or its era is older than that of an earlier response.
      */
-    async call<Schema extends z.ZodType>(schema: Schema, call: Call): Promise<z.infer<Schema> | undefined> {
+    async call<Schema extends z.ZodType>(schema: Schema, call: StoreCall): Promise<z.infer<Schema> | undefined> {
         return (await this.callWithEra(schema, call))?.value;
     }
 
     /** Does the same as `call`, and returns the store's era with the value. */
     async callWithEra<Schema extends z.ZodType>(
         schema: Schema,
-        call: Call,
+        call: StoreCall,
     ): Promise<WithEra<z.infer<Schema>> | undefined> {
         const response = await this.#request(call);
-        return response === undefined ? undefined : { value: this.#parse(schema, response.text), era: response.era };
+        return response === undefined ? undefined : { value: parseResponse(schema, response.text), era: response.era };
     }
 
     /**
      * Makes a call without reading a value; returns false if its status is one of `emptyStatuses`. Throws as `call`
      * does.
      */
-    async tryCall(call: Call): Promise<boolean> {
+    async tryCall(call: StoreCall): Promise<boolean> {
         return await this.#request(call) !== undefined;
     }
 
     async close(): Promise<void> {
-        const { calls, watches } = this.#connections;
-        await Promise.all([calls.destroy(), watches.destroy()]);
+        this.#monitor.stop();
+        await this.#connections.destroy();
     }
 
-    async #request(call: Call): Promise<StoreResponse | undefined> {
+    async #request(call: StoreCall): Promise<StoreResponse | undefined> {
         const response = await this.#send(call);
         const { status } = response;
         this.#checkEra(response.era);
@@ -135,34 +121,58 @@
         return response;
     }
 
-    async #send(call: Call): Promise<StoreResponse> {
+    /** Returns whether the store responds on the connections, with any status. Its failures show in other calls, too. */
+    async #isResponsive(connections: ConnectionPools): Promise<boolean> {
+        const call = { kind: "check", method: "GET", path: this.options.checkPath } as const;
+        return this.#send(call, connections).then(() => true, () => false);
+    }
+
+    async #send(call: StoreCall, connections = this.#connections): Promise<StoreResponse> {
         const { kind, method, path, headers, body, waitMs } = call;
-        const { calls, watches } = this.#connections;
         this.options.onCall(kind);
         const controller = new AbortController();
         const limit = this.#createTimeLimit(call, controller);
         const stopListening = this.#cancelWithCaller(call, controller);
+        let endSilence = (): void => {};
+        const firstData = new Promise<void>(resolve => endSilence = resolve);
+        const observing = this.#observeWhenDue(call, connections, firstData);
         try {
             const { signal } = controller;
-            const connections = waitMs === undefined ? calls : watches;
-            const { status, headers: responseHeaders, text } = await connections.request(
-                { method, path, headers, body, signal },
-                () => limit.recordData(),
-            );
-            this.#recordResponse();
+            const { status, headers: responseHeaders, text } =
+                await connections[waitMs === undefined ? "calls" : "watches"]
+                    .request({ method, path, headers, body, signal }, () => {
+                        endSilence();
+                        limit.recordData();
+                    });
+            this.#recordResponse(connections);
             this.options.onBytes(text.length + (body?.length ?? 0));
             return { status, text, era: this.#eraOf(responseHeaders) };
         }
         catch (err) {
-            this.#recordFailure(call, err);
+            if (err instanceof ConnectionReplacedError) {
+                throw err;
+            }
+            this.#recordFailure(call, connections, err);
             throw new StoreError(!isConnectError(err), "the store did not respond", { cause: err });
         }
         finally {
+            endSilence();
+            clearTimeout(observing);
             limit.end();
             stopListening();
         }
     }
 
+    /** A watch is due at the end of its waiting time, other calls at once. Returns the timer of a watch. */
+    #observeWhenDue(
+        { waitMs }: StoreCall,
+        connections: ConnectionPools,
+        firstData: Promise<void>,
+    ): NodeJS.Timeout | undefined {
+        const observe = (): void => this.#monitor.observe(connections, firstData);
+        return waitMs === undefined ? void observe() : setTimeout(observe, waitMs);
+    }
+
     #checkEra(era: number): void {
         if (era < this.#era) {
             throw new StoreError(true, "the response is stale: the store has been restored from a backup since");
@@ -183,38 +193,36 @@
 
     /**
      * Renews the connections after a timeout. Either the connection or the store was unresponsive: the next call on a
-     * new connection shows it.
+     * new connection shows it. A call on connections that have been replaced shows nothing of the present ones.
      */
-    #recordFailure({ waitMs }: Call, err: unknown): void {
-        if (waitMs === undefined && (err as Error).name === TIMEOUT_ERROR) {
+    #recordFailure({ waitMs }: StoreCall, connections: ConnectionPools, err: unknown): void {
+        const isCurrent = connections === this.#connections;
+        if (isCurrent && waitMs === undefined && (err as Error).name === TIMEOUT_ERROR) {
             this.renewConnections();
             this.#isRenewedAfterTimeout = true;
         }
     }
 
-    #recordResponse(): void {
-        if (this.#isRenewedAfterTimeout) {
-            this.#isRenewedAfterTimeout = false;
-            logger.warn("An open connection to the store was unresponsive.", "a call on a new connection succeeded");
-            this.options.onUnresponsive();
-            this.#abortOldWatches();
+    #recordResponse(connections: ConnectionPools): void {
+        if (this.#isRenewedAfterTimeout && connections === this.#connections) {
+            this.#endOldWatches("a call on a new connection succeeded");
         }
     }
 
     /** Aborts the watches on old connections, which may never get a response; their callers start new ones. */
-    #abortOldWatches(): void {
-        [...this.#watches].filter(([, connections]) => connections !== this.#connections).forEach(([watch]) =>
-            watch.abort()
-        );
+    #endOldWatches(reason: string): void {
+        this.#isRenewedAfterTimeout = false;
+        logger.warn("An open connection to the store was unresponsive.", reason);
+        this.options.onUnresponsive();
+        this.#watches.abortOld(this.#connections);
     }
 
-    #connect(): Connections {
+    #connect(): ConnectionPools {
         const { address, localIp, connections: maxClients } = this.options;
-        const open = (): StoreConnections => new StoreConnections({ address, localIp, maxClients });
-        return { calls: open(), watches: open() };
+        return new ConnectionPools({ address, localIp, maxClients });
     }
 
-    #createTimeLimit({ waitMs }: Call, controller: AbortController): CallTimeLimit {
+    #createTimeLimit({ waitMs }: StoreCall, controller: AbortController): CallTimeLimit {
         const { timeoutMs } = this.options;
         const abort = (): void =>
             controller.abort(new DOMException("no response within the time limit", TIMEOUT_ERROR));
@@ -222,27 +230,18 @@
     }
 
     /** Aborts the call when its caller cancels it. Returns a function that ends this, to be called when the call has ended. */
-    #cancelWithCaller({ waitMs, signal }: Call, controller: AbortController): () => void {
+    #cancelWithCaller({ waitMs, signal }: StoreCall, controller: AbortController): () => void {
         const cancel = (): void => controller.abort(signal?.reason);
         signal?.addEventListener("abort", cancel);
         if (signal?.aborted) {
             cancel();
         }
         if (waitMs !== undefined) {
-            this.#watches.set(controller, this.#connections);
+            this.#watches.add(controller, this.#connections);
         }
         return () => {
             signal?.removeEventListener("abort", cancel);
-            this.#watches.delete(controller);
+            this.#watches.remove(controller);
         };
     }
-
-    #parse<Schema extends z.ZodType>(schema: Schema, text: string): z.infer<Schema> {
-        try {
-            return schema.parse(JSON.parse(text));
-        }
-        catch (err) {
-            throw new StoreError(true, "the store's response is invalid", { cause: err });
-        }
-    }
 }
--- a/src/store/storeevents.ts
+++ b/src/store/storeevents.ts
@@ -6,6 +6,6 @@
     readonly onCall: (kind: StoreCallKind) => void;
     /** Called for each response with the length of the request's and the response's body. */
     readonly onBytes: (bytes: number) => void;
-    /** Called when a call has timed out on an open connection and a call on new connections succeeded after it. */
+    /** Called when open connections have not responded while new ones did. */
     readonly onUnresponsive: () => void;
 };
--- a/src/store/storeloop.ts
+++ b/src/store/storeloop.ts
@@ -1,6 +1,10 @@
-/** Repeats a step that calls the store until the loop is stopped, with backoff after failures. */
+/**
+ * Repeats a step that calls the store until the loop is stopped, with backoff after failures. A step that ended because
+ * its connection was replaced is repeated at once.
+ */
 import { Backoff } from "../time/backoff.js";
 import { sleep } from "../time/sleep.js";
+import { ConnectionReplacedError } from "./connectionreplacederror.js";
 
 /** Times in milliseconds. */
 type LoopDependencies = {
@@ -64,6 +68,9 @@
                 if (stopSignal.aborted) {
                     return;
                 }
+                if (err instanceof ConnectionReplacedError) {
+                    continue;
+                }
                 this.deps.onFailure(err);
                 await sleep(backoff.nextDelayMs(), stopSignal);
             }
--- a/test/connectionend.test.ts
+++ b/test/connectionend.test.ts
@@ -58,7 +58,15 @@
 
 const readFromStore: Read = async address => {
     const events = { onCall: () => {}, onBytes: () => {}, onUnresponsive: () => {} };
-    const client = new StoreClient({ address, localIp: LOCAL_IP, connections: 1, timeoutMs: 1000, ...events });
+    const client = new StoreClient({
+        address,
+        localIp: LOCAL_IP,
+        connections: 1,
+        timeoutMs: 1000,
+        checkPath: "/",
+        checkIntervalMs: 1000,
+        ...events,
+    });
     try {
         return await client.tryCall({ kind: "find", method: "GET", path: "/find" });
     }
--- a/test/silent.test.ts
+++ b/test/silent.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { Mesh } from "../demo/mesh.js";
 import { readMetric } from "../demo/readmetric.js";
+import type { StoreControl } from "../standin/storecontrol.js";
 import { allServe } from "./allserve.js";
 import { countRecords } from "./countrecords.js";
 import { eventually } from "./eventually.js";
@@ -64,12 +65,12 @@
     });
 });
 
-// Guards against a change that comes late because nothing but the next renewal of a lease detects silent connections.
-test("silent: a change is in force in time although all open connections to the store have just become unresponsive", async () => {
+/** Changes the configuration eight times, each time right after the fault, and asserts that each change is in force in time. */
+const changeAfter = async (fault: Partial<StoreControl>): Promise<void> => {
     await withPlatform(async mesh => {
         for (let round = 1; round <= 8; round++) {
             await pause(1000 + 230 * round);
-            await mesh.controlStore({ muteOpen: true });
+            await mesh.controlStore(fault);
             await pause(40);
             const pathPrefix = `/added${round}/`;
             await mesh.configure(
@@ -79,4 +80,14 @@
             assert.equal(await allServe(mesh, `${pathPrefix}1`), true, `all daemons serve the rule of round ${round}`);
         }
     });
+};
+
+// Guards against a change that comes late because nothing but the next renewal of a lease detects silent connections.
+test("silent: a change is in force in time although all open connections to the store have just become unresponsive", async () => {
+    await changeAfter({ muteOpen: true });
+});
+
+// Guards against a change that comes late because a watch on a silent connection ends only with its waiting time.
+test("silent: a change is in force in time although the connections of all watches have just become unresponsive", async () => {
+    await changeAfter({ muteWatches: true });
 });
