--- a/src/ids/hallname.ts
+++ b/src/ids/hallname.ts
@@ -2,10 +2,7 @@
 import { z } from "zod";
 import { namePattern } from "./namepattern.js";
 
-const HallName = z.string().regex(
-    namePattern,
-    "must be 1 to 253 printable ASCII characters, without a blank at either end",
-).brand("HallName");
+const HallName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand("HallName");
 type HallName = z.infer<typeof HallName>;
 
 /** The name of a data hall. */
--- a/src/ids/hostname.ts
+++ b/src/ids/hostname.ts
@@ -2,10 +2,7 @@
 import { z } from "zod";
 import { namePattern } from "./namepattern.js";
 
-const HostName = z.string().regex(
-    namePattern,
-    "must be 1 to 253 printable ASCII characters, without a blank at either end",
-).brand("HostName");
+const HostName = z.string().regex(namePattern, "must be 1 to 63 letters, digits, dots or hyphens").brand("HostName");
 type HostName = z.infer<typeof HostName>;
 
 /** The name of a host in the platform's list. */
--- a/src/ids/namepattern.ts
+++ b/src/ids/namepattern.ts
@@ -1,2 +1,2 @@
-/** Defines the names that operators may choose: printable ASCII, as in a header field, without a blank at either end. */
-export const namePattern = /^[!-~](?:[ -~]{0,251}[!-~])?$/;
+/** Defines the names that operators may choose: up to 63 characters, those of a host name (RFC 1123). */
+export const namePattern = /^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/;
--- a/src/ids/regionname.ts
+++ b/src/ids/regionname.ts
@@ -1,13 +1,11 @@
 /** Defines the name of a region. */
 import { z } from "zod";
-import { namePattern } from "./namepattern.js";
+import { configuredNamePattern } from "./configurednamepattern.js";
 
 const RegionName = z.string().regex(
-    namePattern,
+    configuredNamePattern,
     "must be 1 to 253 printable ASCII characters, without a blank at either end",
-).brand(
-    "RegionName",
-);
+).brand("RegionName");
 type RegionName = z.infer<typeof RegionName>;
 
 /** The name of a region, a group of data halls. */
--- a/src/ids/rulename.ts
+++ b/src/ids/rulename.ts
@@ -1,9 +1,9 @@
 /** Defines the name of a rule. */
 import { z } from "zod";
-import { namePattern } from "./namepattern.js";
+import { configuredNamePattern } from "./configurednamepattern.js";
 
 const RuleName = z.string().regex(
-    namePattern,
+    configuredNamePattern,
     "must be 1 to 253 printable ASCII characters, without a blank at either end",
 ).brand("RuleName");
 type RuleName = z.infer<typeof RuleName>;
--- a/src/ids/servicename.ts
+++ b/src/ids/servicename.ts
@@ -1,13 +1,11 @@
 /** Defines the name of a service. */
 import { z } from "zod";
-import { namePattern } from "./namepattern.js";
+import { configuredNamePattern } from "./configurednamepattern.js";
 
 const ServiceName = z.string().regex(
-    namePattern,
+    configuredNamePattern,
     "must be 1 to 253 printable ASCII characters, without a blank at either end",
-).brand(
-    "ServiceName",
-);
+).brand("ServiceName");
 type ServiceName = z.infer<typeof ServiceName>;
 
 /** The name of a service. */
