--- a/src/distribution/hallheartbeats.ts
+++ b/src/distribution/hallheartbeats.ts
@@ -81,8 +81,8 @@
     untilTurnMs(timeOfDayMs: number): number {
         const { hall, locations, election } = this.deps;
         const halls = [...new Set(locations().map(location => location.hall))].sort();
-        const rank = Math.max(0, election.ownRank) % watchersPerHall;
-        const index = Math.max(0, halls.indexOf(hall)) * watchersPerHall + rank;
+        const placeInHall = Math.max(0, election.ownRank) % watchersPerHall;
+        const index = Math.max(0, halls.indexOf(hall)) * watchersPerHall + placeInHall;
         return untilTurnMs({ index, count: Math.max(1, halls.length) * watchersPerHall }, timeOfDayMs);
     }
 
--- a/src/ids/servicename.ts
+++ b/src/ids/servicename.ts
@@ -1,11 +1,8 @@
 /** Defines the name of a service. */
-import { z } from "zod";
-import { configuredNamePattern } from "./configurednamepattern.js";
+import type { z } from "zod";
+import { ConfiguredName } from "./configuredname.js";
 
-const ServiceName = z.string().regex(
-    configuredNamePattern,
-    "must be 1 to 253 printable ASCII characters, without a blank at either end",
-).brand("ServiceName");
+const ServiceName = ConfiguredName.brand("ServiceName");
 type ServiceName = z.infer<typeof ServiceName>;
 
 /** The name of a service. */
--- a/src/policy/distribution/untilturnms.ts
+++ b/src/policy/distribution/untilturnms.ts
@@ -19,7 +19,6 @@
  */
 export function untilTurnMs({ index, count }: WatcherPlace, timeOfDayMs: number): number {
     const periodMs = count * TURN_MS;
-    const elapsedMs = (timeOfDayMs - index * TURN_MS) % periodMs;
-    const waitMs = Math.ceil(elapsedMs <= 0 ? -elapsedMs : periodMs - elapsedMs);
+    const waitMs = Math.ceil(periodMs - (timeOfDayMs - index * TURN_MS) % periodMs);
     return waitMs < MIN_WAIT_MS ? waitMs + periodMs : waitMs;
 }
